--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,90 @@
+// Package verdict says how a request ended: whether it ran, and why it ended
+// that way. Every answer that is not a success carries both.
+package verdict
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Verdict says whether a request had an effect at an upstream.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value on purpose: only a process that can prove
+	// it may say NotRun or Ran, so whatever nobody decided is unknown.
+	MayHaveRun Verdict = iota
+	// NotRun means that no upstream got the request, or that the upstream
+	// refused it before it had any effect.
+	NotRun
+	// Ran means that an upstream ran the request, whether or not the caller
+	// got the whole answer.
+	Ran
+)
+
+var verdictNames = [...]string{MayHaveRun: "may_have_run", NotRun: "not_run", Ran: "ran"}
+
+// String returns the verdict's name in snake case.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. An unknown name is an error.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return errorx.IllegalFormat.New("unknown verdict %q", text)
+}
+
+// Outcome is the final state of one request.
+type Outcome struct {
+	Verdict Verdict
+	Reason  Reason
+	// RetryAt is when a new try has a chance, for NotRun; zero when a new try
+	// can't help.
+	RetryAt time.Time
+	// Detail is a sentence for people. It never holds secrets or prompts.
+	Detail string
+}
+
+// Success reports whether the request ran and its whole answer was delivered.
+func (o Outcome) Success() bool { return o.Verdict == Ran && o.Reason == Completed }
+
+var (
+	namespace = errorx.NewNamespace("verdict")
+	// ErrorType is the errorx type of every error made by Fail.
+	ErrorType       = namespace.NewType("failed")
+	outcomeProperty = errorx.RegisterProperty("outcome")
+)
+
+// Fail returns an error that carries the outcome; Of reads it back.
+func Fail(v Verdict, r Reason, format string, args ...any) error {
+	err := ErrorType.New(format, args...)
+	return err.WithProperty(outcomeProperty, Outcome{Verdict: v, Reason: r, Detail: err.Message()})
+}
+
+// FailAt is Fail with a time from which a new try has a chance.
+func FailAt(v Verdict, r Reason, retryAt time.Time, format string, args ...any) error {
+	err := ErrorType.New(format, args...)
+	return err.WithProperty(outcomeProperty, Outcome{Verdict: v, Reason: r, RetryAt: retryAt, Detail: err.Message()})
+}
+
+// Of returns the outcome that err carries. An error without one proves
+// nothing, so its verdict is MayHaveRun.
+func Of(err error) Outcome {
+	if err == nil {
+		return Outcome{Verdict: Ran, Reason: Completed}
+	}
+	if property, ok := errorx.ExtractProperty(err, outcomeProperty); ok {
+		if outcome, ok := property.(Outcome); ok {
+			return outcome
+		}
+	}
+	return Outcome{Verdict: MayHaveRun, Reason: Internal, Detail: err.Error()}
+}
--- /dev/null
+++ b/verdict/verdict_test.go
@@ -0,0 +1,39 @@
+package verdict_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/verdict"
+)
+
+func TestOf(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want verdict.Verdict
+	}{
+		"no error ran":              {nil, verdict.Ran},
+		"a plain error is unproved": {errors.New("boom"), verdict.MayHaveRun},
+		"the outcome is kept":       {verdict.Fail(verdict.NotRun, verdict.NoUpstream, "none"), verdict.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, verdict.Of(test.err).Verdict, test.want)
+		})
+	}
+}
+
+func TestReasonNamesRoundTrip(t *testing.T) {
+	seen := map[string]bool{}
+	for _, reason := range verdict.Reasons() {
+		text, err := reason.MarshalText()
+		assert.NilError(t, err)
+		assert.Assert(t, len(text) > 0 && !seen[string(text)], "reason %d has no name of its own", reason)
+		seen[string(text)] = true
+		var back verdict.Reason
+		assert.NilError(t, back.UnmarshalText(text))
+		assert.Equal(t, back, reason)
+	}
+}
