The whole path, thin: streams, reads and charges through real processes

Cause: nothing served a request yet.

Change: cmd/mangoloft serves callers (completions over SSE, calls, tickets), reads the configuration and the instance list, speaks to its peers over gRPC, and answers status and explanations. All control state belongs to one goroutine and one pure step (package control); plug-ins register with the kernel. cmd/standin holds stand-ins for engines, services, the configuration service and the instance list, each a process of its own; cmd/mangobench starts fleets of them, with a fault proxy before each listener when asked.

Ruled out: a proxy for each pair of processes. Every process dials from a loopback address of its own instead, so one proxy before a listener can tell its sources apart.

--- /dev/null
+++ b/call/dispatch.go
@@ -0,0 +1,68 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"mangoloft/config"
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/verdict"
+)
+
+// maxAttempts bounds how often one call is sent, counting those that an
+// upstream proved not to have run.
+const maxAttempts = 3
+
+// Runner makes one exchange with a service.
+type Runner interface {
+	// Call sends the request once. An error with verdict NotRun proves that
+	// it had no effect.
+	Call(ctx context.Context, addr netip.AddrPort, r Request) (Answer, error)
+}
+
+// Placer gives requests their places.
+type Placer interface {
+	Place(ctx context.Context, r decide.Request) (decide.Place, error)
+	Send(e control.Event)
+}
+
+// Dispatcher sends calls to the services that the scheduler chooses.
+type Dispatcher struct {
+	Placer Placer
+	Runner Runner
+}
+
+// Run places the call and sends it. It tries another upstream only when the
+// call is proved not to have run. Steps get one line for each decision, for
+// the audit record.
+func (d *Dispatcher) Run(ctx context.Context, class config.Class, r Request) (answer Answer, steps []string, err error) {
+	asked := decide.Request{ID: r.ID, Team: r.Team, Class: class}
+	if class.Wait > 0 {
+		asked.StartBy = time.Now().Add(class.Wait)
+	}
+	for range maxAttempts {
+		var place decide.Place
+		place, err = d.Placer.Place(ctx, asked)
+		if err != nil {
+			return Answer{}, append(steps, verdict.Of(err).Detail), err
+		}
+		steps = append(steps, fmt.Sprintf("sent to %s: %s", place.Upstream.Name, place.Why))
+		answer, err = d.Runner.Call(ctx, place.Upstream.Addr, r)
+		d.Placer.Send(control.Scheduling{Event: decide.Ended{ID: r.ID, Outcome: verdict.Of(err)}})
+		if err == nil {
+			answer.Upstream = place.Upstream.Name
+			return answer, steps, nil
+		}
+		outcome := verdict.Of(err)
+		steps = append(steps, fmt.Sprintf("%s: %s, %s: %s", place.Upstream.Name, outcome.Verdict, outcome.Reason, outcome.Detail))
+		if outcome.Verdict != verdict.NotRun || ctx.Err() != nil {
+			return Answer{}, steps, err
+		}
+		d.Placer.Send(control.Scheduling{Event: decide.Failed{Upstream: place.Upstream.Name, Reason: outcome.Reason}})
+		asked.Avoid = append(asked.Avoid, place.Upstream.Name)
+	}
+	return Answer{}, steps, err
+}
--- /dev/null
+++ b/caller/plugin.go
@@ -0,0 +1,99 @@
+// Package caller serves the callers over HTTP: completions, calls, tickets and
+// explanations.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+
+	"mangoloft/call"
+	"mangoloft/kernel"
+	"mangoloft/relay"
+)
+
+const (
+	// headerLimit bounds the time for a request's headers, bodyLimit that for
+	// the whole request.
+	headerLimit = 5 * time.Second
+	bodyLimit   = 15 * time.Second
+	// idleLimit bounds the time between two requests on a connection.
+	idleLimit      = 60 * time.Second
+	maxHeaderBytes = 32 << 10
+	// closeLimit bounds the wait for connections at the very end, when no
+	// request is under way any more.
+	closeLimit = 2 * time.Second
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "caller", Stage: kernel.StageEdge, Start: start})
+}
+
+// server holds what the handlers need.
+type server struct {
+	rt         *kernel.Runtime
+	engine     relay.Engine
+	dispatcher *call.Dispatcher
+	charges    charger
+	explainer  explainer
+}
+
+func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
+	engine, haveEngine := kernel.Find[relay.Engine](rt)
+	runner, haveRunner := kernel.Find[call.Runner](rt)
+	charges, haveCharges := kernel.Find[charger](rt)
+	explainer, haveExplainer := kernel.Find[explainer](rt)
+	if !haveEngine || !haveRunner || !haveCharges || !haveExplainer {
+		return nil, errorx.IllegalState.New("a plug-in that callers need is missing")
+	}
+	s := &server{rt, engine, &call.Dispatcher{Placer: rt, Runner: runner}, charges, explainer}
+	return []kernel.Actor{{Name: "callers", Run: s.serve}}, nil
+}
+
+func (s *server) routes() *echo.Echo {
+	e := echo.New()
+	e.HTTPErrorHandler = s.routingError
+	e.Use(middleware.Recover(), s.limitBody)
+	e.GET("/ready", s.ready)
+	e.POST("/v1/completions", s.request(s.complete))
+	e.GET("/v1/completions", s.request(s.complete))
+	e.POST("/v1/calls/:class", s.request(s.call))
+	e.POST("/v1/tickets", s.request(s.mint))
+	e.GET("/v1/requests/:id", s.request(s.explain))
+	return e
+}
+
+func (s *server) serve(ctx context.Context) error {
+	server := &http.Server{
+		Addr: s.rt.Settings.Listen.Callers.String(), Handler: s.routes(),
+		ReadHeaderTimeout: headerLimit, ReadTimeout: bodyLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeaderBytes,
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			server.Close()
+		}
+	})
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// ready tells the balancer whether to send new work here.
+func (s *server) ready(c echo.Context) error {
+	if !s.rt.Snapshot().Ready {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,86 @@
+// Command standin runs one stand-in for what surrounds the system.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/oklog/run"
+
+	"mangoloft/ident"
+	"mangoloft/standin"
+)
+
+type arguments struct {
+	Engine        *engineCommand        `arg:"subcommand:engine" help:"a model engine"`
+	Service       *serviceCommand       `arg:"subcommand:service" help:"a plain service"`
+	Configuration *configurationCommand `arg:"subcommand:configuration" help:"the configuration service"`
+	List          *listCommand          `arg:"subcommand:list" help:"the instance list"`
+}
+
+type engineCommand struct {
+	Listen      netip.AddrPort `arg:"required"`
+	Incarnation string         `arg:"required" help:"as the instance list gives it"`
+	Step        time.Duration  `default:"5ms" help:"the time for one token"`
+}
+
+type serviceCommand struct {
+	Listen      netip.AddrPort `arg:"required"`
+	Incarnation string         `arg:"required" help:"as the instance list gives it"`
+}
+
+type configurationCommand struct {
+	Listen netip.AddrPort `arg:"required"`
+}
+
+type listCommand struct {
+	Listen netip.AddrPort `arg:"required"`
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var group run.Group
+	var listen netip.AddrPort
+	var routes http.Handler
+	switch {
+	case args.Engine != nil:
+		engine := standin.NewEngine(incarnation(parser, args.Engine.Incarnation), args.Engine.Step)
+		listen, routes = args.Engine.Listen, engine.Routes()
+		done := make(chan struct{})
+		group.Add(func() error { engine.Run(done); return nil }, func(error) { close(done) })
+	case args.Service != nil:
+		listen, routes = args.Service.Listen, standin.NewService(incarnation(parser, args.Service.Incarnation)).Routes()
+	case args.Configuration != nil:
+		listen, routes = args.Configuration.Listen, standin.NewConfiguration().Routes()
+	case args.List != nil:
+		listen, routes = args.List.Listen, standin.NewList([]byte("{}")).Routes()
+	default:
+		parser.Fail("name a stand-in")
+	}
+	server := &http.Server{Addr: listen.String(), Handler: routes, ReadHeaderTimeout: time.Second}
+	group.Add(server.ListenAndServe, func(error) { server.Close() })
+	group.Add(func() error { <-ctx.Done(); return nil }, func(error) { stop() })
+	if err := group.Run(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func incarnation(parser *arg.Parser, text string) ident.Incarnation {
+	parsed, err := ident.ParseIncarnation(text)
+	if err != nil {
+		parser.Fail(err.Error())
+	}
+	return parsed
+}
--- /dev/null
+++ b/decide/types.go
@@ -0,0 +1,125 @@
+// Package decide holds the decisions on crowded upstreams: where a request
+// goes, when, and whether it is refused. It is a pure function of its state,
+// the time and an event: no network, clock, lock or process is in it, so that
+// any harness can drive it.
+package decide
+
+import (
+	"net/netip"
+	"time"
+
+	"mangoloft/config"
+	"mangoloft/ident"
+	"mangoloft/verdict"
+)
+
+// Upstream is a model engine or a plain service that may get work.
+type Upstream struct {
+	Name        string
+	Pool        string
+	DataCentre  string
+	Addr        netip.AddrPort
+	Incarnation ident.Incarnation
+	// Leaving upstreams get no new work.
+	Leaving bool
+}
+
+// Request is one request that asks for a place.
+type Request struct {
+	ID    ident.Request
+	Team  string
+	Class config.Class
+	// PromptTokens is the length of the prompt, estimated where the tokenizer
+	// is not known.
+	PromptTokens int
+	// Prefix holds the hashes of the prompt's leading blocks, longest last.
+	Prefix []uint64
+	// StartBy is when the target for waiting passes; zero when the class has none.
+	StartBy time.Time
+	// Avoid names upstreams that this request has failed at.
+	Avoid []string
+}
+
+// Report is an upstream's report of its load, as of a time in the past.
+type Report struct {
+	TakenAt time.Time
+	// Running and Waiting count generations or calls.
+	Running, Waiting int
+	// UsedTokens and CapacityTokens measure key-value memory; zero for services.
+	UsedTokens, CapacityTokens int
+	// StepTime is the duration of the latest iteration.
+	StepTime time.Duration
+	// Preemptions counts since the upstream's start.
+	Preemptions uint64
+}
+
+// Event is what the scheduler is told.
+type Event interface{ decideEvent() }
+
+// UpstreamsChanged replaces the upstreams.
+type UpstreamsChanged struct{ Upstreams []Upstream }
+
+// Reported is a new load report of an upstream.
+type Reported struct {
+	Upstream string
+	Report   Report
+}
+
+// Arrived asks for a place for a request.
+type Arrived struct{ Request Request }
+
+// Progressed says how many tokens a placed request has got by now.
+type Progressed struct {
+	ID     ident.Request
+	Tokens int
+}
+
+// Ended says that a placed or waiting request is over.
+type Ended struct {
+	ID      ident.Request
+	Tokens  int
+	Outcome verdict.Outcome
+}
+
+// Failed says that an upstream failed for a request, which is then over or
+// asks again by Arrived.
+type Failed struct {
+	Upstream string
+	Reason   verdict.Reason
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (UpstreamsChanged) decideEvent() {}
+func (Reported) decideEvent()         {}
+func (Arrived) decideEvent()          {}
+func (Progressed) decideEvent()       {}
+func (Ended) decideEvent()            {}
+func (Failed) decideEvent()           {}
+func (Tick) decideEvent()             {}
+
+// Action is what the scheduler wants done.
+type Action interface{ decideAction() }
+
+// Place sends a request to an upstream.
+type Place struct {
+	ID       ident.Request
+	Upstream Upstream
+	// Priority is for engines: a larger one is preempted later.
+	Priority int
+	// Why holds the figures that decided, for the audit record.
+	Why string
+}
+
+// Refuse ends a request that was not run.
+type Refuse struct {
+	ID     ident.Request
+	Reason verdict.Reason
+	// RetryAt is when a new try has a chance.
+	RetryAt time.Time
+	Why     string
+}
+
+func (Place) decideAction()  {}
+func (Refuse) decideAction() {}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,171 @@
+// Package engine speaks to model engines: generations over SSE, their load
+// reports, and their cache events.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"mangoloft/relay"
+	"mangoloft/settings"
+	"mangoloft/verdict"
+)
+
+const (
+	// silenceLimit is how long a connection may bring nothing, not even a
+	// heartbeat, before it counts as lost.
+	silenceLimit = 3 * time.Second
+	dialLimit    = 1 * time.Second
+	// answerLimit bounds short calls: cancels and reports.
+	answerLimit = 2 * time.Second
+	// maxTokenBytes bounds one SSE event.
+	maxTokenBytes = 64 << 10
+)
+
+// Client speaks to all engines. It may be used by several goroutines.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client whose connections are lost when silent.
+func NewClient(s settings.Settings) *Client {
+	dialer := s.Dialer(dialLimit)
+	return &Client{&http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &silenceConn{conn}, nil
+		},
+		MaxIdleConnsPerHost: 64,
+	}}}
+}
+
+// silenceConn fails a read that waits past the limit. It also ends idle
+// connections, so that a pooled one that something between the two ends has
+// forgotten is not used again.
+type silenceConn struct{ net.Conn }
+
+func (c *silenceConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// startWire is the body of an order to begin a generation.
+type startWire struct {
+	Generation string `json:"generation"`
+	Model      string `json:"model"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max_tokens"`
+	Priority   int    `json:"priority"`
+}
+
+// tokenWire is the data of one SSE event.
+type tokenWire struct {
+	Generation string `json:"generation"`
+	Index      int    `json:"index"`
+	Text       string `json:"text"`
+	Finish     string `json:"finish"`
+}
+
+// refusalWire is the body of an answer that is not a success.
+type refusalWire struct {
+	Error string `json:"error"`
+	// NotRun is the engine's word that the order had no effect.
+	NotRun bool `json:"not_run"`
+}
+
+// Start implements relay.Engine.
+func (c *Client) Start(ctx context.Context, addr netip.AddrPort, spec relay.Spec) (relay.Feed, error) {
+	body, err := json.Marshal(startWire(spec))
+	if err != nil {
+		return nil, verdict.Fail(verdict.NotRun, verdict.Internal, "order: %v", err)
+	}
+	return c.open(ctx, http.MethodPost, url(addr, "/generations"), body)
+}
+
+// Resume implements relay.Engine.
+func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, generation string, next int) (relay.Feed, error) {
+	return c.open(ctx, http.MethodGet, url(addr, fmt.Sprintf("/generations/%s?from=%d", generation, next)), nil)
+}
+
+// Cancel implements relay.Engine.
+func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, generation string) error {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	response, err := c.send(ctx, http.MethodDelete, url(addr, "/generations/"+generation), nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+		return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "cancel: %s", response.Status)
+	}
+	return nil
+}
+
+func url(addr netip.AddrPort, path string) string { return "http://" + addr.String() + path }
+
+// send makes one exchange. Its error says NotRun only when nothing of the
+// request was written.
+func (c *Client) send(ctx context.Context, method, target string, body []byte) (*http.Response, error) {
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, verdict.Fail(verdict.NotRun, verdict.Internal, "request: %v", err)
+	}
+	// Without GetBody the transport never sends a request a second time.
+	request.GetBody = nil
+	response, err := c.http.Do(request)
+	if err == nil {
+		return response, nil
+	}
+	if written.Load() {
+		return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "%v", err)
+	}
+	return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
+}
+
+func (c *Client) open(ctx context.Context, method, target string, body []byte) (relay.Feed, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	response, err := c.send(ctx, method, target, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		defer cancel()
+		defer response.Body.Close()
+		return nil, refusal(response)
+	}
+	return newFeed(response.Body, cancel), nil
+}
+
+func refusal(response *http.Response) error {
+	var wire refusalWire
+	content, _ := io.ReadAll(io.LimitReader(response.Body, maxTokenBytes))
+	_ = json.Unmarshal(content, &wire) // Without the engine's word the verdict stays unproved.
+	switch {
+	case response.StatusCode == http.StatusNotFound:
+		return verdict.Fail(verdict.MayHaveRun, verdict.GenerationLost, "%s: %s", response.Status, wire.Error)
+	case wire.NotRun:
+		return verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "%s: %s", response.Status, wire.Error)
+	default:
+		return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "%s: %s", response.Status, wire.Error)
+	}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,88 @@
+// Package event is the catalogue of the numbered events that the system logs.
+// docs/EVENTS.md explains each to the people on call.
+package event
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+)
+
+// ID is an event's number. Numbers are never used again for another event.
+type ID uint16
+
+// The numbers: 1xx the process, 2xx configuration, 3xx membership, 4xx
+// upstreams, 5xx requests, 6xx tickets.
+const (
+	InstanceStarted  ID = 101
+	InstanceReady    ID = 102
+	InstanceStopping ID = 103
+	InstanceStopped  ID = 104
+	ProcessPaused    ID = 105
+
+	ConfigAccepted      ID = 201
+	ConfigRefused       ID = 202
+	ConfigServiceFailed ID = 203
+
+	PeerAlive   ID = 301
+	PeerSilent  ID = 302
+	ListFailed  ID = 303
+	ListChanged ID = 304
+
+	UpstreamJoined      ID = 401
+	UpstreamLeaving     ID = 402
+	UpstreamGone        ID = 403
+	UpstreamUnreachable ID = 404
+
+	RequestEnded  ID = 501
+	StreamResumed ID = 502
+
+	LedgerHandedOver ID = 601
+	LedgerTaken      ID = 602
+)
+
+var names = map[ID]string{
+	InstanceStarted:     "instance_started",
+	InstanceReady:       "instance_ready",
+	InstanceStopping:    "instance_stopping",
+	InstanceStopped:     "instance_stopped",
+	ProcessPaused:       "process_paused",
+	ConfigAccepted:      "config_accepted",
+	ConfigRefused:       "config_refused",
+	ConfigServiceFailed: "config_service_failed",
+	PeerAlive:           "peer_alive",
+	PeerSilent:          "peer_silent",
+	ListFailed:          "list_failed",
+	ListChanged:         "list_changed",
+	UpstreamJoined:      "upstream_joined",
+	UpstreamLeaving:     "upstream_leaving",
+	UpstreamGone:        "upstream_gone",
+	UpstreamUnreachable: "upstream_unreachable",
+	RequestEnded:        "request_ended",
+	StreamResumed:       "stream_resumed",
+	LedgerHandedOver:    "ledger_handed_over",
+	LedgerTaken:         "ledger_taken",
+}
+
+// String returns the event's name in snake case.
+func (id ID) String() string { return names[id] }
+
+// All returns every event with its name.
+func All() map[ID]string { return names }
+
+// Log writes numbered events as one JSON object a line.
+type Log struct {
+	logger log.Logger
+}
+
+// NewLog returns a log of one instance that writes to w.
+func NewLog(w io.Writer, instance string) *Log {
+	logger := log.NewJSONLogger(log.NewSyncWriter(w))
+	return &Log{log.With(logger, "time", log.DefaultTimestampUTC, "instance", instance)}
+}
+
+// Emit writes one event with pairs of field names and values.
+func (l *Log) Emit(id ID, pairs ...any) {
+	// A log that can't be written must not stop the service.
+	_ = l.logger.Log(append([]any{"event", uint16(id), "name", id.String()}, pairs...)...)
+}
--- /dev/null
+++ b/ident/ident.go
@@ -0,0 +1,88 @@
+// Package ident holds the ids that name a process and what it has served.
+package ident
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/binary"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Incarnation names one run of one process. A later run of the same instance
+// has a larger one: the upper bits are the start in milliseconds since 1970,
+// the lower 20 bits are random, so that two starts in one millisecond differ.
+type Incarnation uint64
+
+const incarnationRandomBits = 20
+
+// NewIncarnation returns the incarnation of a process that starts now.
+func NewIncarnation(now time.Time) Incarnation {
+	var random [4]byte
+	rand.Read(random[:])
+	low := uint64(binary.BigEndian.Uint32(random[:])) & (1<<incarnationRandomBits - 1)
+	return Incarnation(uint64(now.UnixMilli())<<incarnationRandomBits | low)
+}
+
+// String returns the incarnation in hexadecimal.
+func (i Incarnation) String() string { return strconv.FormatUint(uint64(i), 16) }
+
+// ParseIncarnation reads what String wrote.
+func ParseIncarnation(text string) (Incarnation, error) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, errorx.IllegalFormat.New("malformed incarnation %q", text)
+	}
+	return Incarnation(n), nil
+}
+
+// Home is the one incarnation of one entry instance that something belongs to.
+type Home struct {
+	// Peer is the address where the instance listens for its peers.
+	Peer        netip.AddrPort
+	Incarnation Incarnation
+}
+
+// Request names one request. It holds the home that keeps the request's
+// record, so that every instance knows whom to ask about it.
+type Request struct {
+	Home     Home
+	Sequence uint64
+}
+
+const requestPrefix = "r-"
+
+// String returns the id in the form that callers see.
+func (r Request) String() string {
+	addr := r.Home.Peer.Addr().Unmap().AsSlice()
+	text := make([]byte, 0, 34)
+	text = append(text, addr...)
+	text = binary.BigEndian.AppendUint16(text, r.Home.Peer.Port())
+	text = binary.BigEndian.AppendUint64(text, uint64(r.Home.Incarnation))
+	text = binary.BigEndian.AppendUint64(text, r.Sequence)
+	return requestPrefix + base64.RawURLEncoding.EncodeToString(text)
+}
+
+// ParseRequest reads what String wrote; anything else is an error.
+func ParseRequest(text string) (Request, error) {
+	malformed := errorx.IllegalFormat.New("malformed request id")
+	if len(text) < len(requestPrefix) || text[:len(requestPrefix)] != requestPrefix {
+		return Request{}, malformed
+	}
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text[len(requestPrefix):])
+	if err != nil || (len(raw) != 4+18 && len(raw) != 16+18) {
+		return Request{}, malformed
+	}
+	addr, _ := netip.AddrFromSlice(raw[:len(raw)-18])
+	rest := raw[len(raw)-18:]
+	return Request{
+		Home: Home{
+			Peer:        netip.AddrPortFrom(addr, binary.BigEndian.Uint16(rest)),
+			Incarnation: Incarnation(binary.BigEndian.Uint64(rest[2:])),
+		},
+		Sequence: binary.BigEndian.Uint64(rest[10:]),
+	}, nil
+}
--- /dev/null
+++ b/kernel/run.go
@@ -0,0 +1,110 @@
+package kernel
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/oklog/run"
+
+	"mangoloft/audit"
+	"mangoloft/control"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/settings"
+	"mangoloft/ticket"
+)
+
+const (
+	// readinessGrace is how long the instance still takes new requests after
+	// it has told the balancer not to send any.
+	readinessGrace = 1 * time.Second
+	// handOverLimit bounds the steps after the last request of a planned stop.
+	handOverLimit = 5 * time.Second
+	// eventBacklog is how many events may wait for the control goroutine.
+	eventBacklog = 1024
+)
+
+// Run runs an entry instance until ctx ends and its planned stop is done, or
+// until a part of it fails. Audit records go to trail, logs to logs.
+func Run(ctx context.Context, s settings.Settings, trail, logs io.Writer) error {
+	keyring, err := ticket.NewKeyring(s.Keys)
+	if err != nil {
+		return err
+	}
+	home := ident.Home{Peer: s.Advertise, Incarnation: ident.NewIncarnation(time.Now())}
+	rt := &Runtime{
+		Settings: s, Home: home, Keyring: keyring,
+		Log:    event.NewLog(logs, s.Instance),
+		Trail:  audit.NewTrail(trail, s.Instance, home, time.Now),
+		events: make(chan envelope, eventBacklog), stopped: make(chan struct{}),
+	}
+	rt.snapshot.Store(&control.Snapshot{})
+	state := control.New(s.Instance, s.DataCentre)
+
+	var group run.Group
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	add := func(a Actor) {
+		group.Add(func() error { return a.Run(base) }, func(error) { cancel() })
+	}
+	add(Actor{"control", func(ctx context.Context) error { return rt.runControl(ctx, state) }})
+	for _, plugin := range registered {
+		actors, err := plugin.Start(rt)
+		if err != nil {
+			return err
+		}
+		for _, actor := range actors {
+			add(actor)
+		}
+	}
+	add(Actor{"planned stop", func(base context.Context) error {
+		select {
+		case <-ctx.Done():
+			rt.drain(base)
+		case <-base.Done():
+		}
+		return nil
+	}})
+	rt.emit(event.InstanceStarted)
+	err = group.Run()
+	rt.emit(event.InstanceStopped)
+	return err
+}
+
+// startRecord is the audit record of an instance's start and stop.
+type startRecord struct {
+	Instance    string            `json:"instance"`
+	DataCentre  string            `json:"data_centre"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+func (rt *Runtime) emit(id event.ID) {
+	rt.Trail.Append(id, "", startRecord{rt.Settings.Instance, rt.Settings.DataCentre, rt.Home.Incarnation})
+	rt.Log.Emit(id, "data_centre", rt.Settings.DataCentre, "incarnation", rt.Home.Incarnation.String())
+}
+
+// drain is the planned stop: readiness falls, then no new request is taken,
+// then those under way end by themselves, then what others need is handed over.
+func (rt *Runtime) drain(ctx context.Context) {
+	rt.emit(event.InstanceStopping)
+	rt.Send(control.StopRequested{})
+	wait(ctx, time.Now().Add(readinessGrace))
+	select {
+	case <-rt.Work.close():
+	case <-ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(handOverLimit))
+	defer cancel()
+	for _, step := range rt.drainers {
+		step(ctx)
+	}
+}
+
+func wait(ctx context.Context, until time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(until)):
+	}
+}
--- /dev/null
+++ b/kernel/runtime.go
@@ -0,0 +1,228 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangoloft/audit"
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/settings"
+	"mangoloft/ticket"
+	"mangoloft/verdict"
+)
+
+// Runtime is what plug-ins see of the instance.
+type Runtime struct {
+	Settings settings.Settings
+	Home     ident.Home
+	Keyring  *ticket.Keyring
+	Log      *event.Log
+	Trail    *audit.Trail
+	// Work counts the requests under way; the planned stop waits for them.
+	Work Work
+
+	parts    []any
+	watchers []func(control.Action)
+	drainers []func(context.Context)
+	snapshot atomic.Pointer[control.Snapshot]
+	sequence atomic.Uint64
+	events   chan envelope
+	stopped  chan struct{}
+}
+
+// envelope is an event on its way to the control goroutine.
+type envelope struct {
+	event control.Event
+	// reply gets the scheduler's decision about the request id, once.
+	id    ident.Request
+	reply chan<- decide.Action
+}
+
+// Provide offers a part to the plug-ins of later stages.
+func (rt *Runtime) Provide(part any) { rt.parts = append(rt.parts, part) }
+
+// OnAction adds a watcher of actions. It runs on the control goroutine, so it
+// must not block.
+func (rt *Runtime) OnAction(watch func(control.Action)) { rt.watchers = append(rt.watchers, watch) }
+
+// OnDrain adds a step to the planned stop, run when no request is under way
+// any more.
+func (rt *Runtime) OnDrain(drain func(context.Context)) { rt.drainers = append(rt.drainers, drain) }
+
+// Snapshot returns the latest published control state.
+func (rt *Runtime) Snapshot() *control.Snapshot { return rt.snapshot.Load() }
+
+// NewRequest returns a request id of this incarnation.
+func (rt *Runtime) NewRequest() ident.Request {
+	return ident.Request{Home: rt.Home, Sequence: rt.sequence.Add(1)}
+}
+
+// Send gives the control goroutine an event. It is dropped when the instance
+// has stopped.
+func (rt *Runtime) Send(e control.Event) {
+	select {
+	case rt.events <- envelope{event: e}:
+	case <-rt.stopped:
+	}
+}
+
+// Place asks for a place and waits for the decision. The error carries the
+// outcome of a request that gets none. A request that was placed must end
+// with an event decide.Ended.
+func (rt *Runtime) Place(ctx context.Context, r decide.Request) (decide.Place, error) {
+	reply := make(chan decide.Action, 1)
+	select {
+	case rt.events <- envelope{control.Scheduling{Event: decide.Arrived{Request: r}}, r.ID, reply}:
+	case <-rt.stopped:
+		return decide.Place{}, verdict.Fail(verdict.NotRun, verdict.Stopping, "the instance has stopped")
+	}
+	select {
+	case action := <-reply:
+		switch action := action.(type) {
+		case decide.Place:
+			return action, nil
+		case decide.Refuse:
+			return decide.Place{}, verdict.FailAt(verdict.NotRun, action.Reason, action.RetryAt, "%s", action.Why)
+		}
+	case <-ctx.Done():
+	case <-rt.stopped:
+	}
+	outcome := verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.CallerGone}
+	rt.Send(control.Scheduling{Event: decide.Ended{ID: r.ID, Outcome: outcome}})
+	return decide.Place{}, verdict.Fail(outcome.Verdict, outcome.Reason, "the caller hung up before the request had a place")
+}
+
+// Work counts the requests under way.
+type Work struct {
+	mu      sync.Mutex
+	open    int
+	closed  bool
+	drained chan struct{}
+}
+
+// Begin counts a request in. It reports false once the instance takes no more.
+// A request that was counted in must be counted out with End.
+func (w *Work) Begin() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return false
+	}
+	w.open++
+	return true
+}
+
+// End counts a request out.
+func (w *Work) End() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+	if w.closed && w.open == 0 {
+		close(w.drained)
+	}
+}
+
+// Open returns how many requests are under way.
+func (w *Work) Open() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open
+}
+
+// close takes no more requests and returns a channel that is closed once none
+// is under way.
+func (w *Work) close() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.drained = make(chan struct{})
+	if w.open == 0 {
+		close(w.drained)
+	}
+	return w.drained
+}
+
+// controlTick is how often time passes for the control state.
+const controlTick = 100 * time.Millisecond
+
+// pauseLimit is the gap between two ticks from which the process counts as
+// having been paused.
+const pauseLimit = 2 * time.Second
+
+// runControl is the control goroutine.
+func (rt *Runtime) runControl(ctx context.Context, state *control.State) error {
+	defer close(rt.stopped)
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	waiting := map[ident.Request]chan<- decide.Action{}
+	lastTick := time.Now()
+	for {
+		var e envelope
+		select {
+		case <-ctx.Done():
+			return nil
+		case e = <-rt.events:
+		case <-ticker.C:
+			e = envelope{event: control.Tick{}}
+		}
+		now := time.Now()
+		// The gap is looked at before the event that ended it, whichever that
+		// is, so that nothing is decided on what was true before a pause.
+		if gap := now.Sub(lastTick); gap > pauseLimit {
+			rt.carryOut(state.Step(now, control.Paused{Gap: gap}), waiting)
+		}
+		lastTick = now
+		if e.reply != nil {
+			waiting[e.id] = e.reply
+		}
+		if ended, ok := endedRequest(e.event); ok {
+			delete(waiting, ended)
+		}
+		rt.carryOut(state.Step(now, e.event), waiting)
+	}
+}
+
+func endedRequest(e control.Event) (ident.Request, bool) {
+	if scheduling, ok := e.(control.Scheduling); ok {
+		if ended, ok := scheduling.Event.(decide.Ended); ok {
+			return ended.ID, true
+		}
+	}
+	return ident.Request{}, false
+}
+
+func (rt *Runtime) carryOut(actions []control.Action, waiting map[ident.Request]chan<- decide.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case control.Publish:
+			rt.snapshot.Store(a.Snapshot)
+		case control.Record:
+			rt.Trail.Append(a.ID, "", a.Change)
+			rt.Log.Emit(a.ID)
+		case control.Scheduled:
+			reply(a.Action, waiting)
+		}
+		for _, watch := range rt.watchers {
+			watch(action)
+		}
+	}
+}
+
+func reply(action decide.Action, waiting map[ident.Request]chan<- decide.Action) {
+	var id ident.Request
+	switch a := action.(type) {
+	case decide.Place:
+		id = a.ID
+	case decide.Refuse:
+		id = a.ID
+	}
+	if waiter, ok := waiting[id]; ok {
+		waiter <- action
+		delete(waiting, id)
+	}
+}
--- /dev/null
+++ b/operator/plugin.go
@@ -0,0 +1,124 @@
+// Package operator serves the operators over HTTP: status, explanations and
+// metrics.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/labstack/echo/v4"
+
+	"mangoloft/ident"
+	"mangoloft/kernel"
+)
+
+const (
+	headerLimit = 5 * time.Second
+	closeLimit  = 1 * time.Second
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "operator", Stage: kernel.StageEdge, Start: start})
+}
+
+// explainer finds the audit records of a request, wherever its home is.
+type explainer interface {
+	Explain(ctx context.Context, id ident.Request) ([]json.RawMessage, error)
+}
+
+type server struct {
+	rt        *kernel.Runtime
+	explainer explainer
+}
+
+func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
+	explainer, ok := kernel.Find[explainer](rt)
+	if !ok {
+		return nil, errorx.IllegalState.New("no plug-in explains requests")
+	}
+	s := &server{rt, explainer}
+	return []kernel.Actor{{Name: "operators", Run: s.serve}}, nil
+}
+
+func (s *server) serve(ctx context.Context) error {
+	e := echo.New()
+	e.GET("/status", s.status)
+	e.GET("/requests/:id", s.explain)
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	server := &http.Server{Addr: s.rt.Settings.Listen.Operators.String(), Handler: e, ReadHeaderTimeout: headerLimit}
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			server.Close()
+		}
+	})
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// statusWire is what an instance tells operators about itself.
+type statusWire struct {
+	Instance      string         `json:"instance"`
+	DataCentre    string         `json:"data_centre"`
+	Incarnation   string         `json:"incarnation"`
+	Ready         bool           `json:"ready"`
+	Stopping      bool           `json:"stopping"`
+	ConfigVersion uint64         `json:"config_version"`
+	ConfigDigest  string         `json:"config_digest"`
+	OpenRequests  int            `json:"open_requests"`
+	Peers         []string       `json:"peers"`
+	Upstreams     []upstreamWire `json:"upstreams"`
+}
+
+type upstreamWire struct {
+	Name       string `json:"name"`
+	Pool       string `json:"pool"`
+	DataCentre string `json:"data_centre"`
+	Leaving    bool   `json:"leaving"`
+}
+
+func (s *server) status(c echo.Context) error {
+	snapshot := s.rt.Snapshot()
+	wire := statusWire{
+		Instance: s.rt.Settings.Instance, DataCentre: s.rt.Settings.DataCentre, Incarnation: s.rt.Home.Incarnation.String(),
+		Ready: snapshot.Ready, Stopping: snapshot.Stopping, OpenRequests: s.rt.Work.Open(),
+		Peers: []string{}, Upstreams: []upstreamWire{},
+	}
+	if snapshot.Config != nil {
+		wire.ConfigVersion, wire.ConfigDigest = snapshot.Config.Version, snapshot.Config.Digest
+	}
+	for _, p := range snapshot.Peers {
+		wire.Peers = append(wire.Peers, p.Name)
+	}
+	for _, u := range snapshot.Upstreams {
+		wire.Upstreams = append(wire.Upstreams, upstreamWire{u.Name, u.Pool, u.DataCentre, u.Leaving})
+	}
+	return c.JSON(http.StatusOK, wire)
+}
+
+func (s *server) explain(c echo.Context) error {
+	id, err := ident.ParseRequest(c.Param("id"))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	records, err := s.explainer.Explain(c.Request().Context(), id)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadGateway, err.Error())
+	}
+	if len(records) == 0 {
+		return echo.NewHTTPError(http.StatusNotFound, "the request's home has no record of it")
+	}
+	return c.JSON(http.StatusOK, records)
+}
--- /dev/null
+++ b/peer/handler.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"mangoloft/call"
+	"mangoloft/charge"
+	"mangoloft/control"
+	"mangoloft/ident"
+	"mangoloft/kernel"
+	"mangoloft/peerpb"
+	"mangoloft/ticket"
+	"mangoloft/verdict"
+)
+
+// handler answers the peers.
+type handler struct {
+	peerpb.UnimplementedPeerServer
+	rt    *kernel.Runtime
+	links *links
+}
+
+// Exchange implements peerpb.PeerServer.
+func (h *handler) Exchange(_ context.Context, wire *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
+	heartbeat, err := heartbeatFromWire(wire)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	h.rt.Send(control.PeerHeard{Heartbeat: heartbeat})
+	return h.links.heartbeat(), nil
+}
+
+// FetchConfig implements peerpb.PeerServer.
+func (h *handler) FetchConfig(_ context.Context, request *peerpb.ConfigRequest) (*peerpb.ConfigReply, error) {
+	snapshot := h.rt.Snapshot()
+	if snapshot.Config == nil {
+		return nil, status.Error(codes.Unavailable, "no configuration yet")
+	}
+	return newerValues(snapshot.Document, snapshot.Config.Digest, request.HaveVersion), nil
+}
+
+// ticketRunner runs tickets whose home is this instance.
+type ticketRunner interface {
+	RunHere(ctx context.Context, t ticket.Ticket, r call.Request) charge.Result
+}
+
+// RunTicket implements peerpb.PeerServer.
+func (h *handler) RunTicket(ctx context.Context, request *peerpb.TicketRequest) (*peerpb.TicketReply, error) {
+	result := h.runTicket(ctx, request)
+	return &peerpb.TicketReply{
+		Outcome: outcomeToWire(result.Err), Status: int32(result.Answer.Status), ContentType: result.Answer.ContentType,
+		Body: result.Answer.Body, Upstream: result.Answer.Upstream, Steps: result.Steps,
+	}, nil
+}
+
+func (h *handler) runTicket(ctx context.Context, request *peerpb.TicketRequest) charge.Result {
+	t, err := h.rt.Keyring.VerifyTicket(request.Ticket)
+	if err != nil || t.Team != request.Team || t.Class != request.Class {
+		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.ForeignKey, "the ticket is malformed, or for another team or class")}
+	}
+	if t.Home != h.rt.Home {
+		// Another incarnation had this address. What it ran nobody knows.
+		return charge.Result{Err: verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "the ticket's home has given way to another incarnation")}
+	}
+	id, err := ident.ParseRequest(request.RequestId)
+	if err != nil {
+		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.BadRequest, "%v", err)}
+	}
+	runner, ok := kernel.Find[ticketRunner](h.rt)
+	if !ok {
+		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.Internal, "no plug-in runs tickets")}
+	}
+	if !h.rt.Work.Begin() {
+		return charge.Result{Err: verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "the ticket's home is stopping")}
+	}
+	defer h.rt.Work.End()
+	return runner.RunHere(ctx, t, call.Request{
+		ID: id, Team: request.Team, Class: request.Class, ContentType: request.ContentType, Body: request.Body,
+	})
+}
+
+// Explain implements peerpb.PeerServer.
+func (h *handler) Explain(_ context.Context, request *peerpb.ExplainRequest) (*peerpb.ExplainReply, error) {
+	reply := &peerpb.ExplainReply{}
+	for _, record := range h.rt.Trail.Find(request.RequestId) {
+		reply.Records = append(reply.Records, string(record))
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,39 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+)
+
+// List is the platform's instance list. It serves what it was last given.
+type List struct {
+	mu      sync.Mutex
+	content []byte
+}
+
+// NewList returns a list with the content.
+func NewList(content []byte) *List { return &List{content: content} }
+
+// Routes returns the list's HTTP interface.
+func (l *List) Routes() http.Handler {
+	router := echo.New()
+	router.GET("/instances", func(c echo.Context) error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, l.content)
+	})
+	router.PUT("/instances", func(c echo.Context) error {
+		content, err := io.ReadAll(c.Request().Body)
+		if err != nil {
+			return err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.content = content
+		return c.NoContent(http.StatusNoContent)
+	})
+	return router
+}
--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,91 @@
+package ticket_test
+
+import (
+	"bytes"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/ident"
+	"mangoloft/ticket"
+)
+
+var (
+	oldKey = ticket.Key{ID: "old", Secret: bytes.Repeat([]byte{1}, ticket.MinSecretBytes)}
+	newKey = ticket.Key{ID: "new", Secret: bytes.Repeat([]byte{2}, ticket.MinSecretBytes)}
+	home   = ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:9001"), Incarnation: 5}
+)
+
+func ring(t *testing.T, keys ...ticket.Key) *ticket.Keyring {
+	t.Helper()
+	k, err := ticket.NewKeyring(keys)
+	assert.NilError(t, err)
+	return k
+}
+
+func TestTicketRoundTripAcrossRotation(t *testing.T) {
+	want := ticket.Ticket{Home: home, DataCentre: "dc1", Sequence: 3, Team: "reef", Class: "top_up", Expires: time.Unix(1000, 0)}
+	text := ring(t, oldKey).SignTicket(want)
+	got, err := ring(t, newKey, oldKey).VerifyTicket(text)
+	assert.NilError(t, err)
+	assert.Equal(t, got, want)
+	_, err = ring(t, newKey).VerifyTicket(text)
+	assert.ErrorContains(t, err, "unknown key")
+}
+
+func TestStreamRoundTrip(t *testing.T) {
+	want := ticket.Stream{
+		Request: ident.Request{Home: home, Sequence: 1}, Generation: "g", Upstream: "engine-1",
+		Addr: netip.MustParseAddrPort("127.0.0.1:5"), Team: "reef", Class: "draft",
+	}
+	k := ring(t, oldKey)
+	got, next, err := k.VerifyStream(k.SignStream(want).At(41))
+	assert.NilError(t, err)
+	assert.Equal(t, next, 41)
+	assert.Equal(t, got, want)
+}
+
+// Every single altered character must be noticed, wherever it stands.
+func TestAlteredTextIsRefused(t *testing.T) {
+	k := ring(t, oldKey)
+	aTicket := k.SignTicket(ticket.Ticket{Home: home, Team: "reef", Class: "top_up", Expires: time.Unix(1000, 0)})
+	aReference := k.SignStream(ticket.Stream{Request: ident.Request{Home: home}, Team: "reef"}).At(7)
+	tests := map[string]struct {
+		text   string
+		verify func(string) error
+	}{
+		"ticket":    {aTicket, func(s string) error { _, err := k.VerifyTicket(s); return err }},
+		"reference": {aReference, func(s string) error { _, _, err := k.VerifyStream(s); return err }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.NilError(t, test.verify(test.text))
+			for i := range test.text {
+				altered := test.text[:i] + string(test.text[i]^1) + test.text[i+1:]
+				assert.Assert(t, test.verify(altered) != nil, "altered at %d: %s", i, altered)
+			}
+			assert.Assert(t, test.verify("") != nil)
+			assert.Assert(t, test.verify(strings.ReplaceAll(test.text, ".", "")) != nil)
+		})
+	}
+	_, err := k.VerifyTicket(aReference)
+	assert.Assert(t, err != nil, "a reference passed for a ticket")
+}
+
+func TestKeyringRefuses(t *testing.T) {
+	tests := map[string][]ticket.Key{
+		"no key":        nil,
+		"a short one":   {{ID: "a", Secret: []byte("short")}},
+		"an id twice":   {oldKey, oldKey},
+		"a dotted name": {{ID: "a.b", Secret: oldKey.Secret}},
+	}
+	for name, keys := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := ticket.NewKeyring(keys)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
