Soak: random faults against a local fleet, every promise checked

Cause: nothing put load and faults on the fleet together, so nothing was known of it beyond one death.

Change: mangobench soak draws a schedule of faults from its seed (kills, planned stops, freezes, cuts, silences, forgotten connections, platform outages, operator races), carries it out with streams, charges and reads under way, and prints one line of figures. Violations end it with an error: doubled charges, answers to another request, a not_run that ran, lost, doubled or crossed tokens, a final event with a wrong count, a configuration that goes back.

Not covered yet: services that are killed, a stale configuration service, teams apart from each other.

--- a/bench/demo.go
+++ b/bench/demo.go
@@ -152,14 +152,10 @@
 }
 
 func (d *demo) post(ctx context.Context, p *Process, path, body, ticket string) (content []byte, id string, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr.String()+path, strings.NewReader(body))
+	request, err := newPost(ctx, p, path, body, ticket)
 	if err != nil {
 		return nil, "", err
 	}
-	request.Header.Set("Authorization", "Bearer "+Credential)
-	if ticket != "" {
-		request.Header.Set("Idempotency-Key", ticket)
-	}
 	response, err := d.client.Do(request)
 	if err != nil {
 		return nil, "", err
@@ -171,3 +167,19 @@
 	}
 	return content, response.Header.Get("X-Request-Id"), err
 }
+
+// newPost returns a request of the fleet's team, under the ticket if there is one.
+func newPost(ctx context.Context, p *Process, path, body, ticket string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// A caller that was told nothing asks again by itself, so that the test
+	// knows how often it asked.
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+Credential)
+	if ticket != "" {
+		request.Header.Set("Idempotency-Key", ticket)
+	}
+	return request, nil
+}
--- /dev/null
+++ b/bench/faults.go
@@ -0,0 +1,197 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"mangoloft/ident"
+)
+
+// injector carries out a schedule on a fleet.
+type injector struct {
+	fleet *Fleet
+	start time.Time
+
+	mu sync.Mutex
+	// busy holds the processes under a fault, so that no second one hits them.
+	busy   map[*Process]bool
+	counts map[string]int
+	errs   []string
+}
+
+// run carries out the schedule and returns when its last fault is over.
+func (i *injector) run(ctx context.Context, schedule []Planned) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, planned := range schedule {
+		if !sleepUntil(ctx, i.start.Add(planned.From)) {
+			return
+		}
+		group.Go(func() { i.inject(ctx, planned) })
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+func (i *injector) inject(ctx context.Context, p Planned) {
+	targets := i.targets(p.Kind)
+	target := targets[p.Target%len(targets)]
+	if !i.claim(target) {
+		return
+	}
+	defer i.release(target)
+	i.mu.Lock()
+	i.counts[p.Kind.String()]++
+	i.mu.Unlock()
+	until := i.start.Add(p.Until)
+	if err := i.cause(ctx, p, target, until); err != nil && ctx.Err() == nil {
+		i.mu.Lock()
+		i.errs = append(i.errs, fmt.Sprintf("%s of %s: %v", p.Kind, target.Name, err))
+		i.mu.Unlock()
+	}
+}
+
+func (i *injector) targets(kind FaultKind) []*Process {
+	switch kind {
+	case KillEngine, FreezeEngine:
+		return i.fleet.Engines
+	case CutUpstream, SilenceUpstream, SilenceUpstreamAnswers, ForgetUpstream:
+		return append(append([]*Process{}, i.fleet.Engines...), i.fleet.Services...)
+	case PlatformDown, OperatorRace:
+		return []*Process{i.fleet.Configuration}
+	default:
+		return i.fleet.Entries
+	}
+}
+
+func (i *injector) claim(p *Process) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.busy[p] {
+		return false
+	}
+	i.busy[p] = true
+	return true
+}
+
+func (i *injector) release(p *Process) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.busy, p)
+}
+
+// cause brings the fault about, waits until it is to end, and ends it.
+func (i *injector) cause(ctx context.Context, p Planned, target *Process, until time.Time) error {
+	switch p.Kind {
+	case KillEntry:
+		target.Kill()
+		sleepUntil(ctx, until)
+		return i.fleet.Restart(target)
+	case StopEntry:
+		if err := target.Stop(ctx); err != nil {
+			return err
+		}
+		return i.fleet.Restart(target)
+	case KillEngine:
+		return i.replaceEngine(ctx, target, until)
+	case FreezeEntry, FreezeEngine:
+		if err := target.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		sleepUntil(ctx, until)
+		return target.Signal(syscall.SIGCONT)
+	case CutUpstream:
+		return held(ctx, target.Proxy, Cut, until)
+	case SilenceUpstream:
+		return held(ctx, target.Proxy, Silence, until)
+	case SilenceUpstreamAnswers:
+		return held(ctx, target.Proxy, SilenceAnswers, until)
+	case SilencePeer:
+		return held(ctx, target.PeerProxy, Silence, until)
+	case ForgetUpstream, ForgetCallers:
+		target.Proxy.ForgetOpen()
+		return nil
+	case CutCentre:
+		i.cutCentre(target.DataCentre, Cut)
+		sleepUntil(ctx, until)
+		i.cutCentre(target.DataCentre, Pass)
+		return nil
+	case PlatformDown:
+		i.fleet.Instance.Proxy.Set(AllSources, Cut)
+		defer i.fleet.Instance.Proxy.Set(AllSources, Pass)
+		return held(ctx, target.Proxy, Cut, until)
+	case OperatorRace:
+		return i.operatorRace(ctx)
+	case faultKinds:
+	}
+	return nil
+}
+
+func held(ctx context.Context, proxy *Proxy, f Fault, until time.Time) error {
+	proxy.Set(AllSources, f)
+	sleepUntil(ctx, until)
+	proxy.Set(AllSources, Pass)
+	return nil
+}
+
+// replaceEngine kills an engine; a new incarnation starts in its place, and the
+// instance list says so a little later.
+func (i *injector) replaceEngine(ctx context.Context, engine *Process, until time.Time) error {
+	engine.Kill()
+	sleepUntil(ctx, until)
+	if err := i.fleet.RestartUpstream(engine, ident.NewIncarnation(time.Now())); err != nil {
+		return err
+	}
+	return i.fleet.PublishList(ctx)
+}
+
+// cutCentre puts the fault between the data centre and the others, and between
+// it and the platform.
+func (i *injector) cutCentre(centre string, f Fault) {
+	for _, a := range i.fleet.Entries {
+		if a.DataCentre == centre {
+			i.fleet.Configuration.Proxy.Set(a.IP, f)
+			i.fleet.Instance.Proxy.Set(a.IP, f)
+		}
+		for _, b := range i.fleet.Entries {
+			if (a.DataCentre == centre) != (b.DataCentre == centre) {
+				b.PeerProxy.Set(a.IP, f)
+			}
+		}
+		for _, group := range [][]*Process{i.fleet.Engines, i.fleet.Services} {
+			for _, u := range group {
+				if (a.DataCentre == centre) != (u.DataCentre == centre) {
+					u.Proxy.Set(a.IP, f)
+				}
+			}
+		}
+	}
+}
+
+// operatorRace lets two operators change targets at the same time.
+func (i *injector) operatorRace(ctx context.Context) error {
+	var group sync.WaitGroup
+	errs := make([]error, 2)
+	for n := range errs {
+		group.Go(func() {
+			wait := 2000 + time.Now().UnixMilli()%100 + int64(n)
+			errs[n] = i.fleet.PutConfig(ctx, "classes/"+DraftClass, fmt.Sprintf(
+				`{"kind": "stream", "pool": "drafting", "model": "tuning-large", "target": {"wait_ms": %d, "pace_ms": 40}}`, wait))
+		})
+	}
+	group.Wait()
+	if errs[0] != nil {
+		return errs[0]
+	}
+	return errs[1]
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -234,6 +234,17 @@
 // Restart starts a process that has ended again, as a new incarnation.
 func (f *Fleet) Restart(p *Process) error { return f.launch(p) }
 
+// RestartUpstream starts an upstream that has ended again, as the incarnation.
+func (f *Fleet) RestartUpstream(p *Process, incarnation ident.Incarnation) error {
+	for i, arg := range p.args {
+		if arg == p.Incarnation.String() {
+			p.args[i] = incarnation.String()
+		}
+	}
+	p.Incarnation = incarnation
+	return f.launch(p)
+}
+
 // Close ends all processes of the fleet.
 func (f *Fleet) Close() {
 	for _, group := range [][]*Process{f.Entries, f.Engines, f.Services, {f.Configuration, f.Instance}} {
@@ -392,6 +403,7 @@
 
 // Status is the part of an instance's status that the bench looks at.
 type Status struct {
+	Incarnation   string   `json:"incarnation"`
 	Ready         bool     `json:"ready"`
 	ConfigVersion uint64   `json:"config_version"`
 	Peers         []string `json:"peers"`
--- a/bench/reader.go
+++ b/bench/reader.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -24,8 +25,11 @@
 	Texts []string
 	// Done says that the stream came to its regular end.
 	Done bool
-	// Failure is the explicit final event of a stream that failed.
+	// Failure is the body of a refusal, or the explicit final event of a stream
+	// that failed.
 	Failure string
+	// refused says that Failure came in place of a stream.
+	refused bool
 	// OnToken, when set, is called after each token; an error hangs up.
 	OnToken func() error
 }
@@ -64,9 +68,11 @@
 	if r.RequestID == "" {
 		r.RequestID = response.Header.Get("X-Request-Id")
 	}
-	if response.StatusCode != http.StatusOK {
-		r.Failure = response.Status
-		return nil
+	r.refused = response.StatusCode != http.StatusOK
+	if r.refused {
+		content, err := io.ReadAll(response.Body)
+		r.Failure = response.Status + " " + string(content)
+		return err
 	}
 	for event, err := range sse.Read(response.Body, nil) {
 		if err != nil {
@@ -82,6 +88,23 @@
 	return errorx.ExternalError.New("the stream ended early")
 }
 
+// Refused reports whether the latest connection brought a refusal in place of
+// a stream.
+func (r *Reader) Refused() bool { return r.refused }
+
+// Delivered returns the count of tokens that the explicit final event names.
+func (r *Reader) Delivered() (count int, ok bool) {
+	var wire struct {
+		Error struct {
+			Delivered *int `json:"delivered"`
+		} `json:"error"`
+	}
+	if json.Unmarshal([]byte(r.Failure), &wire) != nil || wire.Error.Delivered == nil {
+		return 0, false
+	}
+	return *wire.Error.Delivered, true
+}
+
 // chunkWire is what the reader looks at of an event.
 type chunkWire struct {
 	Choices []struct {
--- a/cmd/mangobench/main.go
+++ b/cmd/mangobench/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -17,7 +18,16 @@
 
 type demoCommand struct{}
 
+type soakCommand struct {
+	Seed    uint64 `default:"1" help:"repeats a schedule of faults"`
+	Seconds int    `default:"60" help:"the length, with 10 s without faults at the end"`
+	Streams int    `default:"20" help:"readers at once"`
+	Charges int    `default:"10" help:"callers of charges at once"`
+	Reads   int    `default:"4" help:"callers of reads at once"`
+}
+
 type arguments struct {
+	Soak *soakCommand `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
 	Demo *demoCommand `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
 }
 
@@ -34,6 +44,11 @@
 	switch {
 	case args.Demo != nil:
 		err = bench.Demo(ctx, filepath.Dir(program), os.Stdout)
+	case args.Soak != nil:
+		err = bench.PrintSoak(ctx, bench.SoakPlan{
+			Bin: filepath.Dir(program), Seed: args.Soak.Seed, Length: time.Duration(args.Soak.Seconds) * time.Second,
+			Streams: args.Soak.Streams, Charges: args.Soak.Charges, Reads: args.Soak.Reads,
+		}, os.Stdout)
 	default:
 		parser.Fail("name a command")
 	}
