Strict decoding reports every fault of a document with its place

Cause: Decode stopped at the first fault, gave the offset behind it as its place, took fields in another letter case or twice without a word, and ignored what follows the first value. Ruled out: encoding/json with DisallowUnknownFields (one fault, no path, case folding), and a parser of our own. hujson's syntax tree keeps the offset of every value, so one walk of it against the json tags of the Go type is enough. Change: every fault has line, column (in bytes), field path, what was found and what is allowed; unknown fields name the known ones and the nearest; duplicate keys, null, fractions for whole numbers, values out of the type's range, text that is not UTF-8 and trailing content are faults. Document gives the place of any field for later checks of meaning, and sorts all faults by place. A document with more than 65,536 opening brackets is refused before the recursive parser sees it.

--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -1,61 +1,262 @@
-// Package jsonc reads JSON with comments strictly and reports every fault with
-// its place.
 package jsonc
 
 import (
-	"bytes"
+	"encoding"
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"reflect"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tailscale/hujson"
 )
 
-// Fault is one thing wrong in a document.
-type Fault struct {
-	File string
-	// Line and Column count from 1; zero when the place is not known.
-	Line, Column int
-	// Field is the path of the field, such as "listen.peers".
-	Field string
-	// Found is what stands there, Allowed what may.
-	Found, Allowed string
+// The syntax tree is walked against the Go type in one pass. encoding/json
+// would stop at the first fault, and it takes a field in another case, or
+// twice, without a word; each of these has cost some operator an evening.
+
+// shownBytes is how much of a value a fault shows.
+const shownBytes = 40
+
+func decodeInto(d *Document, tree hujson.Value, into any) {
+	target := reflect.ValueOf(into)
+	if target.Kind() != reflect.Pointer || target.IsNil() {
+		d.faultAt(0, rootField, "a target that can't be set", "a pointer")
+		return
+	}
+	d.value(tree, root, target.Elem())
 }
 
-// String returns the fault in one line, in the form that editors can follow.
-func (f Fault) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: found %s; allowed: %s", f.File, f.Line, f.Column, f.Field, f.Found, f.Allowed)
+// value reads one value into target.
+func (d *Document) value(v hujson.Value, path string, target reflect.Value) {
+	d.offsets[path] = v.StartOffset
+	if target.Kind() == reflect.Pointer {
+		d.pointer(v, path, target)
+		return
+	}
+	switch reader := target.Addr().Interface().(type) {
+	case json.Unmarshaler:
+		if err := reader.UnmarshalJSON(standard(v)); err != nil {
+			d.mismatch(v, path, describe(target.Type()))
+		}
+		return
+	case encoding.TextUnmarshaler:
+		if v.Value.Kind() != '"' || reader.UnmarshalText([]byte(text(v))) != nil {
+			d.mismatch(v, path, describe(target.Type()))
+		}
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		d.object(v, path, target)
+	case reflect.Map:
+		d.mapping(v, path, target)
+	case reflect.Slice, reflect.Array:
+		d.list(v, path, target)
+	default:
+		if !scalar(v, target) {
+			d.mismatch(v, path, describe(target.Type()))
+		}
+	}
 }
 
-// Faults are all the faults of a document. An empty list is no error.
-type Faults []Fault
+func (d *Document) pointer(v hujson.Value, path string, target reflect.Value) {
+	if v.Value.Kind() == 'n' {
+		target.SetZero()
+		return
+	}
+	if target.IsNil() {
+		target.Set(reflect.New(target.Type().Elem()))
+	}
+	d.value(v, path, target.Elem())
+}
+
+func (d *Document) object(v hujson.Value, path string, target reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.mismatch(v, path, "an object")
+		return
+	}
+	known := fieldsOf(target)
+	for _, member := range d.members(object, path) {
+		at := join(path, member.name)
+		field, ok := known[member.name]
+		if !ok {
+			d.faultAt(member.offset, at, fmt.Sprintf("unknown field %q", clip(member.name)), allowedNames(member.name, known))
+			continue
+		}
+		d.value(member.value, at, field)
+	}
+}
 
-// Error implements error, one fault a line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fault.String()
+func (d *Document) mapping(v hujson.Value, path string, target reflect.Value) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok || target.Type().Key().Kind() != reflect.String {
+		d.mismatch(v, path, "an object")
+		return
+	}
+	target.Set(reflect.MakeMap(target.Type()))
+	for _, member := range d.members(object, path) {
+		element := reflect.New(target.Type().Elem()).Elem()
+		d.value(member.value, join(path, member.name), element)
+		target.SetMapIndex(reflect.ValueOf(member.name).Convert(target.Type().Key()), element)
 	}
-	return strings.Join(lines, "\n")
 }
 
-// Decode reads content into the struct that into points to. Unknown fields are
-// faults. File is the name used in faults.
-func Decode(file string, content []byte, into any) Faults {
-	standard, err := hujson.Standardize(content)
-	if err != nil {
-		return Faults{{File: file, Line: 1, Column: 1, Field: "(document)", Found: err.Error(), Allowed: "JSON with comments"}}
+func (d *Document) list(v hujson.Value, path string, target reflect.Value) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.mismatch(v, path, describe(target.Type()))
+		return
 	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		line, column := position(standard, int(decoder.InputOffset()))
-		return Faults{{File: file, Line: line, Column: column, Field: "(document)", Found: err.Error(), Allowed: "the documented fields"}}
+	if target.Kind() == reflect.Slice {
+		target.Set(reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements)))
+	} else if len(array.Elements) != target.Len() {
+		d.mismatch(v, path, describe(target.Type()))
+		return
 	}
-	return nil
+	for i, element := range array.Elements {
+		d.value(element, fmt.Sprintf("%s[%d]", path, i), target.Index(i))
+	}
+}
+
+// member is one member of an object, by its unquoted name.
+type member struct {
+	name   string
+	offset int
+	value  hujson.Value
+}
+
+// members returns the members of an object; one that comes again is a fault.
+func (d *Document) members(object *hujson.Object, path string) []member {
+	var members []member
+	seen := map[string]bool{}
+	for _, m := range object.Members {
+		name := text(m.Name)
+		if seen[name] {
+			d.faultAt(m.Name.StartOffset, join(path, name), fmt.Sprintf("field %q again", clip(name)), "each field once")
+			continue
+		}
+		seen[name] = true
+		members = append(members, member{name, m.Name.StartOffset, m.Value})
+	}
+	return members
+}
+
+// scalar sets a string, number or boolean and reports whether it fits.
+func scalar(v hujson.Value, target reflect.Value) bool {
+	kind := v.Value.Kind()
+	switch target.Kind() {
+	case reflect.String:
+		target.SetString(text(v))
+		return kind == '"'
+	case reflect.Bool:
+		target.SetBool(kind == 't')
+		return kind == 't' || kind == 'f'
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		n, err := strconv.ParseInt(raw(v), 10, target.Type().Bits())
+		target.SetInt(n)
+		return kind == '0' && err == nil
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		n, err := strconv.ParseUint(raw(v), 10, target.Type().Bits())
+		target.SetUint(n)
+		return kind == '0' && err == nil
+	case reflect.Float32, reflect.Float64:
+		n, err := strconv.ParseFloat(raw(v), target.Type().Bits())
+		target.SetFloat(n)
+		return kind == '0' && err == nil
+	case reflect.Interface:
+		return json.Unmarshal(standard(v), target.Addr().Interface()) == nil
+	}
+	return false
+}
+
+// mismatch reports a value that doesn't fit its field.
+func (d *Document) mismatch(v hujson.Value, path, allowed string) {
+	field := path
+	if path == root {
+		field = rootField
+	}
+	d.faultAt(v.StartOffset, field, show(v), allowed)
+}
+
+// show returns a value as faults show it: long ones are cut.
+func show(v hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	}
+	return clip(raw(v))
+}
+
+func clip(s string) string {
+	if len(s) <= shownBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:shownBytes], "") + "..."
+}
+
+var (
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+	addrType     = reflect.TypeFor[netip.Addr]()
+	prefixType   = reflect.TypeFor[netip.Prefix]()
+	timeType     = reflect.TypeFor[time.Time]()
+)
+
+// describe returns what may stand for a value of the type.
+func describe(t reflect.Type) string {
+	switch t {
+	case addrPortType:
+		return `an IP address and port, such as "10.0.0.1:7000"`
+	case addrType:
+		return `an IP address, such as "10.0.0.1"`
+	case prefixType:
+		return `an IP prefix, such as "10.0.0.0/8"`
+	case timeType:
+		return `a time, such as "2027-01-31T09:30:00Z"`
+	}
+	if pointer := reflect.PointerTo(t); pointer.Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+		return "text that names " + t.Name()
+	}
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		limit := int64(1)<<(t.Bits()-1) - 1
+		return fmt.Sprintf("a whole number from %d to %d", -limit-1, limit)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return fmt.Sprintf("a whole number from 0 to %d", ^uint64(0)>>(64-t.Bits()))
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Array:
+		return fmt.Sprintf("a list of %d", t.Len())
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	}
+	return "nothing: the program can't read this field"
+}
+
+func raw(v hujson.Value) string {
+	literal, _ := v.Value.(hujson.Literal)
+	return string(literal)
+}
+
+func text(v hujson.Value) string {
+	literal, _ := v.Value.(hujson.Literal)
+	return literal.String()
 }
 
-func position(content []byte, offset int) (line, column int) {
-	before := content[:min(offset, len(content))]
-	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+// standard returns a value as JSON without comments.
+func standard(v hujson.Value) []byte {
+	clone := v.Clone()
+	clone.Minimize()
+	return clone.Pack()
 }
--- /dev/null
+++ b/jsonc/document.go
@@ -0,0 +1,132 @@
+// Package jsonc reads JSON with comments strictly and reports every fault of a
+// document at once, each with its place.
+package jsonc
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/tailscale/hujson"
+)
+
+// maxBrackets bounds the opening brackets of a document. The parser recurses
+// once for each level, and a stack that overflows ends the process.
+const maxBrackets = 1 << 16
+
+// root is the path of the whole document, shown as rootField in faults.
+const (
+	root      = ""
+	rootField = "(document)"
+)
+
+// Document is a decoded document that knows where its fields stand, so that
+// checks of their meaning can report a place too.
+type Document struct {
+	file    string
+	content []byte
+	// offsets holds where the value of each path begins.
+	offsets map[string]int
+	faults  Faults
+}
+
+// Decode reads content into the struct that into points to, and returns every
+// fault. File is the name used in faults. Fields that have no fault are set
+// even when others have one.
+func Decode(file string, content []byte, into any) Faults {
+	return Read(file, content, into).Faults()
+}
+
+// Read is Decode for callers that go on to check what the fields mean.
+func Read(file string, content []byte, into any) *Document {
+	d := &Document{file: file, content: content, offsets: map[string]int{}}
+	if at := invalidUTF8(content); at >= 0 {
+		d.faultAt(at, rootField, "bytes that are not UTF-8", "text in UTF-8")
+		return d
+	}
+	if n := bytes.Count(content, []byte("[")) + bytes.Count(content, []byte("{")); n > maxBrackets {
+		d.faultAt(0, rootField, fmt.Sprint(n, " opening brackets"), fmt.Sprint("at most ", maxBrackets))
+		return d
+	}
+	tree, err := hujson.Parse(content)
+	if err != nil {
+		d.syntaxFault(err)
+		return d
+	}
+	decodeInto(d, tree, into)
+	return d
+}
+
+func invalidUTF8(content []byte) int {
+	for at := 0; at < len(content); {
+		r, size := utf8.DecodeRune(content[at:])
+		if r == utf8.RuneError && size == 1 {
+			return at
+		}
+		at += size
+	}
+	return -1
+}
+
+// syntaxFault takes the place out of the parser's error, which gives it in its
+// text only.
+func (d *Document) syntaxFault(err error) {
+	text := err.Error()
+	fault := Fault{File: d.file, Line: 1, Column: 1, Field: rootField, Allowed: "JSON with comments and trailing commas"}
+	if _, scanErr := fmt.Sscanf(text, "hujson: line %d, column %d:", &fault.Line, &fault.Column); scanErr == nil {
+		_, rest, _ := strings.Cut(text, ", column ")
+		_, text, _ = strings.Cut(rest, ": ")
+	}
+	fault.Found = text
+	d.faults = append(d.faults, fault)
+}
+
+// Faults returns all faults found so far, in the order of their places.
+func (d *Document) Faults() Faults {
+	d.faults.Sort()
+	return d.faults
+}
+
+// Has reports whether the document holds a value at the path.
+func (d *Document) Has(path string) bool {
+	_, ok := d.offsets[path]
+	return ok
+}
+
+// Position returns the line and column of the value at the path, such as
+// "listen.peers" or "keys[1].id". A value that is missing stands where the
+// nearest value around it begins.
+func (d *Document) Position(path string) (line, column int) {
+	for {
+		if offset, ok := d.offsets[path]; ok {
+			return d.place(offset)
+		}
+		if path == root {
+			return 1, 1
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+}
+
+// Fault adds a fault of the value at the path, unless it has one already: a
+// value that can't be read has no meaning to check.
+func (d *Document) Fault(path, found, allowed string) {
+	for _, fault := range d.faults {
+		if fault.Field == path || fault.Field == rootField {
+			return
+		}
+	}
+	line, column := d.Position(path)
+	d.faults = append(d.faults, Fault{d.file, line, column, path, found, allowed})
+}
+
+func (d *Document) faultAt(offset int, field, found, allowed string) {
+	line, column := d.place(offset)
+	d.faults = append(d.faults, Fault{d.file, line, column, field, found, allowed})
+}
+
+func (d *Document) place(offset int) (line, column int) {
+	before := d.content[:offset]
+	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+}
--- /dev/null
+++ b/jsonc/fault.go
@@ -0,0 +1,47 @@
+package jsonc
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one thing wrong in a document.
+type Fault struct {
+	File string
+	// Line and Column count from 1, columns in bytes.
+	Line, Column int
+	// Field is the path of the field, such as "keys[1].secret_file".
+	Field string
+	// Found is what stands there, Allowed what may.
+	Found, Allowed string
+}
+
+// String returns the fault in one line, in the form that editors can follow.
+func (f Fault) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s: found %s; allowed: %s", f.File, f.Line, f.Column, f.Field, f.Found, f.Allowed)
+}
+
+// Faults are all the faults of a document. An empty list is no error.
+type Faults []Fault
+
+// Error implements error, one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Sort orders the faults by file, line and column, so that two readers of one
+// document report the same text.
+func (f Faults) Sort() {
+	slices.SortFunc(f, func(a, b Fault) int {
+		return cmp.Or(
+			strings.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			strings.Compare(a.Field, b.Field), strings.Compare(a.Found, b.Found),
+		)
+	})
+}
--- /dev/null
+++ b/jsonc/fields.go
@@ -0,0 +1,107 @@
+package jsonc
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// fieldsOf returns the settable fields of a struct by their names in JSON.
+// Fields of an embedded struct count as its own, and its own go first.
+func fieldsOf(target reflect.Value) map[string]reflect.Value {
+	fields := map[string]reflect.Value{}
+	var embedded []reflect.Value
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		tag, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		switch {
+		case tag == "-":
+		case field.Anonymous && tag == "" && field.Type.Kind() == reflect.Struct:
+			embedded = append(embedded, target.Field(i))
+		case !field.IsExported():
+		case tag != "":
+			fields[tag] = target.Field(i)
+		default:
+			fields[field.Name] = target.Field(i)
+		}
+	}
+	for _, inner := range embedded {
+		for name, field := range fieldsOf(inner) {
+			if _, taken := fields[name]; !taken {
+				fields[name] = field
+			}
+		}
+	}
+	return fields
+}
+
+// join returns the path of a member. A name that is no plain word is quoted,
+// as the keys of a map may hold dots.
+func join(path, name string) string {
+	plain := name != "" && strings.IndexFunc(name, func(r rune) bool {
+		return r != '_' && r != '-' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	}) < 0
+	switch {
+	case !plain:
+		return fmt.Sprintf("%s[%q]", path, name)
+	case path == root:
+		return name
+	}
+	return path + "." + name
+}
+
+// allowedNames lists the known fields, the one most like name first.
+func allowedNames(name string, known map[string]reflect.Value) string {
+	names := slices.Sorted(maps.Keys(known))
+	if len(names) == 0 {
+		return "no fields"
+	}
+	list := "the fields " + strings.Join(names, ", ")
+	if near := nearest(name, names); near != "" {
+		return fmt.Sprintf("%s (did you mean %q?)", list, near)
+	}
+	return list
+}
+
+// maxNearBytes bounds a name that is compared with the known ones.
+const maxNearBytes = 64
+
+// nearest returns the name that differs least, or nothing when all differ in
+// more than a third of their letters.
+func nearest(name string, names []string) string {
+	best, bestDistance := "", maxNearBytes
+	if len(name) > maxNearBytes {
+		return best
+	}
+	for _, other := range names {
+		distance := editDistance(strings.ToLower(name), other)
+		if distance < bestDistance && distance <= (len(other)+2)/3 {
+			best, bestDistance = other, distance
+		}
+	}
+	return best
+}
+
+// editDistance counts the letters to insert, remove or replace between two
+// names.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			replace := diagonal
+			if a[i] != b[j] {
+				replace++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(replace, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
