Settings are checked field by field, each fault at its place

Cause: faults of meaning all stood at line 1, column 1, most fields were not checked at all, and a file with a secret in the wrong field would have shown it. Change: names, addresses, ports, distinct listeners, limits and keys are checked, every fault is reported at once at its place. A peer address that others can't dial (0.0.0.0, ::, multicast, port 0, with a zone) is refused, as tickets and ids name it; listen.peers may be 0.0.0.0 when advertise is set. Absolute paths of secrets stay absolute. Neither a secret nor the path of one is shown, because the field may hold the secret by mistake. A secret's file that others may read is a warning, not a fault, since some platforms mount secrets so. Seen to fail: with the check of equal listeners off, its cases fail.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,12 +5,8 @@
 import (
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
-	"strings"
 	"time"
 
-	"mangoloft/jsonc"
 	"mangoloft/ticket"
 )
 
@@ -25,6 +21,8 @@
 	Platform  Platform
 	Keys      []ticket.Key
 	Limits    Limits
+	// Warnings are what an operator should mend although the instance runs.
+	Warnings []string
 }
 
 // Listen holds the addresses where the instance listens.
@@ -50,81 +48,15 @@
 
 const (
 	defaultBodyBytes    = 1 << 20
+	minBodyBytes        = 1 << 10
+	maxBodyBytes        = 64 << 20
 	defaultOpenRequests = 4096
+	maxOpenRequests     = 1_000_000
 )
 
-// fileWire is the settings file.
-type fileWire struct {
-	Instance   string         `json:"instance"`
-	DataCentre string         `json:"data_centre"`
-	Listen     Listen         `json:"listen"`
-	Advertise  netip.AddrPort `json:"advertise"`
-	Platform   Platform       `json:"platform"`
-	Keys       []keyWire      `json:"keys"`
-	Limits     Limits         `json:"limits"`
-}
-
-type keyWire struct {
-	ID         string `json:"id"`
-	SecretFile string `json:"secret_file"`
-}
-
 // Dialer returns a dialer that gives up after the limit. Connections leave from
 // the address that the instance listens at for its peers, so that the network
 // can tell the instances of one machine apart.
 func (s Settings) Dialer(limit time.Duration) *net.Dialer {
 	return &net.Dialer{Timeout: limit, LocalAddr: &net.TCPAddr{IP: s.Listen.Peers.Addr().AsSlice()}}
 }
-
-// Load reads and checks the file at path. The error is a jsonc.Faults with
-// every fault, or that of reading the file.
-func Load(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, err
-	}
-	wire := fileWire{Limits: Limits{BodyBytes: defaultBodyBytes, OpenRequests: defaultOpenRequests}}
-	faults := jsonc.Decode(path, content, &wire)
-	if len(faults) > 0 {
-		return Settings{}, faults
-	}
-	missing := func(field, allowed string) {
-		faults = append(faults, jsonc.Fault{File: path, Line: 1, Column: 1, Field: field, Found: "nothing", Allowed: allowed})
-	}
-	if wire.Instance == "" {
-		missing("instance", "a name")
-	}
-	if wire.DataCentre == "" {
-		missing("data_centre", "a name")
-	}
-	for field, addr := range map[string]netip.AddrPort{
-		"listen.callers": wire.Listen.Callers, "listen.peers": wire.Listen.Peers, "listen.operators": wire.Listen.Operators,
-		"platform.configuration": wire.Platform.Configuration, "platform.instance_list": wire.Platform.InstanceList,
-	} {
-		if !addr.IsValid() {
-			missing(field, "an IP address and port")
-		}
-	}
-	settings := Settings{
-		Instance: wire.Instance, DataCentre: wire.DataCentre, Listen: wire.Listen, Advertise: wire.Advertise,
-		Platform: wire.Platform, Limits: wire.Limits,
-	}
-	if !settings.Advertise.IsValid() {
-		settings.Advertise = settings.Listen.Peers
-	}
-	for _, key := range wire.Keys {
-		secret, err := os.ReadFile(filepath.Join(filepath.Dir(path), key.SecretFile))
-		if err != nil {
-			missing("keys.secret_file", "a file that can be read")
-			continue
-		}
-		settings.Keys = append(settings.Keys, ticket.Key{ID: key.ID, Secret: []byte(strings.TrimSpace(string(secret)))})
-	}
-	if _, err := ticket.NewKeyring(settings.Keys); err != nil {
-		missing("keys", err.Error())
-	}
-	if len(faults) > 0 {
-		return Settings{}, faults
-	}
-	return settings, nil
-}
