Configuration faults stand at their line and column, in one order

Cause: all faults of meaning stood at line 1, column 1, and where two teams shared a credential, the order of a map chose which one was blamed, so two instances could report the same document differently. Change: Parse reads each value as a jsonc.Document and goes through the keys in order. A value in place of a credential's hash is not shown.

--- a/config/view.go
+++ b/config/view.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -106,30 +107,33 @@
 // Parse checks the whole document. All instances come to the same verdict on
 // it, because nothing but the document goes in. The faults are sorted.
 func Parse(doc Document) (*View, jsonc.Faults) {
-	p := parser{view: &View{
+	p := parser{classes: map[string]parsedClass{}, view: &View{
 		Version: doc.Index.Version, Digest: doc.Index.Digest(),
 		Classes: map[string]Class{}, Pools: map[string]Pool{}, teams: map[[sha256.Size]byte]string{},
 	}}
-	for key, entry := range doc.Index.Values {
+	// In the order of their keys: where two values clash, every instance blames
+	// the same one.
+	for _, key := range slices.Sorted(maps.Keys(doc.Index.Values)) {
 		value, ok := doc.Values[key]
 		switch {
 		case !ok:
 			p.fault(key, "(value)", "nothing", "a value for each key in the index")
 		case len(value) > MaxValueBytes:
 			p.fault(key, "(value)", fmt.Sprint(len(value), " bytes"), fmt.Sprint("at most ", MaxValueBytes))
-		case Hash(value) != entry.SHA256:
+		case Hash(value) != doc.Index.Values[key].SHA256:
 			p.fault(key, "(value)", "another hash", "the bytes that the index names")
 		default:
 			p.value(key, value)
 		}
 	}
-	for _, class := range p.view.Classes {
-		if _, ok := p.view.Pools[class.Pool]; !ok {
-			p.fault("classes/"+class.Name, "pool", fmt.Sprintf("%q", class.Pool), "the name of a published pool")
+	for _, class := range p.classes {
+		if _, ok := p.view.Pools[class.pool]; !ok {
+			class.document.Fault("pool", fmt.Sprintf("%q", class.pool), "the name of a published pool")
 		}
+		p.faults = append(p.faults, class.document.Faults()...)
 	}
 	if len(p.faults) > 0 {
-		slices.SortFunc(p.faults, func(a, b jsonc.Fault) int { return strings.Compare(a.String(), b.String()) })
+		p.faults.Sort()
 		return nil, p.faults
 	}
 	return p.view, nil
@@ -138,6 +142,13 @@
 type parser struct {
 	view   *View
 	faults jsonc.Faults
+	// classes are checked against the pools once all values are read.
+	classes map[string]parsedClass
+}
+
+type parsedClass struct {
+	document *jsonc.Document
+	pool     string
 }
 
 func (p *parser) fault(key, field, found, allowed string) {
@@ -166,25 +177,23 @@
 
 func (p *parser) class(key, name string, value []byte) {
 	var wire classWire
-	if faults := jsonc.Decode(key, value, &wire); len(faults) > 0 {
-		p.faults = append(p.faults, faults...)
-		return
-	}
+	document := jsonc.Read(key, value, &wire)
+	p.classes[name] = parsedClass{document, wire.Pool}
 	kind := slices.Index(kindNames[:], wire.Kind)
 	if kind < 0 {
-		p.fault(key, "kind", fmt.Sprintf("%q", wire.Kind), strings.Join(kindNames[:], ", "))
+		document.Fault("kind", fmt.Sprintf("%q", wire.Kind), strings.Join(kindNames[:], ", "))
 		return
 	}
 	if Kind(kind) == Stream && wire.Model == "" {
-		p.fault(key, "model", "nothing", "the name of a model")
+		document.Fault("model", "nothing", "the name of a model")
 	}
 	for field, ms := range map[string]int64{"target.wait_ms": wire.Target.WaitMS, "target.pace_ms": wire.Target.PaceMS} {
 		if ms < 0 || ms > maxTarget.Milliseconds() {
-			p.fault(key, field, fmt.Sprint(ms), fmt.Sprint("0 (no target) to ", maxTarget.Milliseconds()))
+			document.Fault(field, fmt.Sprint(ms), fmt.Sprint("0 (no target) to ", maxTarget.Milliseconds()))
 		}
 	}
 	if wire.MaxOutputTokens < 0 || wire.MaxOutputTokens > maxOutputTokens {
-		p.fault(key, "max_output_tokens", fmt.Sprint(wire.MaxOutputTokens), fmt.Sprint("1 to ", maxOutputTokens))
+		document.Fault("max_output_tokens", fmt.Sprint(wire.MaxOutputTokens), fmt.Sprint("0 (the largest) to ", maxOutputTokens))
 	}
 	if wire.MaxOutputTokens == 0 {
 		wire.MaxOutputTokens = maxOutputTokens
@@ -199,18 +208,24 @@
 
 func (p *parser) teams(key string, value []byte) {
 	var wire teamsWire
-	p.faults = append(p.faults, jsonc.Decode(key, value, &wire)...)
-	for _, team := range wire.Teams {
+	document := jsonc.Read(key, value, &wire)
+	for i, team := range wire.Teams {
+		if team.Name == "" {
+			document.Fault(fmt.Sprintf("teams[%d].name", i), "nothing", "a name")
+		}
+		// The hash is not shown: by mistake it may be the credential itself.
+		field := fmt.Sprintf("teams[%d].credential_sha256", i)
 		raw, err := hex.DecodeString(team.CredentialSHA256)
-		if err != nil || len(raw) != sha256.Size || team.Name == "" {
-			p.fault(key, "teams", fmt.Sprintf("%q", team.Name), "a name and the SHA-256 of its credential in hexadecimal")
+		if err != nil || len(raw) != sha256.Size {
+			document.Fault(field, fmt.Sprint(len(team.CredentialSHA256), " characters"), "the SHA-256 of the team's credential, 64 hexadecimal digits")
 			continue
 		}
 		hash := [sha256.Size]byte(raw)
 		if other, taken := p.view.teams[hash]; taken && other != team.Name {
-			p.fault(key, "teams", fmt.Sprintf("%q", team.Name), "a credential that no other team has")
+			document.Fault(field, fmt.Sprintf("the credential of team %q", other), "a credential that no other team has")
 			continue
 		}
 		p.view.teams[hash] = team.Name
 	}
+	p.faults = append(p.faults, document.Faults()...)
 }
