Stand-in engine: a cancel names its reader

Cause: a reader that lost its entry instance goes on at another one, while the old instance, which may wake late, still believes that it serves the reader and cancels the generation under it.

Change: each connection to a generation names its reader. A cancel that names a reader is answered 409 and ignored once another reader attached first after it, or while another one is reading. Order of first attachment counts, so that an old reader's renewed connection doesn't make it the newest. A cancel without a name works as before.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -42,6 +42,32 @@
 	finish    string
 	forgetAt  time.Time
 	startedAt time.Time
+	// newest is the reader that attached first most lately; attached counts
+	// the open connections of every reader that ever attached.
+	newest   string
+	attached map[string]int
+}
+
+// attach counts a connection of the reader in.
+func (g *generation) attach(reader string) {
+	if _, ok := g.attached[reader]; !ok {
+		g.newest = reader
+	}
+	g.attached[reader]++
+}
+
+// belongsToOther reports whether a cancel for the reader must be ignored,
+// because another one attached after it or is reading now.
+func (g *generation) belongsToOther(reader string) bool {
+	if reader != g.newest {
+		return true
+	}
+	for other, open := range g.attached {
+		if other != reader && open > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // NewEngine returns an engine that makes a token every step.
@@ -55,6 +81,7 @@
 // startWire is the body of an order to begin a generation.
 type startWire struct {
 	Generation string `json:"generation"`
+	Reader     string `json:"reader"`
 	Model      string `json:"model"`
 	Prompt     string `json:"prompt"`
 	MaxTokens  int    `json:"max_tokens"`
@@ -151,10 +178,12 @@
 		return c.JSON(http.StatusServiceUnavailable, refusalWire{"leaving", true})
 	}
 	if _, ok := e.generations[wire.Generation]; !ok {
-		e.generations[wire.Generation] = &generation{length: max(1, min(length, wire.MaxTokens)), startedAt: time.Now()}
+		e.generations[wire.Generation] = &generation{
+			length: max(1, min(length, wire.MaxTokens)), startedAt: time.Now(), attached: map[string]int{},
+		}
 	}
 	e.mu.Unlock()
-	return e.stream(c, wire.Generation, 0)
+	return e.stream(c, wire.Generation, wire.Reader, 0)
 }
 
 func (e *Engine) resume(c echo.Context) error {
@@ -162,11 +191,11 @@
 	if err != nil || from < 0 {
 		return c.JSON(http.StatusBadRequest, refusalWire{"from is no index", true})
 	}
-	return e.stream(c, c.Param("id"), from)
+	return e.stream(c, c.Param("id"), c.QueryParam("reader"), from)
 }
 
 // stream sends the tokens from index next until the generation ends.
-func (e *Engine) stream(c echo.Context, id string, next int) error {
+func (e *Engine) stream(c echo.Context, id, reader string, next int) error {
 	for begun := false; ; begun = true {
 		e.mu.Lock()
 		g, ok := e.generations[id]
@@ -177,6 +206,10 @@
 			}
 			return c.JSON(http.StatusNotFound, refusalWire{"no such generation", false})
 		}
+		if !begun {
+			g.attach(reader)
+			defer e.detach(g, reader)
+		}
 		made, finish, changed := g.made, g.finish, e.changed
 		e.mu.Unlock()
 		if !begun {
@@ -205,6 +238,12 @@
 	}
 }
 
+func (e *Engine) detach(g *generation, reader string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.attached[reader]--
+}
+
 // TokenText is the text of a token, from which a test can tell whose it is.
 func TokenText(generation string, index int) string {
 	return fmt.Sprintf(" %s/%d", generation, index)
@@ -222,10 +261,16 @@
 	return nil
 }
 
+// cancel ends a generation. One that names its reader is ignored when the
+// generation belongs to another reader by now.
 func (e *Engine) cancel(c echo.Context) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.generations, c.Param("id"))
+	id, reader := c.Param("id"), c.QueryParam("reader")
+	if g, ok := e.generations[id]; ok && reader != "" && g.belongsToOther(reader) {
+		return c.JSON(http.StatusConflict, refusalWire{"another reader has attached", true})
+	}
+	delete(e.generations, id)
 	return c.NoContent(http.StatusNoContent)
 }
 
