Streams: two sides per stream, heartbeats, and cancels that spare a reader who came back

Cause: a stream longer than 15 s was always cut, because the server's read deadline for the request also ends the read by which net/http watches for a hang-up, and that cancels the request's context. A hang-up cancelled the generation at once, so that a reader whose connection broke could not go on at another instance; a frozen instance that woke late did the same to a reader who had gone on. A slow reader held up the reading of the engine in the same goroutine, and a reader saw nothing while an engine was silent. A connection that broke for the second time after a long quiet wait was given up at once, since the deadline was counted from the stream's start; an engine that answered every resume with nothing was asked again without a pause. A request whose first engine may have run it and whose second place was refused said not_run. A request on a pooled connection to an engine inherited what was left of the silence deadline from the idle time.

Ruled out: a cancel at the instance only when no peer says that it has the reader. That needs a message to all peers for each hang-up and is wrong in a partition. The engine sees every reader of a generation, so the cancel names its reader there and is ignored when another one attached later.

Change: one goroutine reads the engine and starts anew elsewhere, the handler's own writes to the reader from a bounded queue and sends a comment after half a second to a second of silence. What waits is flushed together. A cancel after a hang-up waits for a stored deadline of 4 s, is retried for 10 s, leaves an audit record, and the planned stop waits for it within its limit. The relay gives up at once when the engine doesn't know the generation or its machine refuses three connections in a row; a link that is cut or silent gets 10 s, and 1 s while no token was delivered and the generation can begin elsewhere. A connection that brings another generation's tokens is given up. The send buffer of a caller's connection is bounded.

--- a/caller/plugin.go
+++ b/caller/plugin.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -42,6 +43,7 @@
 	dispatcher *call.Dispatcher
 	charges    charger
 	explainer  explainer
+	cancels    *canceller
 }
 
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
@@ -52,8 +54,10 @@
 	if !haveEngine || !haveRunner || !haveCharges || !haveExplainer {
 		return nil, errorx.IllegalState.New("a plug-in that callers need is missing")
 	}
-	s := &server{rt, engine, &call.Dispatcher{Placer: rt, Runner: runner}, charges, explainer}
-	return []kernel.Actor{{Name: "callers", Run: s.serve}}, nil
+	cancels := newCanceller(engine, recordCancel(rt.Trail))
+	rt.OnDrain(cancels.drain)
+	s := &server{rt, engine, &call.Dispatcher{Placer: rt, Runner: runner}, charges, explainer, cancels}
+	return []kernel.Actor{{Name: "callers", Run: s.serve}, {Name: "cancels", Run: cancels.run}}, nil
 }
 
 func (s *server) routes() *echo.Echo {
@@ -72,6 +76,7 @@
 func (s *server) serve(ctx context.Context) error {
 	server := &http.Server{
 		Addr: s.rt.Settings.Listen.Callers.String(), Handler: s.routes(),
+		ConnContext:       boundSendBuffer,
 		ReadHeaderTimeout: headerLimit, ReadTimeout: bodyLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeaderBytes,
 	}
 	var group sync.WaitGroup
@@ -90,6 +95,17 @@
 	return nil
 }
 
+// sendBufferBytes bounds what the system keeps for one connection whose other
+// end takes nothing. Left to itself it grows the buffer to megabytes.
+const sendBufferBytes = 128 << 10
+
+func boundSendBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBufferBytes) // A connection that is closed already fails later.
+	}
+	return ctx
+}
+
 // ready tells the balancer whether to send new work here.
 func (s *server) ready(c echo.Context) error {
 	if !s.rt.Snapshot().Ready {
--- a/engine/client.go
+++ b/engine/client.go
@@ -6,13 +6,16 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	neturl "net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mangoloft/relay"
@@ -63,9 +66,19 @@
 	return c.Conn.Read(b)
 }
 
+// Write begins the wait for the answer anew. Without it, a request on a pooled
+// connection would inherit what is left of the deadline from the idle time.
+func (c *silenceConn) Write(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // startWire is the body of an order to begin a generation.
 type startWire struct {
 	Generation string `json:"generation"`
+	Reader     string `json:"reader"`
 	Model      string `json:"model"`
 	Prompt     string `json:"prompt"`
 	MaxTokens  int    `json:"max_tokens"`
@@ -97,23 +110,31 @@
 }
 
 // Resume implements relay.Engine.
-func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, generation string, next int) (relay.Feed, error) {
-	return c.open(ctx, http.MethodGet, url(addr, fmt.Sprintf("/generations/%s?from=%d", generation, next)), nil)
+func (c *Client) Resume(ctx context.Context, addr netip.AddrPort, a relay.Attachment, next int) (relay.Feed, error) {
+	return c.open(ctx, http.MethodGet, generationURL(addr, a)+fmt.Sprintf("&from=%d", next), nil)
 }
 
 // Cancel implements relay.Engine.
-func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, generation string) error {
+func (c *Client) Cancel(ctx context.Context, addr netip.AddrPort, a relay.Attachment) (ended bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodDelete, url(addr, "/generations/"+generation), nil)
+	response, err := c.send(ctx, http.MethodDelete, generationURL(addr, a), nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
-		return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "cancel: %s", response.Status)
+	switch {
+	case response.StatusCode == http.StatusConflict:
+		return false, nil
+	case response.StatusCode < http.StatusBadRequest || response.StatusCode == http.StatusNotFound:
+		return true, nil
 	}
-	return nil
+	return false, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "cancel: %s", response.Status)
+}
+
+// generationURL names a generation and the reader that asks.
+func generationURL(addr netip.AddrPort, a relay.Attachment) string {
+	return url(addr, "/generations/"+neturl.PathEscape(a.Generation)+"?reader="+neturl.QueryEscape(a.Reader))
 }
 
 func url(addr netip.AddrPort, path string) string { return "http://" + addr.String() + path }
@@ -138,7 +159,11 @@
 	if written.Load() {
 		return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "%v", err)
 	}
-	return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
+	failure := verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		failure = relay.MarkRefused(failure)
+	}
+	return nil, failure
 }
 
 func (c *Client) open(ctx context.Context, method, target string, body []byte) (relay.Feed, error) {
--- a/event/event.go
+++ b/event/event.go
@@ -34,8 +34,9 @@
 	UpstreamGone        ID = 403
 	UpstreamUnreachable ID = 404
 
-	RequestEnded  ID = 501
-	StreamResumed ID = 502
+	RequestEnded        ID = 501
+	StreamResumed       ID = 502
+	GenerationCancelled ID = 503
 
 	LedgerHandedOver ID = 601
 	LedgerTaken      ID = 602
@@ -60,6 +61,7 @@
 	UpstreamUnreachable: "upstream_unreachable",
 	RequestEnded:        "request_ended",
 	StreamResumed:       "stream_resumed",
+	GenerationCancelled: "generation_cancelled",
 	LedgerHandedOver:    "ledger_handed_over",
 	LedgerTaken:         "ledger_taken",
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,10 +24,19 @@
 // Spec is the order to an engine to begin a generation.
 type Spec struct {
 	Generation string
-	Model      string
-	Prompt     string
-	MaxTokens  int
-	Priority   int
+	// Reader names the first reader.
+	Reader    string
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Priority  int
+}
+
+// Attachment names one reader of one generation. A reader that comes back,
+// here or at another instance, has a new name.
+type Attachment struct {
+	Generation string
+	Reader     string
 }
 
 // Feed is one connection that brings the tokens of a generation.
@@ -44,10 +53,12 @@
 	// engine didn't take it.
 	Start(ctx context.Context, addr netip.AddrPort, spec Spec) (Feed, error)
 	// Resume reads a generation from the token with index next. An error with
-	// reason GenerationLost says that the engine doesn't hold it.
-	Resume(ctx context.Context, addr netip.AddrPort, generation string, next int) (Feed, error)
-	// Cancel ends a generation. Cancelling one that is over is no error.
-	Cancel(ctx context.Context, addr netip.AddrPort, generation string) error
+	// reason GenerationLost says that the engine doesn't hold it; MarkRefused
+	// marks one that says that no process listens there.
+	Resume(ctx context.Context, addr netip.AddrPort, a Attachment, next int) (Feed, error)
+	// Cancel ends a generation unless another reader has attached to it since
+	// a did, which it reports by ended. A generation that is over has ended.
+	Cancel(ctx context.Context, addr netip.AddrPort, a Attachment) (ended bool, err error)
 }
 
 // Reader takes the tokens. An error means that the reader is gone.
@@ -59,69 +70,90 @@
 type Stream struct {
 	Engine     Engine
 	Addr       netip.AddrPort
-	Generation string
+	Attachment Attachment
 	Next       int
 	Reader     Reader
+	// Restartable says that another generation may take this one's place as
+	// long as no token was delivered, so that waiting for it is worth little.
+	Restartable bool
 }
 
-const (
-	// resumeFor is how long a broken connection is made anew before the
-	// generation is given up.
-	resumeFor = 10 * time.Second
-	// resumePause is the time between two tries.
-	resumePause = 100 * time.Millisecond
-)
-
 // ErrReaderGone is returned when the reader did not take a token.
 var ErrReaderGone = errors.New("the reader is gone")
 
 // Run passes tokens from feed, and from further connections when it breaks,
-// until the generation ends. A nil feed is opened first. It returns the number
-// of the last token and an error that carries the outcome.
+// until the generation ends. A nil feed is opened first. The error carries the
+// outcome.
 func (s *Stream) Run(ctx context.Context, feed Feed) (finish string, err error) {
-	giveUpAt := time.Now().Add(resumeFor)
+	var o outage
 	for {
-		if feed != nil {
-			before := s.Next
+		if feed == nil {
+			feed, err = s.resume(ctx, o)
+		}
+		if err == nil {
+			before, opened := s.Next, time.Now()
 			finish, err = s.drain(feed)
 			feed.Close()
 			if err == nil || errors.Is(err, ErrReaderGone) {
 				return finish, err
 			}
-			if s.Next > before {
-				giveUpAt = time.Now().Add(resumeFor)
+			if s.Next > before || time.Since(opened) > aliveAfter {
+				o = outage{}
 			}
 		}
-		if feed, err = s.Engine.Resume(ctx, s.Addr, s.Generation, s.Next); err == nil {
-			continue
-		}
-		outcome := verdict.Of(err)
+		feed = nil
 		if ctx.Err() != nil {
-			return "", verdict.Fail(verdict.Ran, verdict.CallerGone, "the request was given up")
+			return "", verdict.Fail(verdict.MayHaveRun, verdict.CallerGone, "the request was given up")
 		}
-		if outcome.Reason == verdict.GenerationLost || time.Now().After(giveUpAt) {
-			return "", verdict.Fail(verdict.Ran, verdict.GenerationLost, "the engine lost the generation: %s", outcome.Detail)
+		o.note(time.Now(), err, s.patience())
+		if lost := o.lost(time.Now(), err); lost != nil {
+			return "", lost
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(resumePause):
+		if o.failures > 1 {
+			pause(ctx, resumePause)
 		}
 	}
 }
 
+// resume opens a connection, unless that takes until the outage is given up.
+func (s *Stream) resume(ctx context.Context, o outage) (Feed, error) {
+	if o.failures == 0 {
+		return s.Engine.Resume(ctx, s.Addr, s.Attachment, s.Next)
+	}
+	// The context outlives the opening, since the feed lives in it.
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(o.giveUpAt), cancel)
+	feed, err := s.Engine.Resume(ctx, s.Addr, s.Attachment, s.Next)
+	if err != nil || !timer.Stop() {
+		cancel()
+	}
+	return feed, err
+}
+
+func (s *Stream) patience() time.Duration {
+	if s.Restartable && s.Next == 0 {
+		return restartPatience
+	}
+	return resumePatience
+}
+
 // drain passes on the tokens of one connection. Only the token that is due
-// next goes through: whatever a late or crossed connection brings falls here.
+// next goes through: whatever a late connection brings again falls here, and a
+// connection that brings what it shouldn't is given up.
 func (s *Stream) drain(feed Feed) (finish string, err error) {
 	for {
 		token, err := feed.Next()
 		if err != nil {
 			return "", err
 		}
-		if token.Generation != s.Generation || token.Index < s.Next {
-			continue
+		if token.Generation != s.Attachment.Generation {
+			return "", verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "a token of generation %q came", token.Generation)
 		}
-		if token.Index > s.Next {
-			return "", verdict.Fail(verdict.Ran, verdict.AnswerMismatch, "token %d came where %d was due", token.Index, s.Next)
+		if token.Index > s.Next || token.Finish != "" && token.Index < s.Next {
+			return "", verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "index %d came where %d was due", token.Index, s.Next)
+		}
+		if token.Index < s.Next {
+			continue
 		}
 		if token.Finish != "" {
 			return token.Finish, nil
@@ -132,3 +164,10 @@
 		s.Next++
 	}
 }
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
