Logs and the trail never hold up traffic when their stream is stuck

Cause: the audit trail and the event log were written under a lock by whoever had something to tell, the control goroutine included. A pipe that nobody reads stopped the whole instance. Ruled out: dropping at once without a buffer (a reader that pauses for a moment would cost records), and an unbounded buffer (memory). Change: output.Writer holds up to 4 MiB of whole lines and writes them from a goroutine of its own. A failing stream is tried again every second; without room, lines are dropped and counted.

--- a/event/event.go
+++ b/event/event.go
@@ -4,8 +4,11 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-kit/log"
+
+	"mangoloft/output"
 )
 
 // ID is an event's number. Numbers are never used again for another event.
@@ -19,6 +22,8 @@
 	InstanceStopping ID = 103
 	InstanceStopped  ID = 104
 	ProcessPaused    ID = 105
+	AuditGap         ID = 106
+	SettingsWarning  ID = 107
 
 	ConfigAccepted      ID = 201
 	ConfigRefused       ID = 202
@@ -48,6 +53,8 @@
 	InstanceStopping:    "instance_stopping",
 	InstanceStopped:     "instance_stopped",
 	ProcessPaused:       "process_paused",
+	AuditGap:            "audit_gap",
+	SettingsWarning:     "settings_warning",
 	ConfigAccepted:      "config_accepted",
 	ConfigRefused:       "config_refused",
 	ConfigServiceFailed: "config_service_failed",
@@ -72,15 +79,18 @@
 // All returns every event with its name.
 func All() map[ID]string { return names }
 
-// Log writes numbered events as one JSON object a line.
+// Log writes numbered events as one JSON object a line. A stream that is stuck
+// or closed holds up nobody: events without room are dropped and counted.
 type Log struct {
+	out    *output.Writer
 	logger log.Logger
 }
 
-// NewLog returns a log of one instance that writes to w.
+// NewLog returns a log of one instance that writes to w. It must be closed.
 func NewLog(w io.Writer, instance string) *Log {
-	logger := log.NewJSONLogger(log.NewSyncWriter(w))
-	return &Log{log.With(logger, "time", log.DefaultTimestampUTC, "instance", instance)}
+	out := output.New(w)
+	logger := log.NewJSONLogger(out)
+	return &Log{out, log.With(logger, "time", log.DefaultTimestampUTC, "instance", instance)}
 }
 
 // Emit writes one event with pairs of field names and values.
@@ -88,3 +98,9 @@
 	// A log that can't be written must not stop the service.
 	_ = l.logger.Log(append([]any{"event", uint16(id), "name", id.String()}, pairs...)...)
 }
+
+// Dropped returns how many events the stream has not got.
+func (l *Log) Dropped() uint64 { return l.out.Dropped() }
+
+// Close writes what is left, but not past until.
+func (l *Log) Close(until time.Time) { l.out.Close(until) }
