--- /dev/null
+++ b/audit/verify_test.go
@@ -0,0 +1,135 @@
+package audit_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/audit"
+	"mangoloft/event"
+	"mangoloft/ident"
+)
+
+type entry struct {
+	Text string `json:"text"`
+}
+
+func newTrail(w *bytes.Buffer, instance string, incarnation ident.Incarnation) *audit.Trail {
+	at := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
+	home := ident.Home{Peer: netip.MustParseAddrPort("10.0.0.1:7000"), Incarnation: incarnation}
+	return audit.NewTrail(w, instance, home, func() time.Time { return at })
+}
+
+// lines returns the lines of a whole trail of n records.
+func lines(t *testing.T, instance string, incarnation ident.Incarnation, n int) []string {
+	t.Helper()
+	var out bytes.Buffer
+	trail := newTrail(&out, instance, incarnation)
+	for i := range n - 1 {
+		trail.Append(event.RequestEnded, "", entry{fmt.Sprint("record ", i+1)})
+	}
+	trail.Append(event.InstanceStopped, "", entry{"stop"})
+	assert.Assert(t, trail.Close(time.Now().Add(30*time.Second)))
+	all := strings.SplitAfter(out.String(), "\n")
+	return all[:len(all)-1]
+}
+
+// verify returns the faults, one a line, and the report.
+func verify(t *testing.T, stream []string) (string, audit.Report) {
+	t.Helper()
+	report, err := audit.Verify(strings.NewReader(strings.Join(stream, "")))
+	assert.NilError(t, err)
+	var faults []string
+	for _, fault := range report.Faults {
+		faults = append(faults, fmt.Sprintf("%d %s", fault.Line, fault.Kind))
+	}
+	return strings.Join(faults, ", "), report
+}
+
+func edit(line, old, replacement string) string { return strings.Replace(line, old, replacement, 1) }
+
+func TestVerifyNoticesTampering(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(a []string) []string
+		want   string
+	}{
+		"nothing":                  {func(a []string) []string { return a }, ""},
+		"a changed word":           {func(a []string) []string { a[2] = edit(a[2], "record 3", "record 9"); return a }, "3 edited"},
+		"a changed hash":           {func(a []string) []string { a[2] = edit(a[2], `"hash":"`, `"hash":"0`); return a }, "3 edited, 4 replaced"},
+		"white space":              {func(a []string) []string { a[2] = edit(a[2], `,"name"`, `, "name"`); return a }, "3 edited"},
+		"a field behind the hash":  {func(a []string) []string { a[2] = edit(a[2], "}\n", ",\"x\":1}\n"); return a }, "3 edited"},
+		"a missing record":         {func(a []string) []string { return slices.Delete(a, 2, 3) }, "3 gap"},
+		"a missing beginning":      {func(a []string) []string { return a[2:] }, "1 gap"},
+		"two missing places":       {func(a []string) []string { return slices.Delete(slices.Delete(a, 4, 5), 1, 2) }, "2 gap, 4 gap"},
+		"two records swapped":      {func(a []string) []string { a[1], a[2] = a[2], a[1]; return a }, "2 gap, 3 misplaced"},
+		"a record twice":           {func(a []string) []string { return slices.Insert(a, 3, a[2]) }, "4 misplaced"},
+		"a line that is no record": {func(a []string) []string { return slices.Insert(a, 3, "x\n") }, "4 malformed"},
+		"a garbled record":         {func(a []string) []string { a[2] = a[2][:20] + "\n"; return a }, "3 malformed, 4 gap"},
+		"a place taken off":        {func(a []string) []string { a[2] = edit(a[2], `"sequence":3`, `"sequence":0`); return a }, "3 malformed, 4 gap"},
+		"another trail's record": {func(a []string) []string {
+			other := lines(t, "b", 1, 6)
+			a[2] = edit(other[2], `"instance":"b"`, `"instance":"a"`)
+			return a
+		}, "3 edited, 3 replaced, 4 replaced"},
+		"a log's line between": {func(a []string) []string { return slices.Insert(a, 3, `{"event":101,"name":"x"}`+"\n") }, ""},
+		"an empty stream":      {func([]string) []string { return nil }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faults, _ := verify(t, c.change(lines(t, "a", 1, 6)))
+			assert.Equal(t, faults, c.want)
+		})
+	}
+}
+
+// TestVerifyEnds holds what can and can't be told of a trail's end.
+func TestVerifyEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		change              func(a []string) []string
+		stopped, incomplete bool
+		records             int
+	}{
+		"a planned stop":   {func(a []string) []string { return a }, true, false, 6},
+		"the end cut off":  {func(a []string) []string { return a[:4] }, false, false, 4},
+		"a line cut short": {func(a []string) []string { a[5] = a[5][:9]; return a }, false, true, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faults, report := verify(t, c.change(lines(t, "a", 1, 6)))
+			assert.Equal(t, faults, "")
+			assert.Equal(t, len(report.Chains), 1)
+			assert.Equal(t, report.Chains[0].Stopped, c.stopped)
+			assert.Equal(t, report.Chains[0].Records, c.records)
+			assert.Equal(t, report.Incomplete, c.incomplete)
+		})
+	}
+}
+
+func TestVerifyInterleaved(t *testing.T) {
+	a, b, later := lines(t, "a", 1, 4), lines(t, "b", 1, 4), lines(t, "a", 2, 4)
+	var stream []string
+	for i := range a {
+		stream = append(stream, a[i], later[i], b[i])
+	}
+	faults, report := verify(t, stream)
+	assert.Equal(t, faults, "")
+	assert.Equal(t, len(report.Chains), 3)
+	faults, _ = verify(t, slices.Delete(stream, 4, 5))
+	assert.Equal(t, faults, "7 gap")
+}
+
+func FuzzVerify(f *testing.F) {
+	f.Add([]byte("{}\n"))
+	f.Add([]byte(`{"event":501,"name":"request_ended","instance":"a","incarnation":1,"sequence":1,"time":"2027-01-31T09:30:00Z","previous":"","record":null,"hash":"00"}` + "\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		report, err := audit.Verify(bytes.NewReader(stream))
+		assert.NilError(t, err)
+		for _, chain := range report.Chains {
+			assert.Assert(t, chain.Records > 0 || len(report.Faults) > 0)
+		}
+	})
+}
