--- a/kernel/run.go
+++ b/kernel/run.go
@@ -21,6 +21,8 @@
 	readinessGrace = 1 * time.Second
 	// handOverLimit bounds the steps after the last request of a planned stop.
 	handOverLimit = 5 * time.Second
+	// outputLimit bounds the writing of what is left of the trail and the log.
+	outputLimit = 2 * time.Second
 	// eventBacklog is how many events may wait for the control goroutine.
 	eventBacklog = 1024
 )
@@ -39,6 +41,10 @@
 		Trail:  audit.NewTrail(trail, s.Instance, home, time.Now),
 		events: make(chan envelope, eventBacklog), stopped: make(chan struct{}),
 	}
+	defer rt.closeOutput()
+	for _, warning := range s.Warnings {
+		rt.Log.Emit(event.SettingsWarning, "warning", warning)
+	}
 	rt.snapshot.Store(&control.Snapshot{})
 	state := control.New(s.Instance, s.DataCentre)
 
@@ -84,6 +90,12 @@
 	rt.Log.Emit(id, "data_centre", rt.Settings.DataCentre, "incarnation", rt.Home.Incarnation.String())
 }
 
+func (rt *Runtime) closeOutput() {
+	until := time.Now().Add(outputLimit)
+	rt.Trail.Close(until)
+	rt.Log.Close(until)
+}
+
 // drain is the planned stop: readiness falls, then no new request is taken,
 // then those under way end by themselves, then what others need is handed over.
 func (rt *Runtime) drain(ctx context.Context) {
--- a/kernel/runtime.go
+++ b/kernel/runtime.go
@@ -203,7 +203,7 @@
 			rt.snapshot.Store(a.Snapshot)
 		case control.Record:
 			rt.Trail.Append(a.ID, "", a.Change)
-			rt.Log.Emit(a.ID)
+			rt.Log.Emit(a.ID, "record", a.Change)
 		case control.Scheduled:
 			reply(a.Action, waiting)
 		}
