A refused ticket is closed for good, and its successor runs instead

Cause: after a home had answered not_run, the same ticket could run again later. A copy of it that was still under way, in the network or in a paused process, could then run after its caller had been told that it did not. The home's bitmap and its kept answers also grew without bound in bytes, and a home whose configuration had lost the class answered before it looked at what ran.

Weighed: a deadline in the forwarded request alone depends on the clocks of two machines; closing the ticket alone would leave the caller of a refused call without a ticket to go on with.

Change: a ticket has an attempt. A refusal closes the attempt and answers with the ticket of the next one, in the Idempotency-Key header; a sequence runs at most once over all attempts. An answer that names the same ticket says that the outcome can still be asked for with it. The request also carries its deadline to the home and to the service's client, which refuse it once it has passed. A ledger forgets words of tickets that expired an hour ago or more, and answers may_have_run for those; kept answers are bounded to 8 MiB. What ran is looked at before class and configuration. The id of an explained request is not signed, so only addresses of entry instances are asked. A service's answer without a length is refused, its 4xx are its own word and reach the caller, 408 and 429 without not_run are may_have_run. limits.open_requests is enforced.

Seen to fail with the mechanism off: closing the attempt, comparing attempts, comparing the deadline, closing on expiry, comparing bodies, marking what ran, the bound in bytes, keeping outcomes, the border of what is remembered. One case of TestBook or TestManyAtOnceRunOnce fails for each.

--- a/call/call.go
+++ b/call/call.go
@@ -3,6 +3,8 @@
 package call
 
 import (
+	"time"
+
 	"mangoloft/ident"
 )
 
@@ -13,6 +15,9 @@
 	Class       string
 	ContentType string
 	Body        []byte
+	// Deadline is when nobody waits for the answer any more. A call that is
+	// not sent by then is not sent at all.
+	Deadline time.Time
 }
 
 // Answer is a service's whole answer.
--- a/call/dispatch.go
+++ b/call/dispatch.go
@@ -49,6 +49,12 @@
 		if err != nil {
 			return Answer{}, append(steps, verdict.Of(err).Detail), err
 		}
+		if time.Now().After(r.Deadline) {
+			// This process was held up after it had the place.
+			err = verdict.Fail(verdict.NotRun, verdict.WaitExpired, "the deadline passed before the call was sent to %s", place.Upstream.Name)
+			d.Placer.Send(control.Scheduling{Event: decide.Ended{ID: r.ID, Outcome: verdict.Of(err)}})
+			return Answer{}, append(steps, verdict.Of(err).Detail), err
+		}
 		steps = append(steps, fmt.Sprintf("sent to %s: %s", place.Upstream.Name, place.Why))
 		answer, err = d.Runner.Call(ctx, place.Upstream.Addr, r)
 		d.Placer.Send(control.Scheduling{Event: decide.Ended{ID: r.ID, Outcome: verdict.Of(err)}})
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -16,12 +16,15 @@
 	"mangoloft/verdict"
 )
 
+// callLimit is how long a call may take from its arrival to its answer.
+const callLimit = 15 * time.Second
+
 // ticketHeader carries a ticket, in a request and on its answer.
 const ticketHeader = "Idempotency-Key"
 
 // charger runs calls that must not be repeated.
 type charger interface {
-	Home() *charge.Home
+	Mint(team, class string) string
 	Run(ctx context.Context, ticket string, r call.Request) charge.Result
 }
 
@@ -42,6 +45,7 @@
 	}
 	r := call.Request{
 		ID: x.id, Team: x.team, Class: class.Name, ContentType: x.Request().Header.Get(echo.HeaderContentType), Body: body,
+		Deadline: x.record.ArrivedAt.Add(callLimit),
 	}
 	var answer call.Answer
 	if class.Kind == config.Read {
@@ -59,15 +63,19 @@
 	return nil
 }
 
-// charge runs a call under the caller's ticket, or under a new one, which the
-// answer names whatever the outcome.
+// charge runs a call under the caller's ticket, or under a new one. The answer
+// names the ticket to go on with: the same one as long as its outcome can be
+// asked for, and another when this one is closed and never ran.
 func (s *server) charge(x *exchange, r call.Request) (call.Answer, error) {
 	text := x.Request().Header.Get(ticketHeader)
 	if text == "" {
-		text = s.charges.Home().Mint(time.Now(), x.team, r.Class)
+		text = s.charges.Mint(x.team, r.Class)
 	}
-	x.Response().Header().Set(ticketHeader, text)
 	result := s.charges.Run(x.Request().Context(), text, r)
+	if result.Next != "" {
+		text = result.Next
+	}
+	x.Response().Header().Set(ticketHeader, text)
 	x.record.Steps = result.Steps
 	return result.Answer, result.Err
 }
@@ -92,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	return x.JSON(http.StatusOK, ticketWire{s.charges.Home().Mint(time.Now(), x.team, class.Name)})
+	return x.JSON(http.StatusOK, ticketWire{s.charges.Mint(x.team, class.Name)})
 }
 
 // explanationWire is a request's audit records.
--- a/caller/request.go
+++ b/caller/request.go
@@ -12,12 +12,16 @@
 	"mangoloft/config"
 	"mangoloft/event"
 	"mangoloft/ident"
+	"mangoloft/kernel"
 	"mangoloft/verdict"
 )
 
 // requestIDHeader carries the request's id on every answer.
 const requestIDHeader = "X-Request-Id"
 
+// fullBackoff is when a request may come back that met a full instance.
+const fullBackoff = 1 * time.Second
+
 // exchange is one request of a known team.
 type exchange struct {
 	echo.Context
@@ -68,7 +72,11 @@
 }
 
 func (s *server) admit(x *exchange, handle func(*exchange) error) error {
-	if !s.rt.Work.Begin() {
+	switch s.rt.Work.Begin() {
+	case kernel.Admitted:
+	case kernel.Full:
+		return verdict.FailAt(verdict.NotRun, verdict.Overloaded, time.Now().Add(fullBackoff), "this instance has as many requests open as its settings allow")
+	case kernel.Stopping:
 		return verdict.FailAt(verdict.NotRun, verdict.Stopping, time.Now(), "this instance is stopping; ask another")
 	}
 	defer s.rt.Work.End()
@@ -135,7 +143,7 @@
 		return http.StatusNotFound
 	case verdict.ForeignKey, verdict.TicketExpired:
 		return http.StatusUnprocessableEntity
-	case verdict.AlreadyRan:
+	case verdict.AlreadyRan, verdict.TicketClosed:
 		return http.StatusConflict
 	case verdict.Overloaded, verdict.WaitExpired:
 		return http.StatusTooManyRequests
--- /dev/null
+++ b/charge/book_test.go
@@ -0,0 +1,172 @@
+package charge_test
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/call"
+	"mangoloft/charge"
+	"mangoloft/ident"
+	"mangoloft/ticket"
+	"mangoloft/verdict"
+)
+
+// instance is a book with a service behind it whose next answers can be set.
+type instance struct {
+	t       *testing.T
+	home    ident.Home
+	now     time.Time
+	keyring *ticket.Keyring
+	book    *charge.Book
+	runs    atomic.Int32
+	// fault is what the service's calls end with.
+	fault error
+	// gate, when set, holds calls until it is closed.
+	gate   chan struct{}
+	answer []byte
+}
+
+func newInstance(t *testing.T, name byte) *instance {
+	t.Helper()
+	keyring, err := ticket.NewKeyring([]ticket.Key{{ID: "k", Secret: bytes.Repeat([]byte{1}, ticket.MinSecretBytes)}})
+	assert.NilError(t, err)
+	in := &instance{t: t, now: time.Now(), keyring: keyring, answer: []byte("done")}
+	in.home = ident.Home{Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, name}), 1), Incarnation: 7}
+	in.book = charge.NewBook(in.home, "dc1", keyring, in.call, func() time.Time { return in.now })
+	return in
+}
+
+func (in *instance) call(_ context.Context, _ call.Request) (call.Answer, []string, error) {
+	if in.gate != nil {
+		<-in.gate
+	}
+	if verdict.Of(in.fault).Verdict != verdict.NotRun {
+		in.runs.Add(1)
+	}
+	return call.Answer{Status: 200, Body: in.answer}, nil, in.fault
+}
+
+func (in *instance) run(text, body string) charge.Result {
+	in.t.Helper()
+	t, err := in.keyring.VerifyTicket(text)
+	assert.NilError(in.t, err)
+	return in.book.Run(context.Background(), t, call.Request{
+		ID: ident.Request{Home: in.home, Sequence: 1}, Body: []byte(body), Deadline: in.now.Add(time.Minute),
+	})
+}
+
+// want checks one result and how often the service has run by then.
+func (in *instance) want(r charge.Result, v verdict.Verdict, reason verdict.Reason, runs int32) charge.Result {
+	in.t.Helper()
+	outcome := verdict.Of(r.Err)
+	assert.Equal(in.t, outcome.Verdict, v, outcome.Detail)
+	assert.Equal(in.t, outcome.Reason, reason, outcome.Detail)
+	assert.Equal(in.t, in.runs.Load(), runs)
+	return r
+}
+
+var (
+	refused = verdict.Fail(verdict.NotRun, verdict.NoUpstream, "none")
+	lost    = verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "lost")
+)
+
+func TestBook(t *testing.T) {
+	tests := map[string]func(*instance, string){
+		"the answer is kept for those who ask again": func(in *instance, text string) {
+			in.want(in.run(text, "a"), verdict.Ran, verdict.Completed, 1)
+			again := in.want(in.run(text, "a"), verdict.Ran, verdict.Completed, 1)
+			assert.Equal(in.t, string(again.Answer.Body), "done")
+			assert.Equal(in.t, again.RanAs.Home, in.home)
+		},
+		"a lost answer is never a second run": func(in *instance, text string) {
+			in.fault = lost
+			in.want(in.run(text, "a"), verdict.MayHaveRun, verdict.UpstreamLost, 1)
+			in.fault = nil
+			in.want(in.run(text, "a"), verdict.MayHaveRun, verdict.UpstreamLost, 1)
+		},
+		"another body is refused and changes nothing": func(in *instance, text string) {
+			in.run(text, "a")
+			in.want(in.run(text, "b"), verdict.NotRun, verdict.ForeignKey, 1)
+			in.want(in.run(text, "a"), verdict.Ran, verdict.Completed, 1)
+		},
+		"a refused ticket is closed and its successor runs": func(in *instance, text string) {
+			in.fault = refused
+			next := in.want(in.run(text, "a"), verdict.NotRun, verdict.NoUpstream, 0).Next
+			in.fault = nil
+			// A copy that was still under way comes only now.
+			late := in.want(in.run(text, "a"), verdict.NotRun, verdict.TicketClosed, 0)
+			assert.Equal(in.t, late.Next, next)
+			in.want(in.run(next, "a"), verdict.Ran, verdict.Completed, 1)
+			in.want(in.run(text, "a"), verdict.NotRun, verdict.TicketClosed, 1)
+			in.want(in.run(next, "a"), verdict.Ran, verdict.Completed, 1)
+		},
+		"a request after its deadline does nothing": func(in *instance, text string) {
+			t, err := in.keyring.VerifyTicket(text)
+			assert.NilError(in.t, err)
+			late := in.book.Run(context.Background(), t, call.Request{Deadline: in.now.Add(-time.Second)})
+			assert.Equal(in.t, in.want(late, verdict.NotRun, verdict.WaitExpired, 0).Next, "")
+			in.want(in.run(text, "a"), verdict.Ran, verdict.Completed, 1)
+		},
+		"an expired ticket stays closed when the clock is set back": func(in *instance, text string) {
+			in.now = in.now.Add(61 * time.Minute)
+			in.want(in.run(text, "a"), verdict.NotRun, verdict.TicketExpired, 0)
+			in.now = in.now.Add(-61 * time.Minute)
+			in.want(in.run(text, "a"), verdict.NotRun, verdict.TicketClosed, 0)
+		},
+		"what ran is known after its expiry, and later nobody says not run": func(in *instance, text string) {
+			in.run(text, "a")
+			in.now = in.now.Add(61 * time.Minute)
+			in.want(in.run(text, "a"), verdict.Ran, verdict.Completed, 1)
+			for range 64 {
+				in.book.Mint("reef", "top_up")
+			}
+			in.now = in.now.Add(62 * time.Minute)
+			in.book.Mint("reef", "top_up")
+			in.now = in.now.Add(121 * time.Minute)
+			in.book.Mint("reef", "top_up")
+			in.want(in.run(text, "a"), verdict.MayHaveRun, verdict.TicketExpired, 1)
+		},
+		"kept answers are bounded in bytes": func(in *instance, text string) {
+			in.answer = make([]byte, 3<<20)
+			in.run(text, "a")
+			for range 3 {
+				in.run(in.book.Mint("reef", "top_up"), "b")
+			}
+			in.want(in.run(text, "a"), verdict.Ran, verdict.AlreadyRan, 4)
+		},
+		"a home that is not held here is unknown": func(in *instance, _ string) {
+			other := newInstance(in.t, 2)
+			in.want(in.run(other.book.Mint("reef", "top_up"), "a"), verdict.MayHaveRun, verdict.HomeGone, 0)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			in := newInstance(t, 1)
+			test(in, in.book.Mint("reef", "top_up"))
+		})
+	}
+}
+
+func TestManyAtOnceRunOnce(t *testing.T) {
+	in := newInstance(t, 1)
+	in.gate = make(chan struct{})
+	text := in.book.Mint("reef", "top_up")
+	const callers = 50
+	results := make([]charge.Result, callers)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() { results[i] = in.run(text, "a") })
+	}
+	close(in.gate)
+	group.Wait()
+	for _, result := range results {
+		in.want(result, verdict.Ran, verdict.Completed, 1)
+	}
+}
--- a/charge/plugin.go
+++ b/charge/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -17,12 +18,13 @@
 }
 
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
-	runner, ok := kernel.Find[call.Runner](rt)
+	services, ok := kernel.Find[call.Runner](rt)
 	if !ok {
 		return nil, errorx.IllegalState.New("no plug-in runs calls")
 	}
-	home := NewHome(rt.Home, rt.Settings.DataCentre, rt.Keyring, &call.Dispatcher{Placer: rt, Runner: runner})
-	rt.Provide(&Charges{rt, home})
+	c := &Charges{rt: rt, dispatcher: &call.Dispatcher{Placer: rt, Runner: services}}
+	c.book = NewBook(rt.Home, rt.Settings.DataCentre, rt.Keyring, c.dispatch, time.Now)
+	rt.Provide(c)
 	return nil, nil
 }
 
@@ -33,41 +35,45 @@
 
 // Charges takes tickets from callers and from peers.
 type Charges struct {
-	rt   *kernel.Runtime
-	home *Home
+	rt         *kernel.Runtime
+	dispatcher *call.Dispatcher
+	book       *Book
 }
 
-// Home returns the ledger of this instance.
-func (c *Charges) Home() *Home { return c.home }
+// Mint returns a new ticket of this home for the team and class.
+func (c *Charges) Mint(team, class string) string { return c.book.Mint(team, class) }
 
 // Run runs the call under the ticket, here or at the ticket's home.
 func (c *Charges) Run(ctx context.Context, text string, r call.Request) Result {
 	t, err := c.rt.Keyring.VerifyTicket(text)
-	if err != nil {
-		return Result{Err: verdict.Fail(verdict.NotRun, verdict.ForeignKey, "the idempotency key is not a ticket: %v", err)}
+	// One answer for all of these: nobody learns whether another's ticket is good.
+	if err != nil || t.Team != r.Team || t.Class != r.Class {
+		return *fail(verdict.NotRun, verdict.ForeignKey, "the idempotency key is no ticket of this team and class")
 	}
-	if t.Team != r.Team || t.Class != r.Class {
-		return Result{Err: verdict.Fail(verdict.NotRun, verdict.ForeignKey, "the ticket is for another team or class")}
-	}
-	if t.Home == c.rt.Home {
-		return c.RunHere(ctx, t, r)
+	if c.book.Holds(t.Home) {
+		return c.book.Run(ctx, t, r)
 	}
 	peers, ok := kernel.Find[forwarder](c.rt)
 	if !ok {
-		return Result{Err: verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "no plug-in speaks to peers")}
+		return *fail(verdict.MayHaveRun, verdict.HomeGone, "no plug-in speaks to peers")
 	}
 	return peers.RunTicket(ctx, t.Home, text, r)
 }
 
-// RunHere runs a verified ticket of this home.
+// RunHere runs a verified ticket whose ledger should be here.
 func (c *Charges) RunHere(ctx context.Context, t ticket.Ticket, r call.Request) Result {
+	return c.book.Run(ctx, t, r)
+}
+
+// dispatch sends a call to a service. What it refuses had no effect.
+func (c *Charges) dispatch(ctx context.Context, r call.Request) (call.Answer, []string, error) {
 	view := c.rt.Snapshot().Config
 	if view == nil {
-		return Result{Err: verdict.Fail(verdict.NotRun, verdict.NotConfigured, "no configuration yet")}
+		return call.Answer{}, nil, verdict.Fail(verdict.NotRun, verdict.NotConfigured, "no configuration yet")
 	}
-	class, ok := view.Classes[t.Class]
+	class, ok := view.Classes[r.Class]
 	if !ok {
-		return Result{Err: verdict.Fail(verdict.NotRun, verdict.UnknownClass, "class %s is no longer configured", t.Class)}
+		return call.Answer{}, nil, verdict.Fail(verdict.NotRun, verdict.UnknownClass, "class %s is no longer configured", r.Class)
 	}
-	return c.home.Run(ctx, t, class, r)
+	return c.dispatcher.Run(ctx, class, r)
 }
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -39,6 +39,7 @@
 		Settings: s, Home: home, Keyring: keyring,
 		Log:    event.NewLog(logs, s.Instance),
 		Trail:  audit.NewTrail(trail, s.Instance, home, time.Now),
+		Work:   Work{limit: s.Limits.OpenRequests},
 		events: make(chan envelope, eventBacklog), stopped: make(chan struct{}),
 	}
 	defer rt.closeOutput()
--- a/kernel/runtime.go
+++ b/kernel/runtime.go
@@ -97,24 +97,39 @@
 	return decide.Place{}, verdict.Fail(outcome.Verdict, outcome.Reason, "the caller hung up before the request had a place")
 }
 
+// Admission says whether a request was counted in.
+type Admission uint8
+
+const (
+	// Admitted requests must be counted out with End.
+	Admitted Admission = iota
+	// Full means that as many requests are under way as the settings allow.
+	Full
+	// Stopping means that the planned stop takes no more requests.
+	Stopping
+)
+
 // Work counts the requests under way.
 type Work struct {
 	mu      sync.Mutex
+	limit   int
 	open    int
 	closed  bool
 	drained chan struct{}
 }
 
-// Begin counts a request in. It reports false once the instance takes no more.
-// A request that was counted in must be counted out with End.
-func (w *Work) Begin() bool {
+// Begin counts a request in, unless the instance takes no more.
+func (w *Work) Begin() Admission {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed {
-		return false
+	switch {
+	case w.closed:
+		return Stopping
+	case w.open >= w.limit:
+		return Full
 	}
 	w.open++
-	return true
+	return Admitted
 }
 
 // End counts a request out.
--- /dev/null
+++ b/peer/explain.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"mangoloft/ident"
+	"mangoloft/member"
+	"mangoloft/peerpb"
+	"mangoloft/verdict"
+)
+
+// Explain returns the audit records of a request, from its home.
+func (l *links) Explain(ctx context.Context, id ident.Request) ([]json.RawMessage, error) {
+	if id.Home == l.rt.Home {
+		return l.rt.Trail.Find(id.String()), nil
+	}
+	// The id is not signed, so its address could be anybody's.
+	if !l.knows(id.Home) {
+		return nil, nil
+	}
+	client, err := l.client(id.Home.Peer)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	reply, err := client.Explain(ctx, &peerpb.ExplainRequest{RequestId: id.String()})
+	if status.Code(err) == codes.Unavailable {
+		return nil, verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "the request's home does not answer; its trail is in the logs: %v", err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	records := make([]json.RawMessage, len(reply.Records))
+	for i, record := range reply.Records {
+		records[i] = json.RawMessage(record)
+	}
+	return records, nil
+}
+
+// knows reports whether the home's address is that of an entry instance.
+func (l *links) knows(home ident.Home) bool {
+	snapshot := l.rt.Snapshot()
+	return slices.ContainsFunc(snapshot.Listed, func(m member.Listed) bool { return m.Peer == home.Peer }) ||
+		slices.ContainsFunc(snapshot.Peers, func(p member.Peer) bool { return p.Home.Peer == home.Peer })
+}
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -16,6 +17,10 @@
 	"mangoloft/verdict"
 )
 
+// busyBackoff is when a caller may ask a home again that could not take its
+// request.
+const busyBackoff = 1 * time.Second
+
 // handler answers the peers.
 type handler struct {
 	peerpb.UnimplementedPeerServer
@@ -29,6 +34,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	h.links.holders.heard(wire)
 	h.rt.Send(control.PeerHeard{Heartbeat: heartbeat})
 	return h.links.heartbeat(), nil
 }
@@ -49,11 +55,7 @@
 
 // RunTicket implements peerpb.PeerServer.
 func (h *handler) RunTicket(ctx context.Context, request *peerpb.TicketRequest) (*peerpb.TicketReply, error) {
-	result := h.runTicket(ctx, request)
-	return &peerpb.TicketReply{
-		Outcome: outcomeToWire(result.Err), Status: int32(result.Answer.Status), ContentType: result.Answer.ContentType,
-		Body: result.Answer.Body, Upstream: result.Answer.Upstream, Steps: result.Steps,
-	}, nil
+	return resultToWire(h.runTicket(ctx, request)), nil
 }
 
 func (h *handler) runTicket(ctx context.Context, request *peerpb.TicketRequest) charge.Result {
@@ -61,10 +63,6 @@
 	if err != nil || t.Team != request.Team || t.Class != request.Class {
 		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.ForeignKey, "the ticket is malformed, or for another team or class")}
 	}
-	if t.Home != h.rt.Home {
-		// Another incarnation had this address. What it ran nobody knows.
-		return charge.Result{Err: verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "the ticket's home has given way to another incarnation")}
-	}
 	id, err := ident.ParseRequest(request.RequestId)
 	if err != nil {
 		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.BadRequest, "%v", err)}
@@ -73,12 +71,19 @@
 	if !ok {
 		return charge.Result{Err: verdict.Fail(verdict.NotRun, verdict.Internal, "no plug-in runs tickets")}
 	}
-	if !h.rt.Work.Begin() {
-		return charge.Result{Err: verdict.Fail(verdict.MayHaveRun, verdict.HomeGone, "the ticket's home is stopping")}
+	// A refusal here says that this request did nothing. It leaves the ticket
+	// open, since an earlier request may have run it.
+	switch h.rt.Work.Begin() {
+	case kernel.Admitted:
+	case kernel.Full:
+		return charge.Result{Err: verdict.FailAt(verdict.NotRun, verdict.Overloaded, time.Now().Add(busyBackoff), "the ticket's home has as many requests open as its settings allow")}
+	case kernel.Stopping:
+		return charge.Result{Err: verdict.FailAt(verdict.NotRun, verdict.Stopping, time.Now().Add(busyBackoff), "the ticket's home is stopping and hands its ledger over")}
 	}
 	defer h.rt.Work.End()
 	return runner.RunHere(ctx, t, call.Request{
 		ID: id, Team: request.Team, Class: request.Class, ContentType: request.ContentType, Body: request.Body,
+		Deadline: time.UnixMilli(request.DeadlineUnixMs),
 	})
 }
 
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"mangoloft/control"
+	"mangoloft/ident"
 	"mangoloft/kernel"
 	"mangoloft/peerpb"
 )
@@ -40,7 +41,7 @@
 }
 
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
-	l := &links{rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, news: make(chan struct{}, 1), fetches: make(chan control.FetchConfig, 1)}
+	l := &links{rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, holders: holders{addr: map[ident.Home]netip.AddrPort{}}, news: make(chan struct{}, 1), fetches: make(chan control.FetchConfig, 1)}
 	rt.OnAction(l.watch)
 	rt.Provide(l)
 	return []kernel.Actor{
@@ -55,6 +56,8 @@
 	rt    *kernel.Runtime
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
+	// holders says where the tickets of homes that stopped are run.
+	holders holders
 	// news asks for a heartbeat at once.
 	news chan struct{}
 	// fetches asks for a peer's configuration. One at a time is enough: the
@@ -156,6 +159,7 @@
 	if err != nil {
 		return // Silence is what the member table notices.
 	}
+	l.holders.heard(answer)
 	if h, err := heartbeatFromWire(answer); err == nil {
 		l.rt.Send(control.PeerHeard{Heartbeat: h})
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -50,6 +50,8 @@
 		Transport: &http.Transport{
 			DialContext:       s.Dialer(dialLimit).DialContext,
 			DisableKeepAlives: true,
+			// Unpacking by itself would hide how long the answer should be.
+			DisableCompression: true,
 		},
 		// A redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -67,6 +69,8 @@
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, r call.Request) (call.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
+	ctx, cancelAtDeadline := context.WithDeadline(ctx, r.Deadline)
+	defer cancelAtDeadline()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -96,6 +100,10 @@
 	if echoed := response.Header.Get(requestHeader); echoed != r.ID.String() {
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer is to request %q", echoed)
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// Its end is that of the connection, so a lost one looks like a whole answer.
+		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer doesn't say how long it is")
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the answer was cut short: %v", err)
@@ -103,12 +111,24 @@
 	if len(body) > maxAnswerBytes {
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer has more than %d bytes", maxAnswerBytes)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
-		var wire refusalWire
-		if json.Unmarshal(body, &wire) == nil && wire.NotRun {
-			return call.Answer{}, verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "%s: %s", response.Status, wire.Error)
-		}
+	var refusal refusalWire
+	if response.StatusCode >= http.StatusBadRequest && json.Unmarshal(body, &refusal) == nil && refusal.NotRun {
+		return call.Answer{}, verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "%s: %s", response.Status, refusal.Error)
+	}
+	if !isAnswer(response.StatusCode) {
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "%s", response.Status)
 	}
 	return call.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
+
+// isAnswer reports whether the status is the service's own word on the call: a
+// success, or a refusal for what the call asks, such as a balance too low. All
+// else says only that something went wrong, perhaps after the effect.
+func isAnswer(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return false
+	}
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	return success || status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -16,8 +16,11 @@
 	DataCentre string
 	// Sequence is unique within the home's incarnation.
 	Sequence uint64
-	Team     string
-	Class    string
+	// Attempt rises when the ticket before was refused: that one is closed, so
+	// that a copy of it still under way can't run.
+	Attempt uint32
+	Team    string
+	Class   string
 	// Expires is when the home forgets the ticket and refuses to run it.
 	Expires time.Time
 }
@@ -28,6 +31,7 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 	DataCentre  string            `json:"data_centre"`
 	Sequence    uint64            `json:"sequence"`
+	Attempt     uint32            `json:"attempt"`
 	Team        string            `json:"team"`
 	Class       string            `json:"class"`
 	ExpiresUnix int64             `json:"expires_unix"`
@@ -37,7 +41,7 @@
 // Expires is kept to the second.
 func (k *Keyring) SignTicket(t Ticket) string {
 	return k.sign(ticketPrefix, ticketWire{
-		t.Home.Peer, t.Home.Incarnation, t.DataCentre, t.Sequence, t.Team, t.Class, t.Expires.Unix(),
+		t.Home.Peer, t.Home.Incarnation, t.DataCentre, t.Sequence, t.Attempt, t.Team, t.Class, t.Expires.Unix(),
 	})
 }
 
@@ -50,6 +54,6 @@
 	}
 	return Ticket{
 		ident.Home{Peer: wire.Peer, Incarnation: wire.Incarnation},
-		wire.DataCentre, wire.Sequence, wire.Team, wire.Class, time.Unix(wire.ExpiresUnix, 0),
+		wire.DataCentre, wire.Sequence, wire.Attempt, wire.Team, wire.Class, time.Unix(wire.ExpiresUnix, 0),
 	}, nil
 }
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -31,6 +31,9 @@
 	ForeignKey
 	// TicketExpired is a ticket past its time of expiry.
 	TicketExpired
+	// TicketClosed is a ticket that was refused before: it did not run and
+	// can't run any more. A new try needs another ticket.
+	TicketClosed
 	// HomeGone means that the only instance that may run the ticket doesn't
 	// answer, or has given way to another incarnation.
 	HomeGone
@@ -60,7 +63,7 @@
 	Internal: "internal", Completed: "completed", BadRequest: "bad_request", UnknownTeam: "unknown_team",
 	UnknownClass: "unknown_class", NotConfigured: "not_configured", NoUpstream: "no_upstream",
 	Overloaded: "overloaded", WaitExpired: "wait_expired", Stopping: "stopping", ForeignKey: "foreign_key",
-	TicketExpired: "ticket_expired", HomeGone: "home_gone", AlreadyRan: "already_ran",
+	TicketExpired: "ticket_expired", TicketClosed: "ticket_closed", HomeGone: "home_gone", AlreadyRan: "already_ran",
 	UpstreamRefused: "upstream_refused", UpstreamUnreachable: "upstream_unreachable",
 	UpstreamLost: "upstream_lost", UpstreamFailed: "upstream_failed", AnswerMismatch: "answer_mismatch",
 	GenerationLost: "generation_lost", CallerGone: "caller_gone", NotFound: "not_found",
