Configuration: small changes cost little, and faults are refused alike

Cause: every document was parsed whole, so one changed team at 21,000 teams would have parsed megabytes on the control goroutine; a document beyond what one peer message carries was accepted by the reader and could then not be passed on; of several invalid documents only the latest was remembered, so two in turn were fetched and logged without end; the digest in each heartbeat was 64 letters. Change: values that did not change keep their parsed form. The number of keys and the sum of all bytes are bounded, checked before anything else and so alike at every instance. The register remembers the latest 64 invalid documents and the latest 1,024 removed keys. The digest is 16 letters. Checks: property tests of the register (never reverts, agrees whatever the order, parsing on top of an older view equals parsing afresh).

--- a/config/document.go
+++ b/config/document.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 )
 
 // Index lists the published values. Its version rises with every change.
@@ -35,6 +36,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// digestLetters is how much of the index's hash tells two documents of one
+// version apart. Every heartbeat carries it, so it is short.
+const digestLetters = 16
+
 // Digest returns a hash over the whole index and so over all values. It tells
 // two documents of one version apart.
 func (i Index) Digest() string {
@@ -42,10 +47,11 @@
 	if err != nil {
 		panic(err) // An Index always marshals.
 	}
-	return Hash(content)
+	return Hash(content)[:digestLetters]
 }
 
-// Missing returns the keys whose values, as listed in the index, are not in have.
+// Missing returns the keys whose values, as listed in the index, are not in
+// have, in order.
 func (i Index) Missing(have map[string][]byte, haveIndex Index) []string {
 	var keys []string
 	for key, entry := range i.Values {
@@ -53,5 +59,19 @@
 			keys = append(keys, key)
 		}
 	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Removed returns the keys of the older index that this one no longer has, in
+// order.
+func (i Index) Removed(older Index) []string {
+	var keys []string
+	for key := range older.Values {
+		if _, ok := i.Values[key]; !ok {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
 	return keys
 }
--- a/config/register.go
+++ b/config/register.go
@@ -1,6 +1,10 @@
 package config
 
-import "mangoloft/jsonc"
+import (
+	"slices"
+
+	"mangoloft/jsonc"
+)
 
 // Register holds the configuration in force. Its version never falls, whatever
 // order documents come in and whoever sends them.
@@ -11,11 +15,29 @@
 type Register struct {
 	doc  Document
 	view *View
-	// refused is the newest document found invalid, so that it is not
+	// refused holds the latest documents found invalid, so that none is
 	// fetched, checked and logged again and again.
-	refused stamp
+	refused []stamp
+	// removed holds the latest keys that went away and the version that took
+	// each, so that a peer can be told just what changed.
+	removed []Removal
+}
+
+// Removal is a key that went away.
+type Removal struct {
+	Key string
+	// Version is the index version that no longer had the key.
+	Version uint64
 }
 
+const (
+	// refusedKept bounds the memory of invalid documents.
+	refusedKept = 64
+	// removedKept bounds the memory of removed keys. Whoever missed more gets
+	// the whole document.
+	removedKept = 1024
+)
+
 // stamp orders documents.
 type stamp struct {
 	version uint64
@@ -39,24 +61,41 @@
 // Document returns the document in force. Its maps must not be changed.
 func (r *Register) Document() Document { return r.doc }
 
+// Removed returns the latest removals, oldest first. The slice must not be
+// changed.
+func (r *Register) Removed() []Removal { return r.removed }
+
 // Wants reports whether a document with this version and digest would replace
 // the one in force, and is not known to be invalid.
 func (r *Register) Wants(version uint64, digest string) bool {
 	offered := stamp{version, digest}
-	return r.current().less(offered) && offered != r.refused
+	return r.current().less(offered) && !slices.Contains(r.refused, offered)
+}
+
+// Refused reports whether a document with this version and digest was found
+// invalid.
+func (r *Register) Refused(version uint64, digest string) bool {
+	return slices.Contains(r.refused, stamp{version, digest})
 }
 
 // Offer puts the document in force if it is newer than the one in force and
 // valid. Faults say why a newer one was refused; the last good one then stays.
 func (r *Register) Offer(doc Document) (accepted bool, faults jsonc.Faults) {
-	if !r.Wants(doc.Index.Version, doc.Index.Digest()) {
+	offered := stamp{doc.Index.Version, doc.Index.Digest()}
+	if !r.Wants(offered.version, offered.digest) {
 		return false, nil
 	}
-	view, faults := Parse(doc)
+	view, faults := ParseAfter(doc, r.view)
 	if len(faults) > 0 {
-		r.refused = stamp{doc.Index.Version, doc.Index.Digest()}
+		r.refused = append(r.refused, offered)
+		r.refused = r.refused[max(0, len(r.refused)-refusedKept):]
 		return false, faults
 	}
+	removed := slices.Clone(r.removed) // Snapshots hold the old one.
+	for _, key := range doc.Index.Removed(r.doc.Index) {
+		removed = append(removed, Removal{key, doc.Index.Version})
+	}
+	r.removed = removed[max(0, len(removed)-removedKept):]
 	r.doc, r.view = doc, view
 	return true, nil
 }
--- /dev/null
+++ b/config/register_test.go
@@ -0,0 +1,136 @@
+package config_test
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mangoloft/config"
+)
+
+// documentAt returns one of the version with the values, which may be invalid.
+func documentAt(version uint64, values map[string]string) config.Document {
+	doc := config.Document{Index: config.Index{Version: version, Values: map[string]config.Entry{}}, Values: map[string][]byte{}}
+	for key, value := range values {
+		doc.Index.Values[key] = config.Entry{Version: version, SHA256: config.Hash([]byte(value))}
+		doc.Values[key] = []byte(value)
+	}
+	return doc
+}
+
+const goodClass = `{"kind": "read", "pool": "p"}`
+
+func TestParseLimits(t *testing.T) {
+	many := map[string]string{}
+	for i := range config.MaxKeys + 1 {
+		many[fmt.Sprint("pools/", i)] = `{}`
+	}
+	large := map[string]string{}
+	for i := range 13 {
+		large[fmt.Sprint("pools/", i)] = `{}` + strings.Repeat(" ", config.MaxValueBytes-2)
+	}
+	tests := map[string]struct {
+		values map[string]string
+		fault  string
+	}{
+		"a class and its pool":             {map[string]string{"classes/c": goodClass, "pools/p": `{}`}, ""},
+		"nothing":                          {nil, ""},
+		"no pool":                          {map[string]string{"classes/c": goodClass}, "the name of a published pool"},
+		"an unknown group":                 {map[string]string{"weights/c": `{}`}, "classes/, pools/ or teams/"},
+		"an unknown field":                 {map[string]string{"pools/p": `{"weight": 3}`}, "unknown field"},
+		"a value over the limit":           {map[string]string{"pools/p": strings.Repeat(" ", config.MaxValueBytes+1)}, "at most 1048576"},
+		"too many keys":                    {many, "at most 4096"},
+		"too much in all":                  {large, "at most 12582912"},
+		"a credential of two teams at two": {map[string]string{"teams/0": teamValue("a"), "teams/1": teamValue("b")}, "no other team"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, faults := config.Parse(documentAt(1, test.values))
+			if test.fault == "" {
+				assert.Equal(t, len(faults), 0, faults.Error())
+				return
+			}
+			assert.ErrorContains(t, faults, test.fault)
+		})
+	}
+}
+
+func teamValue(name string) string {
+	return fmt.Sprintf(`{"teams": [{"name": %q, "credential_sha256": %q}]}`, name, config.Hash([]byte("same")))
+}
+
+// anyDocument draws a document with a version and values from small sets, so
+// that equal versions, equal documents and invalid ones come up often.
+func anyDocument(t *rapid.T) config.Document {
+	values := map[string]string{"pools/p": rapid.SampledFrom([]string{`{}`, `{"checks_fencing": true}`, `{"bad": 1}`}).Draw(t, "pool")}
+	for _, key := range []string{"classes/a", "classes/b", "teams/0"} {
+		if rapid.Bool().Draw(t, key) {
+			values[key] = map[bool]string{true: goodClass, false: `{"teams": []}`}[strings.HasPrefix(key, "classes/")]
+		}
+	}
+	return documentAt(uint64(rapid.IntRange(1, 6).Draw(t, "version")), values)
+}
+
+func newer(a, b *config.View) bool {
+	return b == nil || a.Version > b.Version || a.Version == b.Version && a.Digest >= b.Digest
+}
+
+// Whatever comes in whatever order, the view in force never goes back, and is
+// always a valid one.
+func TestRegisterNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var register config.Register
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			before := register.View()
+			doc := anyDocument(t)
+			accepted, faults := register.Offer(doc)
+			view := register.View()
+			assert.Assert(t, before == nil || newer(view, before), "reverted")
+			assert.Equal(t, accepted, view != before)
+			assert.Assert(t, !accepted || len(faults) == 0 && view.Digest == doc.Index.Digest(), "not what was offered")
+		}
+	})
+}
+
+// Two instances that got the same documents in different orders end with the
+// same one in force: the newest valid one.
+func TestRegistersAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		docs := rapid.SliceOfN(rapid.Custom(anyDocument), 1, 12).Draw(t, "documents")
+		var a, b config.Register
+		for _, doc := range docs {
+			a.Offer(doc)
+		}
+		for _, doc := range rapid.Permutation(docs).Draw(t, "order") {
+			b.Offer(doc)
+		}
+		if a.View() == nil {
+			assert.Assert(t, b.View() == nil)
+			return
+		}
+		assert.Equal(t, a.View().Version, b.View().Version)
+		assert.Equal(t, a.View().Digest, b.View().Digest)
+		for _, doc := range docs {
+			fresh, faults := config.Parse(doc)
+			assert.Assert(t, len(faults) > 0 || newer(a.View(), fresh), "a newer valid one was passed over")
+		}
+	})
+}
+
+// Parsing on top of an older view gives what parsing afresh gives.
+func TestParseFromOlderEqualsFresh(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		older, _ := config.Parse(anyDocument(t))
+		doc := anyDocument(t)
+		fresh, freshFaults := config.Parse(doc)
+		quick, quickFaults := config.ParseAfter(doc, older)
+		assert.DeepEqual(t, freshFaults, quickFaults)
+		if fresh != nil {
+			assert.Assert(t, maps.Equal(fresh.Classes, quick.Classes) && maps.Equal(fresh.Pools, quick.Pools) && fresh.Teams() == quick.Teams())
+		}
+	})
+}
--- a/config/view.go
+++ b/config/view.go
@@ -59,6 +59,8 @@
 	Classes map[string]Class
 	Pools   map[string]Pool
 	teams   map[[sha256.Size]byte]string
+	// fragments holds what each value says, by key.
+	fragments map[string]fragment
 }
 
 // Team returns the team that the credential belongs to.
@@ -73,6 +75,10 @@
 const (
 	// MaxValueBytes is the largest value that the configuration service holds.
 	MaxValueBytes = 1 << 20
+	// MaxDocumentBytes bounds all values together.
+	MaxDocumentBytes = 12 << 20
+	// MaxKeys bounds the number of values.
+	MaxKeys = 4096
 	// maxOutputTokens bounds a class's max_output_tokens, and stands for it when it has none.
 	maxOutputTokens = 128 << 10
 	maxTarget       = time.Hour
@@ -104,33 +110,50 @@
 	CredentialSHA256 string `json:"credential_sha256"`
 }
 
+// fragment is what one value says. Fragments of unchanged values are used
+// again, so that a small change of a large configuration costs little.
+type fragment struct {
+	sha256 string
+	faults jsonc.Faults
+	class  Class
+	pool   Pool
+	teams  []team
+	// wantsPool is set for a class, whose pool must be published.
+	wantsPool bool
+}
+
+// team is one team's place in the configuration.
+type team struct {
+	name       string
+	credential [sha256.Size]byte
+	// index is the team's place in the value.
+	index int
+}
+
 // Parse checks the whole document. All instances come to the same verdict on
 // it, because nothing but the document goes in. The faults are sorted.
-func Parse(doc Document) (*View, jsonc.Faults) {
-	p := parser{classes: map[string]parsedClass{}, view: &View{
+func Parse(doc Document) (*View, jsonc.Faults) { return ParseAfter(doc, nil) }
+
+// ParseAfter is Parse, with an older view that saves the work on values that
+// did not change. It never alters the verdict.
+func ParseAfter(doc Document, older *View) (*View, jsonc.Faults) {
+	if faults := checkSize(doc); len(faults) > 0 {
+		return nil, faults
+	}
+	p := parser{doc: doc, view: &View{
 		Version: doc.Index.Version, Digest: doc.Index.Digest(),
 		Classes: map[string]Class{}, Pools: map[string]Pool{}, teams: map[[sha256.Size]byte]string{},
+		fragments: make(map[string]fragment, len(doc.Index.Values)),
 	}}
 	// In the order of their keys: where two values clash, every instance blames
 	// the same one.
 	for _, key := range slices.Sorted(maps.Keys(doc.Index.Values)) {
-		value, ok := doc.Values[key]
-		switch {
-		case !ok:
-			p.fault(key, "(value)", "nothing", "a value for each key in the index")
-		case len(value) > MaxValueBytes:
-			p.fault(key, "(value)", fmt.Sprint(len(value), " bytes"), fmt.Sprint("at most ", MaxValueBytes))
-		case Hash(value) != doc.Index.Values[key].SHA256:
-			p.fault(key, "(value)", "another hash", "the bytes that the index names")
-		default:
-			p.value(key, value)
-		}
+		p.add(key, p.fragment(key, older))
 	}
-	for _, class := range p.classes {
-		if _, ok := p.view.Pools[class.pool]; !ok {
-			class.document.Fault("pool", fmt.Sprintf("%q", class.pool), "the name of a published pool")
+	for key, f := range p.view.fragments {
+		if _, ok := p.view.Pools[f.class.Pool]; f.wantsPool && !ok {
+			p.clash(key, &classWire{}, "pool", fmt.Sprintf("%q", f.class.Pool), "the name of a published pool")
 		}
-		p.faults = append(p.faults, class.document.Faults()...)
 	}
 	if len(p.faults) > 0 {
 		p.faults.Sort()
@@ -139,52 +162,121 @@
 	return p.view, nil
 }
 
+// checkSize refuses what could not be passed on to a peer in one message.
+func checkSize(doc Document) jsonc.Faults {
+	total := 0
+	for _, value := range doc.Values {
+		total += len(value)
+	}
+	switch {
+	case len(doc.Index.Values) > MaxKeys:
+		return jsonc.Faults{newFault("index", "(keys)", fmt.Sprint(len(doc.Index.Values)), fmt.Sprint("at most ", MaxKeys))}
+	case total > MaxDocumentBytes:
+		return jsonc.Faults{newFault("index", "(values)", fmt.Sprint(total, " bytes"), fmt.Sprint("at most ", MaxDocumentBytes))}
+	}
+	return nil
+}
+
 type parser struct {
+	doc    Document
 	view   *View
 	faults jsonc.Faults
-	// classes are checked against the pools once all values are read.
-	classes map[string]parsedClass
 }
 
-type parsedClass struct {
-	document *jsonc.Document
-	pool     string
+func newFault(key, field, found, allowed string) jsonc.Fault {
+	return jsonc.Fault{File: key, Line: 1, Column: 1, Field: field, Found: found, Allowed: allowed}
+}
+
+// clash reports a fault between two values at its place in one of them, which
+// is read again for that.
+func (p *parser) clash(key string, wire any, field, found, allowed string) {
+	document := jsonc.Read(key, p.doc.Values[key], wire)
+	known := len(document.Faults())
+	document.Fault(field, found, allowed)
+	p.faults = append(p.faults, document.Faults()[known:]...)
+}
+
+// fragment returns what the value says, as parsed before if it is unchanged.
+func (p *parser) fragment(key string, older *View) fragment {
+	entry := p.doc.Index.Values[key]
+	value, ok := p.doc.Values[key]
+	var f fragment
+	switch {
+	case !ok:
+		f.fault(key, "(value)", "nothing", "a value for each key in the index")
+		return f
+	case len(value) > MaxValueBytes:
+		f.fault(key, "(value)", fmt.Sprint("more than ", MaxValueBytes, " bytes"), fmt.Sprint("at most ", MaxValueBytes))
+		return f
+	}
+	if older != nil {
+		if known, ok := older.fragments[key]; ok && known.sha256 == entry.SHA256 {
+			return known
+		}
+	}
+	if Hash(value) != entry.SHA256 {
+		f.fault(key, "(value)", "another hash", "the bytes that the index names")
+		return f
+	}
+	f.sha256 = entry.SHA256
+	f.parse(key, value)
+	return f
 }
 
-func (p *parser) fault(key, field, found, allowed string) {
-	p.faults = append(p.faults, jsonc.Fault{File: key, Line: 1, Column: 1, Field: field, Found: found, Allowed: allowed})
+func (f *fragment) fault(key, field, found, allowed string) {
+	f.faults = append(f.faults, newFault(key, field, found, allowed))
 }
 
-func (p *parser) value(key string, value []byte) {
+// add puts a fragment into the view.
+func (p *parser) add(key string, f fragment) {
+	p.faults = append(p.faults, f.faults...)
+	p.view.fragments[key] = f
+	switch {
+	case f.class.Name != "":
+		p.view.Classes[f.class.Name] = f.class
+	case f.pool.Name != "":
+		p.view.Pools[f.pool.Name] = f.pool
+	}
+	for _, t := range f.teams {
+		if other, taken := p.view.teams[t.credential]; taken && other != t.name {
+			p.clash(key, &teamsWire{}, credentialField(t.index), fmt.Sprintf("the credential of team %q", other), "a credential that no other team has")
+			continue
+		}
+		p.view.teams[t.credential] = t.name
+	}
+}
+
+func credentialField(index int) string { return fmt.Sprintf("teams[%d].credential_sha256", index) }
+
+func (f *fragment) parse(key string, value []byte) {
 	group, name, _ := strings.Cut(key, "/")
 	if name == "" {
-		p.fault(key, "(key)", fmt.Sprintf("%q", key), "classes/, pools/ or teams/ and a name")
+		f.fault(key, "(key)", fmt.Sprintf("%q", key), "classes/, pools/ or teams/ and a name")
 		return
 	}
 	switch group {
 	case "classes":
-		p.class(key, name, value)
+		f.parseClass(key, name, value)
 	case "pools":
 		var wire poolWire
-		p.faults = append(p.faults, jsonc.Decode(key, value, &wire)...)
-		p.view.Pools[name] = Pool{Name: name, ChecksFencing: wire.ChecksFencing}
+		f.faults = append(f.faults, jsonc.Decode(key, value, &wire)...)
+		f.pool = Pool{Name: name, ChecksFencing: wire.ChecksFencing}
 	case "teams":
-		p.teams(key, value)
+		f.parseTeams(key, value)
 	default:
-		p.fault(key, "(key)", fmt.Sprintf("%q", key), "classes/, pools/ or teams/ and a name")
+		f.fault(key, "(key)", fmt.Sprintf("%q", key), "classes/, pools/ or teams/ and a name")
 	}
 }
 
-func (p *parser) class(key, name string, value []byte) {
+func (f *fragment) parseClass(key, name string, value []byte) {
 	var wire classWire
 	document := jsonc.Read(key, value, &wire)
-	p.classes[name] = parsedClass{document, wire.Pool}
+	f.wantsPool = true
 	kind := slices.Index(kindNames[:], wire.Kind)
 	if kind < 0 {
 		document.Fault("kind", fmt.Sprintf("%q", wire.Kind), strings.Join(kindNames[:], ", "))
-		return
 	}
-	if Kind(kind) == Stream && wire.Model == "" {
+	if kind == int(Stream) && wire.Model == "" {
 		document.Fault("model", "nothing", "the name of a model")
 	}
 	for field, ms := range map[string]int64{"target.wait_ms": wire.Target.WaitMS, "target.pace_ms": wire.Target.PaceMS} {
@@ -198,34 +290,29 @@
 	if wire.MaxOutputTokens == 0 {
 		wire.MaxOutputTokens = maxOutputTokens
 	}
-	p.view.Classes[name] = Class{
-		Name: name, Kind: Kind(kind), Pool: wire.Pool, Model: wire.Model,
+	f.faults = append(f.faults, document.Faults()...)
+	f.class = Class{
+		Name: name, Kind: Kind(max(kind, 0)), Pool: wire.Pool, Model: wire.Model,
 		Wait:            time.Duration(wire.Target.WaitMS) * time.Millisecond,
 		Pace:            time.Duration(wire.Target.PaceMS) * time.Millisecond,
 		MaxOutputTokens: wire.MaxOutputTokens,
 	}
 }
 
-func (p *parser) teams(key string, value []byte) {
+func (f *fragment) parseTeams(key string, value []byte) {
 	var wire teamsWire
 	document := jsonc.Read(key, value, &wire)
-	for i, team := range wire.Teams {
-		if team.Name == "" {
+	for i, t := range wire.Teams {
+		if t.Name == "" {
 			document.Fault(fmt.Sprintf("teams[%d].name", i), "nothing", "a name")
 		}
 		// The hash is not shown: by mistake it may be the credential itself.
-		field := fmt.Sprintf("teams[%d].credential_sha256", i)
-		raw, err := hex.DecodeString(team.CredentialSHA256)
+		raw, err := hex.DecodeString(t.CredentialSHA256)
 		if err != nil || len(raw) != sha256.Size {
-			document.Fault(field, fmt.Sprint(len(team.CredentialSHA256), " characters"), "the SHA-256 of the team's credential, 64 hexadecimal digits")
-			continue
-		}
-		hash := [sha256.Size]byte(raw)
-		if other, taken := p.view.teams[hash]; taken && other != team.Name {
-			document.Fault(field, fmt.Sprintf("the credential of team %q", other), "a credential that no other team has")
+			document.Fault(credentialField(i), fmt.Sprint(len(t.CredentialSHA256), " characters"), "the SHA-256 of the team's credential, 64 hexadecimal digits")
 			continue
 		}
-		p.view.teams[hash] = team.Name
+		f.teams = append(f.teams, team{t.Name, [sha256.Size]byte(raw), i})
 	}
-	p.faults = append(p.faults, document.Faults()...)
+	f.faults = append(f.faults, document.Faults()...)
 }
