--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/member"
+)
+
+const (
+	// followMargin is how much later than the own list another one must have
+	// been read to replace it. Readers that see different copies of the list
+	// would otherwise make everybody change to and fro.
+	followMargin = 2 * time.Second
+	// refreshStep is how much the age of the list may change before it is
+	// published again.
+	refreshStep = 500 * time.Millisecond
+	// topologyInterval is the longest time between two looks at whom to speak to.
+	topologyInterval = 1 * time.Second
+)
+
+// list is the instance list as it was last taken.
+type list struct {
+	known   bool
+	entries []member.Listed
+	hash    uint64
+	readAt  time.Time
+	// publishedAt is the readAt that the snapshot shows.
+	publishedAt time.Time
+	fetchAt     time.Time
+	fallback    timer
+}
+
+// listRecord is the audit record of a change of the instance list.
+type listRecord struct {
+	Entries   int    `json:"entries"`
+	Upstreams int    `json:"upstreams"`
+	Source    string `json:"source"`
+}
+
+func (s *State) readList(now time.Time, e ListRead) []Action {
+	s.heardOutside(e.AskedAt)
+	s.list.fetchAt = time.Time{}
+	if e.ReadAt.Before(s.list.readAt) {
+		return nil // A slow answer must not undo a quick one that came after it.
+	}
+	s.freshList(e.ReadAt)
+	hash := hashList(e.Entries, e.Upstreams)
+	if s.list.known && hash == s.list.hash {
+		return nil
+	}
+	s.list.known, s.list.hash, s.list.entries = true, hash, e.Entries
+	s.members.SetListed(e.Entries)
+	listed := slices.Clone(e.Upstreams)
+	sortUpstreams(listed)
+	s.upstreams.setListed(now, listed)
+	actions := []Action{Record{event.ListChanged, listRecord{len(e.Entries), len(e.Upstreams), e.Source}}}
+	for _, u := range listed {
+		if u.Leaving {
+			actions = append(actions, s.markLeaving(now, markOf(u), "instance_list")...)
+		}
+	}
+	s.applyUpstreams(now)
+	s.lookAround = true
+	return append(actions, s.refreshReady(now)...)
+}
+
+// freshList notes that the list was still the same at a time.
+func (s *State) freshList(readAt time.Time) {
+	if readAt.After(s.list.readAt) {
+		s.list.readAt = readAt
+	}
+	if s.list.readAt.Sub(s.list.publishedAt) > refreshStep {
+		s.dirty = true
+	}
+}
+
+// followList takes the list of a peer that has read another one later.
+func (s *State) followList(now time.Time, peer member.Peer) []Action {
+	switch {
+	case peer.ListRead.IsZero():
+		return nil
+	case s.list.known && peer.ListHash == s.list.hash:
+		s.freshList(peer.ListRead)
+		return nil
+	case s.list.known && peer.ListRead.Sub(s.list.readAt) < followMargin, now.Before(s.list.fetchAt):
+		return nil
+	}
+	s.list.fetchAt = now.Add(fetchRetry)
+	return []Action{FetchList{peer}}
+}
+
+// fallBackOnList reads the list when no peer of the data centre has.
+func (s *State) fallBackOnList(now time.Time) []Action {
+	served := s.list.known && now.Sub(s.list.readAt) < contactLimit
+	if s.reader || served {
+		s.list.fallback.stop()
+		return nil
+	}
+	if s.list.fallback.due(now, s.jitter(lateJitter), fallbackInterval+s.jitter(fallbackInterval)) {
+		return []Action{ReadList{}}
+	}
+	return nil
+}
+
+// peerRecord is the audit record of a peer that came or fell silent.
+type peerRecord struct {
+	Peer        string            `json:"peer"`
+	DataCentre  string            `json:"data_centre"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+func (s *State) hearPeer(now time.Time, e PeerHeard) []Action {
+	h := e.Heartbeat
+	wasStopping := s.members.Stopping(h.Name)
+	isNew, ignored := s.members.Heard(now, h)
+	if ignored {
+		return nil
+	}
+	s.heardOutside(e.AskedAt)
+	var actions []Action
+	if isNew {
+		actions = append(actions, Record{event.PeerAlive, peerRecord{h.Name, h.DataCentre, h.Home.Incarnation}})
+	}
+	if isNew || h.Stopping != wasStopping {
+		s.lookAround, s.dirty = true, true
+	}
+	for _, mark := range h.Leaving {
+		actions = append(actions, s.markLeaving(now, mark, h.Name)...)
+	}
+	for _, load := range h.Loads {
+		actions = append(actions, s.schedule(now, decide.Reported{Upstream: load.Upstream, Report: load.Report})...)
+	}
+	peer := member.Peer{Heartbeat: h}
+	actions = append(actions, s.fetchConfig(now, peer)...)
+	return append(actions, s.followList(now, peer)...)
+}
+
+func (s *State) expirePeers(now time.Time) []Action {
+	var actions []Action
+	for _, peer := range s.members.Expire(now) {
+		actions = append(actions, Record{event.PeerSilent, peerRecord{peer.Name, peer.DataCentre, peer.Home.Incarnation}})
+		s.lookAround, s.dirty = true, true
+	}
+	return actions
+}
+
+// refreshTopology works out whom this instance speaks to and for what.
+func (s *State) refreshTopology(now time.Time) {
+	if !s.lookAround && now.Before(s.lookAgainAt) {
+		return
+	}
+	s.lookAround, s.lookAgainAt = false, now.Add(topologyInterval)
+	partners := s.members.Partners(now)
+	polls := s.choosePolls()
+	reader := s.intake.askedPeers && s.members.Chosen(readerKey, readers)
+	if reader != s.reader || !slices.Equal(partners, s.partners) || !slices.Equal(polls, s.polls) {
+		s.dirty = true
+	}
+	s.reader, s.partners, s.polls = reader, partners, polls
+}
--- a/control/state.go
+++ b/control/state.go
@@ -5,138 +5,112 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"mangoloft/config"
 	"mangoloft/decide"
 	"mangoloft/event"
-	"mangoloft/ident"
-	"mangoloft/jsonc"
 	"mangoloft/member"
 	"mangoloft/verdict"
 )
 
-// Event is something that happened.
-type Event interface{ controlEvent() }
-
-// ConfigOffered is a whole configuration read from the service or a peer.
-type ConfigOffered struct {
-	Document config.Document
-	// Source names where it came from, for the audit trail.
-	Source string
-}
-
-// ListRead is a new copy of the instance list.
-type ListRead struct {
-	Entries   []member.Listed
-	Upstreams []decide.Upstream
-}
-
-// PeerHeard is a peer's heartbeat.
-type PeerHeard struct{ Heartbeat member.Heartbeat }
-
-// UpstreamLeaves is an upstream's own sign that it is leaving.
-type UpstreamLeaves struct{ Mark member.Mark }
-
-// Scheduling is an event for the scheduler.
-type Scheduling struct{ Event decide.Event }
-
-// StopRequested begins the planned stop.
-type StopRequested struct{}
-
-// Paused says that the process did not run for a while and may believe things
-// that are no longer true.
-type Paused struct{ Gap time.Duration }
-
-// Tick lets time pass.
-type Tick struct{}
-
-func (ConfigOffered) controlEvent()  {}
-func (ListRead) controlEvent()       {}
-func (PeerHeard) controlEvent()      {}
-func (UpstreamLeaves) controlEvent() {}
-func (Scheduling) controlEvent()     {}
-func (StopRequested) controlEvent()  {}
-func (Paused) controlEvent()         {}
-func (Tick) controlEvent()           {}
-
-// Action is something to be done.
-type Action interface{ controlAction() }
-
-// Scheduled is a decision of the scheduler.
-type Scheduled struct{ Action decide.Action }
-
-// FetchConfig asks a peer for its configuration, which is newer.
-type FetchConfig struct{ Peer member.Peer }
-
-// Announce tells all peers the news at once, before the next heartbeat.
-type Announce struct{}
-
-// Record puts a change into the audit trail.
-type Record struct {
-	ID     event.ID
-	Change any
-}
-
-// Publish replaces the snapshot that traffic reads.
-type Publish struct{ Snapshot *Snapshot }
-
-func (Scheduled) controlAction()   {}
-func (FetchConfig) controlAction() {}
-func (Announce) controlAction()    {}
-func (Record) controlAction()      {}
-func (Publish) controlAction()     {}
-
-// Snapshot is what traffic reads of the control state. It is immutable.
-type Snapshot struct {
-	Config    *config.View
-	Document  config.Document
-	Upstreams []decide.Upstream
-	Listed    []member.Listed
-	Peers     []member.Peer
-	Leaving   []member.Mark
-	// Ready says that the instance wants new work from the balancer.
-	Ready    bool
-	Stopping bool
-}
+const (
+	// staleLimit is how long after a pause the instance waits to hear from
+	// outside. One that hears from nobody is cut off, and serves what it can.
+	staleLimit = 2 * time.Second
+	// heldLimit bounds the requests that wait for the end of the stale state.
+	heldLimit = 1024
+	// overflowBackoff is when a request may come back that was one too many.
+	overflowBackoff = 1 * time.Second
+)
 
 // State is all control state. It belongs to one goroutine.
 type State struct {
+	instance, dataCentre string
+
 	register  config.Register
+	intake    intake
 	members   *member.Table
+	list      list
+	upstreams upstreams
 	scheduler *decide.Scheduler
-	listed    []decide.Upstream
-	listRead  bool
-	leaving   map[member.Mark]bool
 	stopping  bool
-	// stale is set after a pause, until anything was heard from outside.
-	stale bool
-	ready bool
+	ready     bool
+	lacks     []Lack
+	// serviceBehind says that the configuration service's version is lower
+	// than the one in force.
+	serviceBehind bool
+
+	// staleSince is set by a pause, until something was heard from outside
+	// that was asked for after it. Requests that come meanwhile are held.
+	stale      bool
+	staleSince time.Time
+	held       []decide.Arrived
+
+	// What follows is derived: whom the instance speaks to and for what.
+	reader      bool
+	partners    []member.Listed
+	polls       []decide.Upstream
+	lookAround  bool
+	lookAgainAt time.Time
+	// dirty says that the snapshot is out of date.
+	dirty bool
+	// draws counts the uses of jitter.
+	draws uint64
 }
 
 // New returns the state of an instance that knows nothing yet.
 func New(instance, dataCentre string) *State {
-	return &State{members: member.New(instance), scheduler: decide.New(dataCentre), leaving: map[member.Mark]bool{}}
+	return &State{
+		instance: instance, dataCentre: dataCentre,
+		members: member.New(instance, dataCentre), scheduler: decide.New(dataCentre), upstreams: newUpstreams(),
+	}
 }
 
 // Step takes one event and returns what to do, in order.
 func (s *State) Step(now time.Time, e Event) []Action {
+	actions := s.handle(now, e)
+	if !s.stale && len(s.held) > 0 {
+		actions = append(actions, s.releaseHeld(now)...)
+	}
+	if s.lookAround {
+		s.refreshTopology(now)
+	}
+	if !s.dirty {
+		return actions
+	}
+	// The snapshot comes first: what is announced must be in it.
+	s.dirty = false
+	return append([]Action{s.publish()}, actions...)
+}
+
+func (s *State) handle(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case ConfigOffered:
 		return s.offerConfig(now, e)
+	case ConfigSeen:
+		return s.seeService(now, e)
+	case ConfigServiceSilent:
+		return s.missService(now)
+	case FetchFailed:
+		s.intake.fetchAt, s.list.fetchAt = time.Time{}, time.Time{}
 	case ListRead:
 		return s.readList(now, e)
 	case PeerHeard:
-		return s.hearPeer(now, e.Heartbeat)
+		return s.hearPeer(now, e)
+	case PeersAsked:
+		s.intake.askedPeers, s.lookAround = true, true
+		return s.refreshReady(now)
 	case UpstreamLeaves:
 		return s.markLeaving(now, e.Mark, "upstream")
 	case Scheduling:
-		return s.schedule(now, e.Event)
+		return s.hearTraffic(now, e.Event)
 	case StopRequested:
-		s.stopping = true
-		return []Action{Announce{}, s.publish()}
+		s.stopping, s.dirty = true, true
+		return []Action{Announce{}}
 	case Paused:
-		s.stale = true
+		s.stale, s.staleSince = true, now
 		return []Action{Record{event.ProcessPaused, pauseRecord{e.Gap.Milliseconds()}}}
 	case Tick:
 		return s.tick(now)
@@ -149,167 +123,131 @@
 	GapMS int64 `json:"gap_ms"`
 }
 
-// configRecord is the audit record of a configuration, accepted or refused.
-type configRecord struct {
-	Version uint64   `json:"version"`
-	Source  string   `json:"source"`
-	Changed []string `json:"changed,omitempty"`
-	Faults  []string `json:"faults,omitempty"`
-}
-
-func (s *State) offerConfig(now time.Time, e ConfigOffered) []Action {
-	s.stale = false
-	before := s.register.Document()
-	accepted, faults := s.register.Offer(e.Document)
-	record := configRecord{Version: e.Document.Index.Version, Source: e.Source}
-	if len(faults) > 0 {
-		record.Faults = faultLines(faults)
-		return []Action{Record{event.ConfigRefused, record}}
+// heardOutside ends the stale state if the answer was asked for after the
+// pause: what came earlier may have waited as long as the process did.
+func (s *State) heardOutside(askedAt time.Time) {
+	if s.stale && askedAt.After(s.staleSince) {
+		s.stale = false
 	}
-	if !accepted {
-		return nil
-	}
-	record.Changed = e.Document.Index.Missing(before.Values, before.Index)
-	return append(s.refreshReady(now), Record{event.ConfigAccepted, record}, Announce{}, s.publish())
 }
 
-func faultLines(faults jsonc.Faults) []string {
-	lines := make([]string, len(faults))
-	for i, fault := range faults {
-		lines[i] = fault.String()
+// hearTraffic takes what traffic goroutines tell the scheduler.
+func (s *State) hearTraffic(now time.Time, e decide.Event) []Action {
+	var actions []Action
+	switch e := e.(type) {
+	case decide.Arrived:
+		if s.stale {
+			return s.hold(now, e)
+		}
+	case decide.Ended:
+		s.held = slices.DeleteFunc(s.held, func(a decide.Arrived) bool { return a.Request.ID == e.ID })
+	case decide.Failed:
+		actions = s.hearRefusal(now, e)
 	}
-	return lines
-}
-
-// listRecord is the audit record of a change of the instance list.
-type listRecord struct {
-	Entries   int `json:"entries"`
-	Upstreams int `json:"upstreams"`
+	return append(actions, s.schedule(now, e)...)
 }
 
-// upstreamRecord is the audit record of a change of one upstream.
-type upstreamRecord struct {
-	Upstream    string            `json:"upstream"`
-	Incarnation ident.Incarnation `json:"incarnation"`
-	Source      string            `json:"source"`
-}
-
-func (s *State) readList(now time.Time, e ListRead) []Action {
-	s.stale = false
-	changed := s.members.SetListed(e.Entries) || !equalUpstreams(s.listed, e.Upstreams)
-	first := !s.listRead
-	s.listRead = true
-	if !changed && !first {
-		return nil
-	}
-	s.listed = e.Upstreams
+func (s *State) schedule(now time.Time, e decide.Event) []Action {
 	var actions []Action
-	for _, u := range e.Upstreams {
-		if u.Leaving {
-			actions = append(actions, s.markLeaving(now, member.Mark{Upstream: u.Name, Incarnation: u.Incarnation}, "instance_list")...)
-		}
+	for _, action := range s.scheduler.Step(now, e) {
+		actions = append(actions, Scheduled{action})
 	}
-	s.applyUpstreams(now)
-	actions = append(actions, Record{event.ListChanged, listRecord{len(e.Entries), len(e.Upstreams)}})
-	return append(actions, append(s.refreshReady(now), s.publish())...)
+	return actions
 }
 
-func equalUpstreams(a, b []decide.Upstream) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
+func (s *State) hold(now time.Time, e decide.Arrived) []Action {
+	if len(s.held) >= heldLimit {
+		return []Action{Scheduled{decide.Refuse{
+			ID: e.Request.ID, Reason: verdict.Overloaded, RetryAt: now.Add(overflowBackoff),
+			Why: "this instance was paused, and too many requests wait until it has heard what it missed",
+		}}}
 	}
-	return true
+	s.held = append(s.held, e)
+	return nil
 }
 
-func (s *State) hearPeer(now time.Time, h member.Heartbeat) []Action {
-	s.stale = false
+func (s *State) releaseHeld(now time.Time) []Action {
+	held := s.held
+	s.held = nil
 	var actions []Action
-	if s.members.Heard(now, h) {
-		actions = append(actions, Record{event.PeerAlive, peerRecord{h.Name, h.Home.Incarnation}}, s.publish())
-	}
-	for _, mark := range h.Leaving {
-		actions = append(actions, s.markLeaving(now, mark, h.Name)...)
-	}
-	if s.register.Wants(h.ConfigVersion, h.ConfigDigest) {
-		actions = append(actions, FetchConfig{member.Peer{Heartbeat: h}})
+	for _, arrived := range held {
+		actions = append(actions, s.schedule(now, arrived)...)
 	}
 	return actions
 }
 
-// peerRecord is the audit record of a peer that came or fell silent.
-type peerRecord struct {
-	Peer        string            `json:"peer"`
-	Incarnation ident.Incarnation `json:"incarnation"`
+func (s *State) tick(now time.Time) []Action {
+	if s.stale && now.Sub(s.staleSince) > staleLimit {
+		s.stale = false
+	}
+	actions := s.expirePeers(now)
+	s.upstreams.forget(now)
+	s.refreshTopology(now)
+	actions = append(actions, s.fallBack(now)...)
+	actions = append(actions, s.fallBackOnList(now)...)
+	actions = append(actions, s.refreshReady(now)...)
+	return append(actions, s.schedule(now, decide.Tick{})...)
 }
 
-// markLeaving is sticky: whatever the list says later, this incarnation of the
-// upstream gets no new work.
-func (s *State) markLeaving(now time.Time, mark member.Mark, source string) []Action {
-	if s.leaving[mark] {
-		return nil
+// lacksNow lists what the instance waits for. A newcomer asks both the service
+// and its peers, so that neither a stale service nor a peer that missed a
+// version sets it back behind the fleet.
+func (s *State) lacksNow(now time.Time) []Lack {
+	var lacks []Lack
+	seenAt := s.late()
+	for _, c := range []struct {
+		lacks bool
+		lack  Lack
+	}{
+		{s.register.View() == nil, LacksConfiguration},
+		{!s.list.known, LacksInstanceList},
+		{!s.intake.askedService, LacksServiceAnswer},
+		{!s.intake.askedPeers, LacksPeerAnswers},
+		{!seenAt.IsZero() && now.Sub(seenAt) < newestLimit, LacksNewestConfiguration},
+	} {
+		if c.lacks {
+			lacks = append(lacks, c.lack)
+		}
 	}
-	s.leaving[mark] = true
-	s.applyUpstreams(now)
-	return []Action{Record{event.UpstreamLeaving, upstreamRecord{mark.Upstream, mark.Incarnation, source}}, Announce{}, s.publish()}
+	return lacks
 }
 
-func (s *State) upstreams() []decide.Upstream {
-	marked := make([]decide.Upstream, len(s.listed))
-	for i, u := range s.listed {
-		u.Leaving = u.Leaving || s.leaving[member.Mark{Upstream: u.Name, Incarnation: u.Incarnation}]
-		marked[i] = u
-	}
-	return marked
+// readyRecord is the audit record of an instance that is ready.
+type readyRecord struct {
+	Version uint64 `json:"version"`
 }
 
-func (s *State) applyUpstreams(now time.Time) {
-	s.scheduler.Step(now, decide.UpstreamsChanged{Upstreams: s.upstreams()})
+// lacksRecord is the audit record of an instance that is not ready.
+type lacksRecord struct {
+	Lacks []Lack `json:"lacks"`
 }
 
-func (s *State) schedule(now time.Time, e decide.Event) []Action {
-	if arrived, ok := e.(decide.Arrived); ok && s.stale {
-		return []Action{Scheduled{decide.Refuse{
-			ID: arrived.Request.ID, Reason: verdict.NotConfigured, RetryAt: now.Add(time.Second),
-			Why: "this instance was paused and has not heard from anyone since",
-		}}}
+// refreshReady looks whether a newcomer lacks nothing any more. Once ready, an
+// instance stays so: it serves what it can.
+func (s *State) refreshReady(now time.Time) []Action {
+	if s.ready {
+		return nil
 	}
-	var actions []Action
-	for _, action := range s.scheduler.Step(now, e) {
-		actions = append(actions, Scheduled{action})
+	lacks := s.lacksNow(now)
+	if len(lacks) == 0 {
+		s.ready, s.lacks, s.dirty = true, nil, true
+		return []Action{Record{event.InstanceReady, readyRecord{s.register.View().Version}}}
 	}
-	return actions
-}
-
-func (s *State) tick(now time.Time) []Action {
-	var actions []Action
-	for _, peer := range s.members.Expire(now) {
-		actions = append(actions, Record{event.PeerSilent, peerRecord{peer.Name, peer.Home.Incarnation}}, s.publish())
-	}
-	return append(actions, s.schedule(now, decide.Tick{})...)
-}
-
-func (s *State) refreshReady(time.Time) []Action {
-	ready := s.register.View() != nil && s.listRead
-	if ready == s.ready {
+	if slices.Equal(lacks, s.lacks) {
 		return nil
 	}
-	s.ready = ready
-	return []Action{Record{event.InstanceReady, configRecord{Version: s.register.View().Version}}}
+	s.lacks, s.dirty = lacks, true
+	return []Action{Record{event.InstanceLacks, lacksRecord{lacks}}}
 }
 
 func (s *State) publish() Action {
-	marks := make([]member.Mark, 0, len(s.leaving))
-	for mark := range s.leaving {
-		marks = append(marks, mark)
-	}
+	s.list.publishedAt = s.list.readAt
 	return Publish{&Snapshot{
-		Config: s.register.View(), Document: s.register.Document(),
-		Upstreams: s.upstreams(), Listed: s.members.Listed(), Peers: s.members.Alive(), Leaving: marks,
-		Ready: s.ready && !s.stopping, Stopping: s.stopping,
+		Config: s.register.View(), Document: s.register.Document(), Removed: s.register.Removed(),
+		Upstreams: s.upstreams.marked, Polls: s.polls, Listed: s.members.Listed(), Entries: s.list.entries, ListedUpstreams: s.upstreams.listed,
+		Partners: s.partners, Peers: s.members.Alive(),
+		Leaving: s.upstreams.leaving, LeavingHash: s.upstreams.hash,
+		ListHash: s.list.hash, ListReadAt: s.list.readAt, ConfigContactAt: s.intake.contact, Reader: s.reader,
+		Ready: s.ready && !s.stopping, Stopping: s.stopping, Lacks: s.lacks,
 	}}
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -98,6 +98,8 @@
 	Error string `json:"error"`
 	// NotRun is the engine's word that the order had no effect.
 	NotRun bool `json:"not_run"`
+	// Leaving says that the engine takes no new work any more.
+	Leaving bool `json:"leaving"`
 }
 
 // Start implements relay.Engine.
@@ -188,6 +190,8 @@
 	switch {
 	case response.StatusCode == http.StatusNotFound:
 		return verdict.Fail(verdict.MayHaveRun, verdict.GenerationLost, "%s: %s", response.Status, wire.Error)
+	case wire.NotRun && wire.Leaving:
+		return verdict.Fail(verdict.NotRun, verdict.UpstreamLeaving, "%s: %s", response.Status, wire.Error)
 	case wire.NotRun:
 		return verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "%s: %s", response.Status, wire.Error)
 	default:
--- a/engine/plugin.go
+++ b/engine/plugin.go
@@ -16,8 +16,14 @@
 	"mangoloft/verdict"
 )
 
-// reportInterval is the time between two looks at an upstream's load.
-const reportInterval = 500 * time.Millisecond
+const (
+	// reportInterval is the time between two looks at an upstream's load.
+	reportInterval = 500 * time.Millisecond
+	// freshLimit is the age up to which a report is passed on to peers.
+	freshLimit = 2 * time.Second
+	// pollBacklog is how many upstreams may wait to be asked at once.
+	pollBacklog = 16
+)
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "engine", Stage: kernel.StageUpstream, Start: start})
@@ -25,10 +31,47 @@
 
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
 	client := NewClient(rt.Settings)
+	loads := &loadReports{rt: rt, client: client, own: map[string]member.Load{}, asked: make(chan decide.Upstream, pollBacklog)}
 	rt.Provide(client)
-	return []kernel.Actor{{Name: "load reports", Run: func(ctx context.Context) error {
-		return watchLoad(ctx, rt, client)
-	}}}, nil
+	rt.Provide(loads)
+	rt.OnAction(loads.watch)
+	return []kernel.Actor{{Name: "load reports", Run: loads.run}, {Name: "load reports at once", Run: loads.runAsked}}, nil
+}
+
+// loadReports asks upstreams for their load and keeps the answers for the peers.
+type loadReports struct {
+	rt     *kernel.Runtime
+	client *Client
+	// asked holds upstreams to be asked at once.
+	asked chan decide.Upstream
+
+	mu  sync.Mutex
+	own map[string]member.Load
+}
+
+// watch runs on the control goroutine.
+func (l *loadReports) watch(action control.Action) {
+	if poll, ok := action.(control.PollUpstream); ok {
+		select {
+		case l.asked <- poll.Upstream:
+		default:
+		}
+	}
+}
+
+// FreshLoads returns the reports that this instance asked for itself of late.
+func (l *loadReports) FreshLoads() []member.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var fresh []member.Load
+	for name, load := range l.own {
+		if time.Since(load.Report.TakenAt) > freshLimit {
+			delete(l.own, name)
+			continue
+		}
+		fresh = append(fresh, load)
+	}
+	return fresh
 }
 
 // loadWire is an upstream's load report. Engines and plain services send the
@@ -45,16 +88,14 @@
 	Preemptions    uint64 `json:"preemptions"`
 }
 
-// watchLoad asks every upstream of the own data centre for its load.
-func watchLoad(ctx context.Context, rt *kernel.Runtime, client *Client) error {
+// run asks the upstreams that fall to this instance for their load.
+func (l *loadReports) run(ctx context.Context) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
 		var group sync.WaitGroup
-		for _, u := range rt.Snapshot().Upstreams {
-			if u.DataCentre == rt.Settings.DataCentre {
-				group.Go(func() { client.report(ctx, rt, u) })
-			}
+		for _, u := range l.rt.Snapshot().Polls {
+			group.Go(func() { l.report(ctx, u) })
 		}
 		group.Wait()
 		select {
@@ -65,12 +106,24 @@
 	}
 }
 
-func (c *Client) report(ctx context.Context, rt *kernel.Runtime, u decide.Upstream) {
+// runAsked asks upstreams that something was heard of.
+func (l *loadReports) runAsked(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-l.asked:
+			l.report(ctx, u)
+		}
+	}
+}
+
+func (l *loadReports) report(ctx context.Context, u decide.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodGet, url(u.Addr, "/load"), nil)
+	response, err := l.client.send(ctx, http.MethodGet, url(u.Addr, "/load"), nil)
 	if err != nil {
-		rt.Send(control.Scheduling{Event: decide.Failed{Upstream: u.Name, Reason: verdict.Of(err).Reason}})
+		l.rt.Send(control.Scheduling{Event: decide.Failed{Upstream: u.Name, Reason: verdict.Of(err).Reason}})
 		return
 	}
 	defer response.Body.Close()
@@ -79,13 +132,17 @@
 		return
 	}
 	if incarnation, err := ident.ParseIncarnation(wire.Incarnation); err == nil && wire.Leaving {
-		rt.Send(control.UpstreamLeaves{Mark: member.Mark{Upstream: u.Name, Incarnation: incarnation}})
+		l.rt.Send(control.UpstreamLeaves{Mark: member.Mark{Upstream: u.Name, Incarnation: incarnation}})
 	}
-	rt.Send(control.Scheduling{Event: decide.Reported{Upstream: u.Name, Report: decide.Report{
+	load := member.Load{Upstream: u.Name, Report: decide.Report{
 		TakenAt: time.UnixMilli(wire.TakenUnixMS),
 		Running: wire.Running, Waiting: wire.Waiting,
 		UsedTokens: wire.UsedTokens, CapacityTokens: wire.CapacityTokens,
 		StepTime:    time.Duration(wire.StepMicros) * time.Microsecond,
 		Preemptions: wire.Preemptions,
-	}}})
+	}}
+	l.mu.Lock()
+	l.own[u.Name] = load
+	l.mu.Unlock()
+	l.rt.Send(control.Scheduling{Event: decide.Reported{Upstream: u.Name, Report: load.Report}})
 }
--- a/event/event.go
+++ b/event/event.go
@@ -24,10 +24,12 @@
 	ProcessPaused    ID = 105
 	AuditGap         ID = 106
 	SettingsWarning  ID = 107
+	InstanceLacks    ID = 108
 
 	ConfigAccepted      ID = 201
 	ConfigRefused       ID = 202
 	ConfigServiceFailed ID = 203
+	ConfigServiceBehind ID = 204
 
 	PeerAlive   ID = 301
 	PeerSilent  ID = 302
@@ -55,9 +57,11 @@
 	ProcessPaused:       "process_paused",
 	AuditGap:            "audit_gap",
 	SettingsWarning:     "settings_warning",
+	InstanceLacks:       "instance_lacks",
 	ConfigAccepted:      "config_accepted",
 	ConfigRefused:       "config_refused",
 	ConfigServiceFailed: "config_service_failed",
+	ConfigServiceBehind: "config_service_behind",
 	PeerAlive:           "peer_alive",
 	PeerSilent:          "peer_silent",
 	ListFailed:          "list_failed",
--- a/member/table.go
+++ b/member/table.go
@@ -1,6 +1,6 @@
 // Package member knows the other entry instances: which the instance list
-// names, which have been heard lately, and what they said about upstreams. It
-// is a pure function of its state, the time and what it is told.
+// names, which have been heard lately, and what they said. It is a pure
+// function of its state, the time and what it is told.
 package member
 
 import (
@@ -9,11 +9,21 @@
 	"strings"
 	"time"
 
+	"mangoloft/decide"
 	"mangoloft/ident"
 )
 
-// silenceLimit is how long an instance may be silent and still count as alive.
-const silenceLimit = 3 * time.Second
+const (
+	// silenceLimit is how long an instance may be silent and still count as alive.
+	silenceLimit = 3 * time.Second
+	// avoidFor is how long a silent instance of another data centre is passed
+	// over when delegates there are chosen.
+	avoidFor = 15 * time.Second
+	// delegates is how many instances of a data centre speak to other data centres.
+	delegates = 2
+)
+
+const delegateKey = "delegate"
 
 // Listed is an entry instance as the instance list names it. The list lags.
 type Listed struct {
@@ -29,6 +39,12 @@
 	Incarnation ident.Incarnation
 }
 
+// Load is an upstream's load report as a peer passes it on.
+type Load struct {
+	Upstream string
+	Report   decide.Report
+}
+
 // Heartbeat is what an entry instance says about itself.
 type Heartbeat struct {
 	Name          string
@@ -37,7 +53,18 @@
 	Stopping      bool
 	ConfigVersion uint64
 	ConfigDigest  string
-	Leaving       []Mark
+	// ConfigContact is when the instance last had an answer from the
+	// configuration service; zero when its latest try failed.
+	ConfigContact time.Time
+	// ListHash tells instance lists apart; ListRead is when the list was read
+	// from the platform, by whichever instance.
+	ListHash uint64
+	ListRead time.Time
+	// LeavingHash is over all marks of listed upstreams. Leaving holds the
+	// marks themselves when the receiver's hash was another.
+	LeavingHash uint64
+	Leaving     []Mark
+	Loads       []Load
 }
 
 // Peer is another entry instance that is alive.
@@ -49,14 +76,23 @@
 
 // Table holds the other entry instances. It belongs to one goroutine.
 type Table struct {
-	self   string
-	listed []Listed
-	peers  map[string]Peer
+	self       string
+	dataCentre string
+	listed     []Listed
+	peers      map[string]Peer
+	// newest holds the latest incarnation heard of each name.
+	newest map[string]ident.Incarnation
+	// asked holds since when a silent instance of another data centre is
+	// asked in vain, avoided until when it is passed over.
+	asked, avoided map[string]time.Time
 }
 
 // New returns a table for the instance named self.
-func New(self string) *Table {
-	return &Table{self: self, peers: map[string]Peer{}}
+func New(self, dataCentre string) *Table {
+	return &Table{
+		self: self, dataCentre: dataCentre, peers: map[string]Peer{}, newest: map[string]ident.Incarnation{},
+		asked: map[string]time.Time{}, avoided: map[string]time.Time{},
+	}
 }
 
 // SetListed takes a new instance list and reports whether it differs.
@@ -66,24 +102,52 @@
 		return false
 	}
 	t.listed = listed
+	t.forgetUnlisted()
 	return true
 }
 
+// forgetUnlisted bounds the memory to names that are listed or alive.
+func (t *Table) forgetUnlisted() {
+	known := map[string]bool{}
+	for _, l := range t.listed {
+		known[l.Name] = true
+	}
+	for name := range t.newest {
+		if _, alive := t.peers[name]; !alive && !known[name] {
+			delete(t.newest, name)
+		}
+	}
+	for _, times := range []map[string]time.Time{t.asked, t.avoided} {
+		for name := range times {
+			if !known[name] {
+				delete(times, name)
+			}
+		}
+	}
+}
+
 // Listed returns the other entry instances that the list names.
 func (t *Table) Listed() []Listed { return t.listed }
 
-// Heard takes a heartbeat. An older incarnation of an instance is ignored once
-// a newer one was heard. It reports whether the peer is new.
-func (t *Table) Heard(now time.Time, h Heartbeat) (isNew bool) {
-	old, known := t.peers[h.Name]
-	if h.Name == t.self || known && h.Home.Incarnation < old.Home.Incarnation {
-		return false
+// Heard takes a heartbeat and reports whether the peer is new. An older
+// incarnation of an instance is ignored once a newer one was heard, however
+// late it wakes up.
+func (t *Table) Heard(now time.Time, h Heartbeat) (isNew, ignored bool) {
+	if h.Name == t.self || h.Home.Incarnation < t.newest[h.Name] {
+		return false, true
 	}
+	old, known := t.peers[h.Name]
+	t.newest[h.Name] = h.Home.Incarnation
 	t.peers[h.Name] = Peer{h, now.Add(silenceLimit)}
-	return !known || old.Home.Incarnation != h.Home.Incarnation
+	delete(t.asked, h.Name)
+	delete(t.avoided, h.Name)
+	return !known || old.Home.Incarnation != h.Home.Incarnation, false
 }
 
-// Expire drops the peers whose time has passed and returns them.
+// Stopping reports whether the peer is alive and in its planned stop.
+func (t *Table) Stopping(name string) bool { return t.peers[name].Stopping }
+
+// Expire drops the peers whose time has passed and returns them, by name.
 func (t *Table) Expire(now time.Time) []Peer {
 	var gone []Peer
 	for name, peer := range t.peers {
@@ -92,6 +156,7 @@
 			delete(t.peers, name)
 		}
 	}
+	sortPeers(gone)
 	return gone
 }
 
@@ -101,6 +166,87 @@
 	for _, peer := range t.peers {
 		alive = append(alive, peer)
 	}
-	slices.SortFunc(alive, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	sortPeers(alive)
 	return alive
 }
+
+func sortPeers(peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Neighbours returns the live instances of the own data centre that stay, with
+// the instance itself.
+func (t *Table) Neighbours() []string {
+	names := []string{t.self}
+	for _, peer := range t.peers {
+		if peer.DataCentre == t.dataCentre && !peer.Stopping {
+			names = append(names, peer.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Chosen reports whether the instance is one of the n of its data centre that
+// rendezvous hashing gives the key.
+func (t *Table) Chosen(key string, n int) bool {
+	return slices.Contains(Choose(t.Neighbours(), key, n), t.self)
+}
+
+// Partners returns whom the instance exchanges heartbeats with: all listed
+// instances of its own data centre, and if it is a delegate also the delegates
+// of the others.
+func (t *Table) Partners(now time.Time) []Listed {
+	var partners []Listed
+	others := map[string][]Listed{}
+	for _, l := range t.listed {
+		if l.DataCentre == t.dataCentre {
+			partners = append(partners, l)
+		} else {
+			others[l.DataCentre] = append(others[l.DataCentre], l)
+		}
+	}
+	if !t.Chosen(delegateKey, delegates) {
+		clear(t.asked)
+		return partners
+	}
+	for _, centre := range others {
+		partners = append(partners, t.remoteDelegates(now, centre)...)
+	}
+	slices.SortFunc(partners, func(a, b Listed) int { return strings.Compare(a.Name, b.Name) })
+	return partners
+}
+
+// remoteDelegates guesses another data centre's delegates from the list, which
+// may name dead instances: one that stays silent is passed over for a while.
+func (t *Table) remoteDelegates(now time.Time, centre []Listed) []Listed {
+	var names []string
+	for _, l := range centre {
+		since, asked := t.asked[l.Name]
+		if asked && now.Sub(since) > silenceLimit {
+			t.avoided[l.Name] = now.Add(avoidFor)
+			delete(t.asked, l.Name)
+		}
+		if !l.Leaving && !now.Before(t.avoided[l.Name]) {
+			names = append(names, l.Name)
+		}
+	}
+	if len(names) == 0 {
+		for _, l := range centre {
+			names = append(names, l.Name)
+		}
+	}
+	chosen := Choose(names, delegateKey, delegates)
+	var partners []Listed
+	for _, l := range centre {
+		if !slices.Contains(chosen, l.Name) {
+			continue
+		}
+		partners = append(partners, l)
+		_, alive := t.peers[l.Name]
+		if _, asked := t.asked[l.Name]; !alive && !asked {
+			t.asked[l.Name] = now
+		}
+	}
+	return partners
+}
--- a/peer/config.go
+++ b/peer/config.go
@@ -3,34 +3,31 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/joomcode/errorx"
 
 	"mangoloft/config"
 	"mangoloft/control"
 	"mangoloft/event"
+	"mangoloft/member"
 	"mangoloft/peerpb"
 )
 
-// fetch brings configurations from peers that have a newer one.
-func (l *links) fetch(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case asked := <-l.fetches:
-			doc, err := l.fetchFrom(ctx, asked)
-			if err != nil {
-				l.rt.Log.Emit(event.ConfigServiceFailed, "peer", asked.Peer.Name, "error", err)
-				continue
-			}
-			l.rt.Send(control.ConfigOffered{Document: doc, Source: asked.Peer.Name})
-		}
+// fetchConfig brings the configuration of a peer that has a newer one.
+func (l *links) fetchConfig(ctx context.Context, from member.Peer) {
+	askedAt := time.Now()
+	doc, err := l.configFrom(ctx, from)
+	if err != nil {
+		l.rt.Log.Emit(event.ConfigServiceFailed, "peer", from.Name, "error", err)
+		l.rt.Send(control.FetchFailed{})
+		return
 	}
+	l.rt.Send(control.ConfigOffered{Document: doc, Source: from.Name, AskedAt: askedAt})
 }
 
-func (l *links) fetchFrom(ctx context.Context, asked control.FetchConfig) (config.Document, error) {
-	client, err := l.client(asked.Peer.Home.Peer)
+func (l *links) configFrom(ctx context.Context, from member.Peer) (config.Document, error) {
+	client, err := l.client(from.Home.Peer)
 	if err != nil {
 		return config.Document{}, err
 	}
@@ -47,11 +44,11 @@
 			return doc, nil
 		}
 	}
-	return config.Document{}, errorx.ExternalError.New("the values from %s do not fit its digest", asked.Peer.Name)
+	return config.Document{}, errorx.ExternalError.New("the values from %s do not fit its digest", from.Name)
 }
 
-// merge puts the values of reply over those of base. A removed key stays, so
-// the digest then differs and the caller asks for all values.
+// merge puts the values of reply over those of base. Where the two histories
+// differ the digest does too, and the caller asks for all values.
 func merge(base config.Document, reply *peerpb.ConfigReply) config.Document {
 	doc := config.Document{
 		Index:  config.Index{Version: reply.Version, Values: maps.Clone(base.Index.Values)},
@@ -64,16 +61,26 @@
 		doc.Index.Values[value.Key] = config.Entry{Version: value.Version, SHA256: config.Hash(value.Content)}
 		doc.Values[value.Key] = value.Content
 	}
+	for _, key := range reply.Removed {
+		delete(doc.Index.Values, key)
+		delete(doc.Values, key)
+	}
 	return doc
 }
 
-// newerValues is the other side of merge.
-func newerValues(doc config.Document, digest string, haveVersion uint64) *peerpb.ConfigReply {
+// newerValues is the other side of merge: the index's delta since a version,
+// with the values.
+func newerValues(doc config.Document, removed []config.Removal, digest string, haveVersion uint64) *peerpb.ConfigReply {
 	reply := &peerpb.ConfigReply{Version: doc.Index.Version, Digest: digest}
 	for key, entry := range doc.Index.Values {
 		if entry.Version > haveVersion {
 			reply.Values = append(reply.Values, &peerpb.ConfigValue{Key: key, Version: entry.Version, Content: doc.Values[key]})
 		}
 	}
+	for _, removal := range removed {
+		if _, back := doc.Index.Values[removal.Key]; removal.Version > haveVersion && !back {
+			reply.Removed = append(reply.Removed, removal.Key)
+		}
+	}
 	return reply
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -85,7 +85,7 @@
 		case <-time.After(probeInterval):
 		}
 		probe, cancel := context.WithTimeout(ctx, exchangeLimit)
-		_, err := client.Exchange(probe, l.heartbeat())
+		_, err := client.Exchange(probe, l.heartbeat(l.rt.Snapshot().LeavingHash, ""))
 		cancel()
 		misses++
 		if err == nil {
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -9,7 +9,6 @@
 
 	"mangoloft/call"
 	"mangoloft/charge"
-	"mangoloft/control"
 	"mangoloft/ident"
 	"mangoloft/kernel"
 	"mangoloft/peerpb"
@@ -30,13 +29,13 @@
 
 // Exchange implements peerpb.PeerServer.
 func (h *handler) Exchange(_ context.Context, wire *peerpb.Heartbeat) (*peerpb.Heartbeat, error) {
-	heartbeat, err := heartbeatFromWire(wire)
+	heartbeat, err := heartbeatFromWire(wire, time.Now())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	h.links.holders.heard(wire)
-	h.rt.Send(control.PeerHeard{Heartbeat: heartbeat})
-	return h.links.heartbeat(), nil
+	h.links.hear(heartbeat, time.Time{})
+	return h.links.heartbeat(heartbeat.LeavingHash, heartbeat.DataCentre), nil
 }
 
 // FetchConfig implements peerpb.PeerServer.
@@ -45,7 +44,16 @@
 	if snapshot.Config == nil {
 		return nil, status.Error(codes.Unavailable, "no configuration yet")
 	}
-	return newerValues(snapshot.Document, snapshot.Config.Digest, request.HaveVersion), nil
+	return newerValues(snapshot.Document, snapshot.Removed, snapshot.Config.Digest, request.HaveVersion), nil
+}
+
+// FetchList implements peerpb.PeerServer.
+func (h *handler) FetchList(context.Context, *peerpb.ListRequest) (*peerpb.ListReply, error) {
+	snapshot := h.rt.Snapshot()
+	if snapshot.ListReadAt.IsZero() {
+		return nil, status.Error(codes.Unavailable, "no instance list yet")
+	}
+	return listToWire(snapshot, time.Now()), nil
 }
 
 // ticketRunner runs tickets whose home is this instance.
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -15,8 +15,10 @@
 	"google.golang.org/grpc/keepalive"
 
 	"mangoloft/control"
+	"mangoloft/event"
 	"mangoloft/ident"
 	"mangoloft/kernel"
+	"mangoloft/member"
 	"mangoloft/peerpb"
 )
 
@@ -28,6 +30,11 @@
 	// sign, and is closed when none comes within silenceLimit.
 	keepaliveInterval = 10 * time.Second
 	silenceLimit      = 2 * time.Second
+	// quietLimit is how long a peer that begins the exchanges may be quiet
+	// before this side begins one too.
+	quietLimit = heartbeatInterval * 3 / 2
+	// fetchBacklog is how many fetches may wait.
+	fetchBacklog = 4
 	// exchangeLimit bounds a heartbeat's exchange.
 	exchangeLimit = 1 * time.Second
 	// fetchLimit bounds the transfer of a configuration.
@@ -40,42 +47,60 @@
 	kernel.Register(kernel.Plugin{Name: "peer", Stage: kernel.StageFleet, Start: start})
 }
 
+// loadSource holds the load reports that this instance asked for itself.
+type loadSource interface {
+	FreshLoads() []member.Load
+}
+
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
-	l := &links{rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, holders: holders{addr: map[ident.Home]netip.AddrPort{}}, news: make(chan struct{}, 1), fetches: make(chan control.FetchConfig, 1)}
+	l := &links{
+		rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, peers: map[string]contact{}, holders: holders{addr: map[ident.Home]netip.AddrPort{}},
+		news: make(chan struct{}, 1), fetches: make(chan control.Action, fetchBacklog),
+	}
+	l.loads, _ = kernel.Find[loadSource](rt)
 	rt.OnAction(l.watch)
 	rt.Provide(l)
 	return []kernel.Actor{
 		{Name: "peer server", Run: l.serve},
 		{Name: "heartbeats", Run: l.beat},
-		{Name: "configuration from peers", Run: l.fetch},
+		{Name: "fetches from peers", Run: l.fetch},
 	}, nil
 }
 
 // links holds the connections to the peers.
 type links struct {
 	rt    *kernel.Runtime
+	loads loadSource
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
 	// holders says where the tickets of homes that stopped are run.
 	holders holders
+	// peers holds what the latest heartbeat of each peer said.
+	peers map[string]contact
 	// news asks for a heartbeat at once.
 	news chan struct{}
-	// fetches asks for a peer's configuration. One at a time is enough: the
-	// next heartbeat asks again.
-	fetches chan control.FetchConfig
+	// fetches asks for a peer's configuration or instance list. A full channel
+	// loses nothing: a later heartbeat asks again.
+	fetches chan control.Action
+}
+
+// contact is what the sender of heartbeats remembers of a peer.
+type contact struct {
+	leavingHash uint64
+	heardAt     time.Time
 }
 
 // watch runs on the control goroutine.
 func (l *links) watch(action control.Action) {
-	switch a := action.(type) {
+	switch action.(type) {
 	case control.Announce:
 		select {
 		case l.news <- struct{}{}:
 		default:
 		}
-	case control.FetchConfig:
+	case control.FetchConfig, control.FetchList:
 		select {
-		case l.fetches <- a:
+		case l.fetches <- action:
 		default:
 		}
 	}
@@ -128,39 +153,119 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-// beat sends heartbeats to every listed instance, at each interval and when
-// there is news.
+// beat exchanges heartbeats with the partners, at each interval and when there
+// is news. In quiet times one side of a pair is enough, because an exchange
+// tells both: the one with the lesser name begins.
 func (l *links) beat(ctx context.Context) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
+	asked, isNews := false, true
 	for {
-		for _, listed := range l.rt.Snapshot().Listed {
-			group.Go(func() { l.exchange(ctx, listed.Peer) })
+		snapshot := l.rt.Snapshot()
+		var round sync.WaitGroup
+		for _, partner := range snapshot.Partners {
+			if isNews || partner.Name > l.rt.Settings.Instance || !l.heardSince(partner.Name, time.Now().Add(-quietLimit)) {
+				round.Go(func() { l.exchange(ctx, partner) })
+			}
 		}
+		if !asked && !snapshot.ListReadAt.IsZero() {
+			asked = true
+			group.Go(func() {
+				round.Wait()
+				l.rt.Send(control.PeersAsked{})
+			})
+		}
+		group.Go(round.Wait)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			isNews = false
 		case <-l.news:
+			isNews = true
 		}
 	}
 }
 
-func (l *links) exchange(ctx context.Context, addr netip.AddrPort) {
-	client, err := l.client(addr)
+func (l *links) exchange(ctx context.Context, partner member.Listed) {
+	client, err := l.client(partner.Peer)
 	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
-	answer, err := client.Exchange(ctx, l.heartbeat())
+	askedAt := time.Now()
+	answer, err := client.Exchange(ctx, l.heartbeat(l.contact(partner.Name).leavingHash, partner.DataCentre))
 	if err != nil {
 		return // Silence is what the member table notices.
 	}
 	l.holders.heard(answer)
-	if h, err := heartbeatFromWire(answer); err == nil {
-		l.rt.Send(control.PeerHeard{Heartbeat: h})
+	if h, err := heartbeatFromWire(answer, time.Now()); err == nil {
+		l.hear(h, askedAt)
+	}
+}
+
+// hear takes a heartbeat; askedAt is zero unless it is an answer.
+func (l *links) hear(h member.Heartbeat, askedAt time.Time) {
+	l.mu.Lock()
+	l.peers[h.Name] = contact{h.LeavingHash, time.Now()}
+	l.mu.Unlock()
+	l.rt.Send(control.PeerHeard{Heartbeat: h, AskedAt: askedAt})
+}
+
+func (l *links) contact(name string) contact {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers[name]
+}
+
+func (l *links) heardSince(name string, since time.Time) bool {
+	return l.contact(name).heardAt.After(since)
+}
+
+// fetch brings configurations and instance lists from peers that have newer ones.
+func (l *links) fetch(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case action := <-l.fetches:
+			switch a := action.(type) {
+			case control.FetchConfig:
+				group.Go(func() { l.fetchConfig(ctx, a.Peer) })
+			case control.FetchList:
+				group.Go(func() { l.fetchList(ctx, a.Peer) })
+			}
+		}
+	}
+}
+
+func (l *links) fetchList(ctx context.Context, from member.Peer) {
+	askedAt := time.Now()
+	list, err := l.listFrom(ctx, from)
+	if err != nil {
+		l.rt.Log.Emit(event.ListFailed, "peer", from.Name, "error", err)
+		l.rt.Send(control.FetchFailed{})
+		return
+	}
+	list.Source, list.AskedAt = from.Name, askedAt
+	l.rt.Send(list)
+}
+
+func (l *links) listFrom(ctx context.Context, from member.Peer) (control.ListRead, error) {
+	client, err := l.client(from.Home.Peer)
+	if err != nil {
+		return control.ListRead{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	reply, err := client.FetchList(ctx, &peerpb.ListRequest{})
+	if err != nil {
+		return control.ListRead{}, err
 	}
+	return listFromWire(reply, time.Now())
 }
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -1,33 +1,61 @@
 package peer
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
+	"mangoloft/control"
+	"mangoloft/decide"
 	"mangoloft/ident"
 	"mangoloft/member"
 	"mangoloft/peerpb"
 	"mangoloft/verdict"
 )
 
-// heartbeat returns what this instance says of itself now.
-func (l *links) heartbeat() *peerpb.Heartbeat {
-	snapshot := l.rt.Snapshot()
+// heartbeat returns what this instance says of itself now, to a peer of the
+// data centre whose marks have the hash.
+func (l *links) heartbeat(theirMarks uint64, dataCentre string) *peerpb.Heartbeat {
+	snapshot, now := l.rt.Snapshot(), time.Now()
 	h := &peerpb.Heartbeat{
 		Name: l.rt.Settings.Instance, DataCentre: l.rt.Settings.DataCentre,
 		Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation),
-		Stopping: snapshot.Stopping,
+		Stopping: snapshot.Stopping, LeavingHash: snapshot.LeavingHash,
+		ConfigContactMs: ageToWire(now, snapshot.ConfigContactAt),
+		ListHash:        snapshot.ListHash, ListAgeMs: ageToWire(now, snapshot.ListReadAt),
 	}
 	if snapshot.Config != nil {
 		h.ConfigVersion, h.ConfigDigest = snapshot.Config.Version, snapshot.Config.Digest
 	}
-	for _, mark := range snapshot.Leaving {
-		h.Leaving = append(h.Leaving, &peerpb.Mark{Upstream: mark.Upstream, Incarnation: uint64(mark.Incarnation)})
+	if theirMarks != snapshot.LeavingHash {
+		for _, mark := range snapshot.Leaving {
+			h.Leaving = append(h.Leaving, &peerpb.Mark{Upstream: mark.Upstream, Incarnation: uint64(mark.Incarnation)})
+		}
+	}
+	if dataCentre == l.rt.Settings.DataCentre && l.loads != nil {
+		for _, load := range l.loads.FreshLoads() {
+			h.Loads = append(h.Loads, loadToWire(load))
+		}
 	}
 	return h
 }
 
-func heartbeatFromWire(wire *peerpb.Heartbeat) (member.Heartbeat, error) {
+// ageToWire returns the age in milliseconds plus one; zero stands for never.
+func ageToWire(now, at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxInt32)) + 1
+}
+
+func ageFromWire(now time.Time, ageMS uint32) time.Time {
+	if ageMS == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMS-1) * time.Millisecond)
+}
+
+func heartbeatFromWire(wire *peerpb.Heartbeat, now time.Time) (member.Heartbeat, error) {
 	addr, err := netip.ParseAddrPort(wire.Peer)
 	if err != nil {
 		return member.Heartbeat{}, err
@@ -36,13 +64,71 @@
 		Name: wire.Name, DataCentre: wire.DataCentre,
 		Home:     ident.Home{Peer: addr, Incarnation: ident.Incarnation(wire.Incarnation)},
 		Stopping: wire.Stopping, ConfigVersion: wire.ConfigVersion, ConfigDigest: wire.ConfigDigest,
+		ConfigContact: ageFromWire(now, wire.ConfigContactMs),
+		ListHash:      wire.ListHash, ListRead: ageFromWire(now, wire.ListAgeMs), LeavingHash: wire.LeavingHash,
 	}
 	for _, mark := range wire.Leaving {
 		h.Leaving = append(h.Leaving, member.Mark{Upstream: mark.Upstream, Incarnation: ident.Incarnation(mark.Incarnation)})
 	}
+	for _, load := range wire.Loads {
+		h.Loads = append(h.Loads, loadFromWire(load))
+	}
 	return h, nil
 }
 
+// A report keeps the time that the upstream's own clock gave it, whoever passes
+// it on.
+func loadToWire(load member.Load) *peerpb.Load {
+	r := load.Report
+	return &peerpb.Load{
+		Upstream: load.Upstream, TakenUnixMs: r.TakenAt.UnixMilli(), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+		UsedTokens: uint32(r.UsedTokens), CapacityTokens: uint32(r.CapacityTokens),
+		StepUs: uint32(r.StepTime.Microseconds()), Preemptions: r.Preemptions,
+	}
+}
+
+func loadFromWire(wire *peerpb.Load) member.Load {
+	return member.Load{Upstream: wire.Upstream, Report: decide.Report{
+		TakenAt: time.UnixMilli(wire.TakenUnixMs), Running: int(wire.Running), Waiting: int(wire.Waiting),
+		UsedTokens: int(wire.UsedTokens), CapacityTokens: int(wire.CapacityTokens),
+		StepTime: time.Duration(wire.StepUs) * time.Microsecond, Preemptions: wire.Preemptions,
+	}}
+}
+
+func listToWire(snapshot *control.Snapshot, now time.Time) *peerpb.ListReply {
+	reply := &peerpb.ListReply{AgeMs: ageToWire(now, snapshot.ListReadAt)}
+	for _, l := range snapshot.Entries {
+		reply.Entries = append(reply.Entries, &peerpb.ListedEntry{Name: l.Name, DataCentre: l.DataCentre, Peer: l.Peer.String(), Leaving: l.Leaving})
+	}
+	for _, u := range snapshot.ListedUpstreams {
+		reply.Upstreams = append(reply.Upstreams, &peerpb.ListedUpstream{
+			Name: u.Name, Pool: u.Pool, DataCentre: u.DataCentre, Addr: u.Addr.String(), Incarnation: uint64(u.Incarnation), Leaving: u.Leaving,
+		})
+	}
+	return reply
+}
+
+func listFromWire(wire *peerpb.ListReply, now time.Time) (control.ListRead, error) {
+	list := control.ListRead{ReadAt: ageFromWire(now, wire.AgeMs)}
+	for _, l := range wire.Entries {
+		addr, err := netip.ParseAddrPort(l.Peer)
+		if err != nil {
+			return list, err
+		}
+		list.Entries = append(list.Entries, member.Listed{Name: l.Name, DataCentre: l.DataCentre, Peer: addr, Leaving: l.Leaving})
+	}
+	for _, u := range wire.Upstreams {
+		addr, err := netip.ParseAddrPort(u.Addr)
+		if err != nil {
+			return list, err
+		}
+		list.Upstreams = append(list.Upstreams, decide.Upstream{
+			Name: u.Name, Pool: u.Pool, DataCentre: u.DataCentre, Addr: addr, Incarnation: ident.Incarnation(u.Incarnation), Leaving: u.Leaving,
+		})
+	}
+	return list, nil
+}
+
 func outcomeToWire(err error) *peerpb.Outcome {
 	o := verdict.Of(err)
 	wire := &peerpb.Outcome{Verdict: o.Verdict.String(), Reason: o.Reason.String(), Detail: o.Detail}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -100,6 +100,8 @@
 type refusalWire struct {
 	Error  string `json:"error"`
 	NotRun bool   `json:"not_run"`
+	// Leaving says that the engine takes no new work any more.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // loadWire is the load report.
@@ -166,7 +168,7 @@
 func (e *Engine) start(c echo.Context) error {
 	var wire startWire
 	if err := json.NewDecoder(c.Request().Body).Decode(&wire); err != nil {
-		return c.JSON(http.StatusBadRequest, refusalWire{err.Error(), true})
+		return c.JSON(http.StatusBadRequest, refusalWire{Error: err.Error(), NotRun: true})
 	}
 	length := defaultLength
 	if hint := lengthHint.FindStringSubmatch(wire.Prompt); hint != nil {
@@ -175,7 +177,7 @@
 	e.mu.Lock()
 	if e.leaving {
 		e.mu.Unlock()
-		return c.JSON(http.StatusServiceUnavailable, refusalWire{"leaving", true})
+		return c.JSON(http.StatusServiceUnavailable, refusalWire{Error: "leaving", NotRun: true, Leaving: true})
 	}
 	if _, ok := e.generations[wire.Generation]; !ok {
 		e.generations[wire.Generation] = &generation{
@@ -189,7 +191,7 @@
 func (e *Engine) resume(c echo.Context) error {
 	from, err := strconv.Atoi(c.QueryParam("from"))
 	if err != nil || from < 0 {
-		return c.JSON(http.StatusBadRequest, refusalWire{"from is no index", true})
+		return c.JSON(http.StatusBadRequest, refusalWire{Error: "from is no index", NotRun: true})
 	}
 	return e.stream(c, c.Param("id"), c.QueryParam("reader"), from)
 }
@@ -204,7 +206,7 @@
 			if begun {
 				return nil
 			}
-			return c.JSON(http.StatusNotFound, refusalWire{"no such generation", false})
+			return c.JSON(http.StatusNotFound, refusalWire{Error: "no such generation"})
 		}
 		if !begun {
 			g.attach(reader)
@@ -268,7 +270,7 @@
 	defer e.mu.Unlock()
 	id, reader := c.Param("id"), c.QueryParam("reader")
 	if g, ok := e.generations[id]; ok && reader != "" && g.belongsToOther(reader) {
-		return c.JSON(http.StatusConflict, refusalWire{"another reader has attached", true})
+		return c.JSON(http.StatusConflict, refusalWire{Error: "another reader has attached", NotRun: true})
 	}
 	delete(e.generations, id)
 	return c.NoContent(http.StatusNoContent)
--- a/standin/list.go
+++ b/standin/list.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/labstack/echo/v4"
+
+	"mangoloft/config"
 )
 
 // List is the platform's instance list. It serves what it was last given.
@@ -23,6 +25,11 @@
 	router.GET("/instances", func(c echo.Context) error {
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		tag := `"` + config.Hash(l.content) + `"`
+		c.Response().Header().Set("ETag", tag)
+		if c.Request().Header.Get("If-None-Match") == tag {
+			return c.NoContent(http.StatusNotModified)
+		}
 		return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, l.content)
 	})
 	router.PUT("/instances", func(c echo.Context) error {
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -55,6 +55,9 @@
 	GenerationLost
 	// CallerGone is a caller that hung up and did not come back.
 	CallerGone
+	// UpstreamLeaving is the refusal of an upstream that takes no new work
+	// any more.
+	UpstreamLeaving
 	// NotFound is a request or reference unknown here, or of another team.
 	NotFound
 )
@@ -66,7 +69,7 @@
 	TicketExpired: "ticket_expired", TicketClosed: "ticket_closed", HomeGone: "home_gone", AlreadyRan: "already_ran",
 	UpstreamRefused: "upstream_refused", UpstreamUnreachable: "upstream_unreachable",
 	UpstreamLost: "upstream_lost", UpstreamFailed: "upstream_failed", AnswerMismatch: "answer_mismatch",
-	GenerationLost: "generation_lost", CallerGone: "caller_gone", NotFound: "not_found",
+	UpstreamLeaving: "upstream_leaving", GenerationLost: "generation_lost", CallerGone: "caller_gone", NotFound: "not_found",
 }
 
 // String returns the reason's name in snake case.
