Control: properties of hundreds of members on a virtual clock

Change: a test drives many control states by a loop over their step and checks that no version goes back, that a change is in force everywhere within 4 s (16 data centres of 25 instances; a data centre whose service is down, stale, cut off, or whose readers froze), that a version late from peers is read from the service, that a newcomer waits for the newest version, and that a mark of a leaving upstream reaches everybody, outlasts the list and ends with the next incarnation. 40 seeds of random cuts, outages, staleness, freezes, restarts and late documents.

--- a/control/event.go
+++ b/control/event.go
@@ -154,6 +154,8 @@
 	// ConfigContactAt is the last answer of the configuration service, zero
 	// when the latest try failed.
 	ConfigContactAt time.Time
+	// ConfigFailed says that the configuration service could not be reached of late.
+	ConfigFailed bool
 	// Reader says that this instance watches the platform for its data centre.
 	Reader bool
 	// Ready says that the instance wants new work from the balancer.
--- /dev/null
+++ b/control/fleet_test.go
@@ -0,0 +1,462 @@
+package control_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/config"
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/member"
+)
+
+// fleet drives many control states by a loop over their step, on a virtual
+// clock. There is no network in it: a message is a call of the receiver's step.
+type fleet struct {
+	t       testing.TB
+	now     time.Time
+	random  *rand.Rand
+	members []*instance
+	service service
+	list    control.ListRead
+	// cut names the data centres that no message enters or leaves.
+	cut map[string]bool
+	// maxDelay bounds how long a document is on its way.
+	maxDelay time.Duration
+	mail     []letter
+	// noFetch makes peers hand over no configuration.
+	noFetch bool
+}
+
+// service is the configuration service. Data centres in behind see it at an
+// older version, data centres and instances in down not at all.
+type service struct {
+	versions     []config.Document
+	behind, down map[string]bool
+	reads        int
+}
+
+func (s *service) document(centre string) config.Document {
+	if s.behind[centre] {
+		return s.versions[0]
+	}
+	return s.versions[len(s.versions)-1]
+}
+
+// letter is a document on its way.
+type letter struct {
+	to      *instance
+	home    ident.Home
+	arrives time.Time
+	content control.ConfigOffered
+}
+
+func (f *fleet) send(to *instance, content control.ConfigOffered) {
+	delay := time.Duration(f.random.Int64N(int64(f.maxDelay) + 1))
+	f.mail = append(f.mail, letter{to, to.home, f.now.Add(delay), content})
+}
+
+// deliver brings the letters whose time has come. One to an earlier
+// incarnation is lost.
+func (f *fleet) deliver() {
+	f.mail = slices.DeleteFunc(f.mail, func(l letter) bool {
+		if f.now.Before(l.arrives) || f.frozen(l.to) {
+			return false
+		}
+		if l.to.home == l.home {
+			f.step(l.to, l.content)
+		}
+		return true
+	})
+}
+
+type instance struct {
+	name, centre string
+	home         ident.Home
+	state        *control.State
+	snapshot     *control.Snapshot
+	frozenUntil  time.Time
+	news         bool
+	hashes       map[string]uint64
+	highest      uint64
+	steps        int
+}
+
+func documentOf(version uint64) config.Document {
+	value := fmt.Appendf(nil, `{"checks_fencing": %t}`, version%2 == 0)
+	entry := config.Entry{Version: version, SHA256: config.Hash(value)}
+	return config.Document{
+		Index: config.Index{Version: version, Values: map[string]config.Entry{"pools/p": entry}}, Values: map[string][]byte{"pools/p": value},
+	}
+}
+
+func newFleet(t testing.TB, seed uint64, centres, perCentre, upstreams int) *fleet {
+	f := &fleet{
+		t: t, now: time.UnixMilli(1_700_000_000_000), random: rand.New(rand.NewPCG(seed, 0)), cut: map[string]bool{},
+		service: service{versions: []config.Document{documentOf(1)}, behind: map[string]bool{}, down: map[string]bool{}},
+	}
+	for dc := range centres {
+		centre := fmt.Sprint("dc", dc)
+		for i := range perCentre {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc), byte(i >> 8), byte(i)}), 1)
+			name := fmt.Sprintf("entry-%d-%d", dc, i)
+			f.list.Entries = append(f.list.Entries, member.Listed{Name: name, DataCentre: centre, Peer: addr})
+			f.members = append(f.members, &instance{name: name, centre: centre, home: ident.Home{Peer: addr}})
+		}
+		for i := range upstreams {
+			f.list.Upstreams = append(f.list.Upstreams, decide.Upstream{Name: fmt.Sprintf("engine-%d-%d", dc, i), Pool: "p", DataCentre: centre, Incarnation: 1})
+		}
+	}
+	for _, m := range f.members {
+		f.start(m)
+	}
+	return f
+}
+
+// start starts the instance, or starts it again as a new incarnation.
+func (f *fleet) start(m *instance) {
+	m.state, m.snapshot, m.hashes, m.highest = control.New(m.name, m.centre), &control.Snapshot{}, map[string]uint64{}, 0
+	m.home.Incarnation = ident.Incarnation(f.now.UnixNano())
+	m.frozenUntil = time.Time{}
+	f.step(m, f.listRead())
+	f.step(m, control.Tick{})
+	f.see(m)
+	for _, partner := range m.snapshot.Partners {
+		f.exchange(m, partner.Name)
+	}
+	f.step(m, control.PeersAsked{})
+}
+
+func (f *fleet) listRead() control.ListRead {
+	list := f.list
+	list.ReadAt, list.AskedAt = f.now, f.now
+	return list
+}
+
+func (f *fleet) frozen(m *instance) bool { return m.state == nil || f.now.Before(m.frozenUntil) }
+
+func (f *fleet) step(m *instance, e control.Event) {
+	m.steps++
+	for _, action := range m.state.Step(f.now, e) {
+		f.carryOut(m, action)
+	}
+}
+
+func (f *fleet) carryOut(m *instance, action control.Action) {
+	switch a := action.(type) {
+	case control.Publish:
+		m.snapshot = a.Snapshot
+		if m.snapshot.Config != nil {
+			assert.Assert(f.t, m.snapshot.Config.Version >= m.highest, "%s went back from version %d to %d", m.name, m.highest, m.snapshot.Config.Version)
+			m.highest = m.snapshot.Config.Version
+		}
+	case control.Announce:
+		m.news = true
+	case control.FetchConfig:
+		peer := f.find(a.Peer.Name)
+		if f.noFetch || !f.reaches(m, peer) {
+			f.step(m, control.FetchFailed{})
+			return
+		}
+		f.send(m, control.ConfigOffered{Document: peer.snapshot.Document, Source: peer.name, AskedAt: f.now})
+	case control.FetchList:
+		f.step(m, f.listRead())
+	case control.ReadConfig:
+		f.read(m)
+	case control.ReadList:
+		f.step(m, f.listRead())
+	}
+}
+
+func (f *fleet) find(name string) *instance {
+	return f.members[slices.IndexFunc(f.members, func(m *instance) bool { return m.name == name })]
+}
+
+func (f *fleet) reaches(a, b *instance) bool {
+	return !f.frozen(a) && !f.frozen(b) && (a.centre == b.centre || !f.cut[a.centre] && !f.cut[b.centre])
+}
+
+// see lets the instance look at the service's index.
+func (f *fleet) see(m *instance) bool {
+	if f.service.down[m.centre] || f.service.down[m.name] {
+		f.step(m, control.ConfigServiceSilent{})
+		return false
+	}
+	f.service.reads++
+	index := f.service.document(m.centre).Index
+	f.step(m, control.ConfigSeen{Version: index.Version, Digest: index.Digest(), AskedAt: f.now})
+	return true
+}
+
+func (f *fleet) read(m *instance) {
+	if f.see(m) && f.service.document(m.centre).Index.Version != m.highest {
+		f.service.reads++
+		f.send(m, control.ConfigOffered{Document: f.service.document(m.centre), Source: "service", AskedAt: f.now})
+	}
+}
+
+func (f *fleet) exchange(m *instance, name string) {
+	peer := f.find(name)
+	if !f.reaches(m, peer) {
+		return
+	}
+	f.tell(m, peer, time.Time{})
+	f.tell(peer, m, f.now)
+}
+
+// tell gives the heartbeat of m to the peer.
+func (f *fleet) tell(m, peer *instance, askedAt time.Time) {
+	s := m.snapshot
+	h := member.Heartbeat{
+		Name: m.name, DataCentre: m.centre, Home: m.home, Stopping: s.Stopping,
+		ConfigContact: s.ConfigContactAt, ConfigFailed: s.ConfigFailed, ListHash: s.ListHash, ListRead: s.ListReadAt, LeavingHash: s.LeavingHash,
+	}
+	if s.Config != nil {
+		h.ConfigVersion, h.ConfigDigest = s.Config.Version, s.Config.Digest
+	}
+	if m.hashes[peer.name] != s.LeavingHash {
+		h.Leaving = s.Leaving
+	}
+	peer.hashes[m.name] = s.LeavingHash
+	f.step(peer, control.PeerHeard{Heartbeat: h, AskedAt: askedAt})
+}
+
+const (
+	simulatedTick     = 100 * time.Millisecond
+	ticksPerHeartbeat = 10
+	ticksPerRead      = 5
+)
+
+// run lets time pass. Every instance speaks at a tick of its own in each second.
+func (f *fleet) run(length time.Duration) {
+	for range length / simulatedTick {
+		f.now = f.now.Add(simulatedTick)
+		f.deliver()
+		tick := int(f.now.UnixMilli() / simulatedTick.Milliseconds())
+		for i, m := range f.members {
+			if f.frozen(m) {
+				continue
+			}
+			if !m.frozenUntil.IsZero() {
+				f.step(m, control.Paused{Gap: f.now.Sub(m.frozenUntil)})
+				m.frozenUntil = time.Time{}
+			}
+			f.step(m, control.Tick{})
+			if m.snapshot.Reader && (tick+i)%ticksPerRead == 0 {
+				f.read(m)
+				f.step(m, f.listRead())
+			}
+			if m.news || (tick+i)%ticksPerHeartbeat == 0 {
+				m.news = false
+				for _, partner := range m.snapshot.Partners {
+					f.exchange(m, partner.Name)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) publish() uint64 {
+	version := f.service.versions[len(f.service.versions)-1].Index.Version + 1
+	f.service.versions = append(f.service.versions, documentOf(version))
+	return version
+}
+
+func (f *fleet) readers(centre string) int {
+	count := 0
+	for _, m := range f.members {
+		if m.centre == centre && m.snapshot.Reader {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) assertAllAt(version uint64) {
+	f.t.Helper()
+	for _, m := range f.members {
+		assert.Equal(f.t, m.highest, version, "%s", m.name)
+	}
+}
+
+// spread is how soon an accepted change must be in force everywhere.
+const spread = 4 * time.Second
+
+func TestChangeReachesTheWholeFleet(t *testing.T) {
+	f := newFleet(t, 1, 16, 25, 10)
+	f.run(6 * time.Second)
+	for _, m := range f.members {
+		assert.Assert(t, m.snapshot.Ready, "%s lacks %v", m.name, m.snapshot.Lacks)
+	}
+	for dc := range 16 {
+		assert.Equal(t, f.readers(fmt.Sprint("dc", dc)), 2)
+	}
+	before := f.service.reads
+	version := f.publish()
+	f.run(spread)
+	f.assertAllAt(version)
+	// Two readers in each data centre ask every half second here.
+	assert.Assert(t, f.service.reads-before <= 16*2*(2*int(spread/time.Second)+1+1), "%d reads", f.service.reads-before)
+}
+
+// The readers of the only data centre lose the service, the others have it.
+func TestOthersReadWhenTheReadersCannot(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, 4)
+	f.run(6 * time.Second)
+	for _, m := range f.members {
+		f.service.down[m.name] = m.snapshot.Reader
+	}
+	version := f.publish()
+	f.run(spread)
+	f.assertAllAt(version)
+	assert.Equal(t, f.readers("dc0"), 2)
+	for _, m := range f.members {
+		assert.Assert(t, !m.snapshot.Reader || !f.service.down[m.name], "%s is still a reader", m.name)
+	}
+}
+
+func TestChangeSpreadsWhenTheServiceIsBack(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, 4)
+	f.run(6 * time.Second)
+	before := f.service.reads
+	for _, m := range f.members {
+		f.service.down[m.name] = true
+	}
+	f.run(30 * time.Second)
+	assert.Equal(t, f.service.reads, before)
+	clear(f.service.down)
+	version := f.publish()
+	f.run(spread)
+	f.assertAllAt(version)
+}
+
+// Instances that hear of a version and can't fetch it from a peer read it
+// themselves.
+func TestLateVersionIsReadFromTheService(t *testing.T) {
+	f := newFleet(t, 1, 1, 8, 4)
+	f.run(6 * time.Second)
+	f.noFetch = true
+	version := f.publish()
+	f.run(spread)
+	f.assertAllAt(version)
+}
+
+func TestChangeSpreads(t *testing.T) {
+	tests := map[string]func(f *fleet){
+		"when one data centre's service is down":  func(f *fleet) { f.service.down["dc1"] = true },
+		"when one data centre's service is stale": func(f *fleet) { f.service.behind["dc1"] = true },
+		"when only one data centre reaches the service": func(f *fleet) {
+			f.service.down["dc0"], f.service.down["dc1"], f.service.behind["dc2"] = true, true, true
+		},
+		"when both readers of a data centre froze": func(f *fleet) {
+			for _, m := range f.members {
+				if m.centre == "dc1" && m.snapshot.Reader {
+					m.frozenUntil = f.now.Add(5 * time.Second)
+				}
+			}
+		},
+		"when a data centre is cut off, by its own readers": func(f *fleet) { f.cut["dc2"] = true },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, 4, 5, 4)
+			f.run(6 * time.Second)
+			fault(f)
+			version := f.publish()
+			f.run(spread)
+			for _, m := range f.members {
+				assert.Assert(t, m.highest == version || f.frozen(m), "%s has version %d of %d", m.name, m.highest, version)
+			}
+			f.run(spread)
+			f.assertAllAt(version)
+		})
+	}
+}
+
+// Random faults: nothing ever goes back, and everything is equal once they end.
+func TestNothingRevertsUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, seed, 3, 6, 3)
+		f.maxDelay = 3 * time.Second
+		for range 30 {
+			m := f.members[f.random.IntN(len(f.members))]
+			centre := fmt.Sprint("dc", f.random.IntN(3))
+			switch f.random.IntN(7) {
+			case 0:
+				f.publish()
+			case 1:
+				f.cut[centre] = !f.cut[centre]
+			case 2:
+				f.service.down[centre] = !f.service.down[centre]
+			case 3:
+				f.service.behind[centre] = !f.service.behind[centre]
+			case 4:
+				m.frozenUntil = f.now.Add(time.Duration(f.random.IntN(8000)) * time.Millisecond)
+			case 5:
+				f.start(m)
+			}
+			f.run(time.Duration(f.random.IntN(2500)) * time.Millisecond)
+		}
+		clear(f.cut)
+		clear(f.service.down)
+		clear(f.service.behind)
+		f.maxDelay = 0
+		version := f.publish()
+		f.run(15 * time.Second)
+		f.assertAllAt(version)
+	}
+}
+
+// A newcomer whose service is stale must not serve by an older version than
+// the one that its peers have in force.
+func TestNewcomerWaitsForTheNewestVersion(t *testing.T) {
+	f := newFleet(t, 1, 2, 4, 2)
+	f.run(5 * time.Second)
+	version := f.publish()
+	f.run(spread)
+	f.service.behind["dc0"], f.service.behind["dc1"] = true, true
+	for _, m := range f.members {
+		f.noFetch = true
+		f.start(m)
+		f.run(5 * time.Second)
+		assert.Assert(t, !m.snapshot.Ready, "%s is ready with version %d", m.name, m.highest)
+		f.noFetch = false
+		f.run(3 * time.Second)
+		assert.Assert(t, m.snapshot.Ready && m.highest == version, "%s lacks %v", m.name, m.snapshot.Lacks)
+	}
+}
+
+func TestLeavingMarkReachesTheWholeFleet(t *testing.T) {
+	f := newFleet(t, 1, 6, 10, 10)
+	f.run(6 * time.Second)
+	mark := member.Mark{Upstream: "engine-3-4", Incarnation: 1}
+	f.step(f.members[7], control.UpstreamLeaves{Mark: mark})
+	f.run(time.Second)
+	for _, m := range f.members {
+		assert.Assert(t, slices.Contains(m.snapshot.Leaving, mark), "%s does not know", m.name)
+	}
+	// The list goes on showing it live, and then names its successor.
+	f.run(40 * time.Second)
+	for i := range f.list.Upstreams {
+		if f.list.Upstreams[i].Name == mark.Upstream {
+			f.list.Upstreams[i].Incarnation = 2
+		}
+	}
+	assert.Assert(t, leavingNow(f.members[0], mark.Upstream))
+	f.run(10 * time.Second)
+	for _, m := range f.members {
+		assert.Assert(t, !leavingNow(m, mark.Upstream), "%s refuses the successor", m.name)
+	}
+}
+
+func leavingNow(m *instance, upstream string) bool {
+	i := slices.IndexFunc(m.snapshot.Upstreams, func(u decide.Upstream) bool { return u.Name == upstream })
+	return m.snapshot.Upstreams[i].Leaving
+}
--- a/control/intake.go
+++ b/control/intake.go
@@ -21,11 +21,9 @@
 // instance that no reader serves asks the service itself, at a jittered time,
 // so that a whole fleet that falls back stays far below the service's rate.
 const (
-	// readers is how many instances of a data centre watch the platform.
-	readers = 2
 	// contactLimit is the age from which a reader's contact with the service
 	// no longer counts. A healthy watch is answered more often than that.
-	contactLimit = 10 * time.Second
+	contactLimit = 5 * time.Second
 	// fallbackInterval is the time between two reads of an instance that
 	// falls back; as much again is added as jitter.
 	fallbackInterval = 5 * time.Second
@@ -35,19 +33,24 @@
 	lateJitter = 1 * time.Second
 	// fetchRetry is the time after which another peer is asked for the same.
 	fetchRetry = 1 * time.Second
+	// failedFor is how long an instance that failed at the service is no reader
+	// while others are.
+	failedFor = 60 * time.Second
 	// newestLimit is how long a newcomer waits for a version that it has heard of.
 	newestLimit = 10 * time.Second
 )
 
-const readerKey = "reader"
-
 // intake follows what is known about newer configurations.
 type intake struct {
 	// wanted is the newest version heard of that is not in force, seenAt since when.
-	wanted   config.Index
-	digest   string
-	seenAt   time.Time
+	wanted config.Index
+	digest string
+	seenAt time.Time
+	// contact is the last answer of the service, zero when the latest try
+	// failed. failed says that it did at failedAt, of late.
 	contact  time.Time
+	failed   bool
+	failedAt time.Time
 	fetchAt  time.Time
 	fallback timer
 	// asked says that the service, peers that the peers were tried once.
@@ -126,6 +129,7 @@
 func (s *State) seeService(now time.Time, e ConfigSeen) []Action {
 	s.heardOutside(e.AskedAt)
 	s.intake.contact, s.intake.askedService, s.dirty = now, true, true
+	s.setFailed(false)
 	s.see(now, e.Version, e.Digest)
 	view := s.register.View()
 	behind := view != nil && e.Version < view.Version
@@ -145,10 +149,19 @@
 
 func (s *State) missService(now time.Time) []Action {
 	s.dirty = s.dirty || !s.intake.contact.IsZero()
-	s.intake.contact, s.intake.askedService = time.Time{}, true
+	s.intake.contact, s.intake.askedService, s.intake.failedAt = time.Time{}, true, now
+	s.setFailed(true)
 	return s.refreshReady(now)
 }
 
+// setFailed notes whether this instance reaches the service. One that doesn't
+// gives way to another reader.
+func (s *State) setFailed(failed bool) {
+	if s.intake.failed != failed {
+		s.intake.failed, s.lookAround, s.dirty = failed, true, true
+	}
+}
+
 // fetchConfig asks the peer for its configuration, unless another one was
 // asked just now.
 func (s *State) fetchConfig(now time.Time, peer member.Peer) []Action {
@@ -163,6 +176,9 @@
 // fallBack asks the service when no reader of the data centre can, or when a
 // version that is known to exist doesn't come.
 func (s *State) fallBack(now time.Time) []Action {
+	if s.intake.failed && now.Sub(s.intake.failedAt) > failedFor {
+		s.setFailed(false)
+	}
 	if s.reader || !s.intake.askedPeers {
 		s.intake.fallback.stop()
 		return nil
@@ -182,12 +198,9 @@
 // served reports whether any live peer of the data centre had contact with the
 // platform lately.
 func (s *State) served(now time.Time, contact func(member.Peer) time.Time) bool {
-	for _, peer := range s.members.Alive() {
-		if peer.DataCentre == s.dataCentre && now.Sub(contact(peer)) < contactLimit {
-			return true
-		}
-	}
-	return false
+	return s.members.Any(func(peer member.Peer) bool {
+		return peer.DataCentre == s.dataCentre && now.Sub(contact(peer)) < contactLimit
+	})
 }
 
 // timer says when something that goes on for a while is to be done again.
--- a/control/membership.go
+++ b/control/membership.go
@@ -115,7 +115,7 @@
 
 func (s *State) hearPeer(now time.Time, e PeerHeard) []Action {
 	h := e.Heartbeat
-	wasStopping := s.members.Stopping(h.Name)
+	before := s.members.Peer(h.Name)
 	isNew, ignored := s.members.Heard(now, h)
 	if ignored {
 		return nil
@@ -125,7 +125,7 @@
 	if isNew {
 		actions = append(actions, Record{event.PeerAlive, peerRecord{h.Name, h.DataCentre, h.Home.Incarnation}})
 	}
-	if isNew || h.Stopping != wasStopping {
+	if isNew || h.Stopping != before.Stopping || h.ConfigFailed != before.ConfigFailed {
 		s.lookAround, s.dirty = true, true
 	}
 	for _, mark := range h.Leaving {
@@ -148,15 +148,22 @@
 	return actions
 }
 
-// refreshTopology works out whom this instance speaks to and for what.
+// refreshTopology works out whom this instance speaks to and for what. It runs
+// at ticks only, so that many changes at once cost one look.
 func (s *State) refreshTopology(now time.Time) {
 	if !s.lookAround && now.Before(s.lookAgainAt) {
 		return
 	}
-	s.lookAround, s.lookAgainAt = false, now.Add(topologyInterval)
+	s.lookAgainAt = now.Add(topologyInterval)
+	// Delegates of other data centres that stay silent make the partners
+	// change with time alone.
 	partners := s.members.Partners(now)
-	polls := s.choosePolls()
-	reader := s.intake.askedPeers && s.members.Chosen(readerKey, readers)
+	polls, reader := s.polls, s.reader
+	if s.lookAround {
+		polls = s.choosePolls()
+		reader = s.intake.askedPeers && s.members.Reader(s.intake.failed)
+	}
+	s.lookAround = false
 	if reader != s.reader || !slices.Equal(partners, s.partners) || !slices.Equal(polls, s.polls) {
 		s.dirty = true
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -74,9 +74,6 @@
 	if !s.stale && len(s.held) > 0 {
 		actions = append(actions, s.releaseHeld(now)...)
 	}
-	if s.lookAround {
-		s.refreshTopology(now)
-	}
 	if !s.dirty {
 		return actions
 	}
@@ -247,7 +244,7 @@
 		Upstreams: s.upstreams.marked, Polls: s.polls, Listed: s.members.Listed(), Entries: s.list.entries, ListedUpstreams: s.upstreams.listed,
 		Partners: s.partners, Peers: s.members.Alive(),
 		Leaving: s.upstreams.leaving, LeavingHash: s.upstreams.hash,
-		ListHash: s.list.hash, ListReadAt: s.list.readAt, ConfigContactAt: s.intake.contact, Reader: s.reader,
+		ListHash: s.list.hash, ListReadAt: s.list.readAt, ConfigContactAt: s.intake.contact, ConfigFailed: s.intake.failed, Reader: s.reader,
 		Ready: s.ready && !s.stopping, Stopping: s.stopping, Lacks: s.lacks,
 	}}
 }
--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -170,8 +170,9 @@
 	if pollers >= len(neighbours) {
 		return local
 	}
+	chooser := member.NewChooser(neighbours)
 	return slices.DeleteFunc(local, func(u decide.Upstream) bool {
-		return !slices.Contains(member.Choose(neighbours, u.Name, pollers), s.instance)
+		return !slices.Contains(chooser.Choose(u.Name, pollers), s.instance)
 	})
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -21,9 +21,15 @@
 	avoidFor = 15 * time.Second
 	// delegates is how many instances of a data centre speak to other data centres.
 	delegates = 2
+	// readers is how many instances of a data centre read the platform.
+	readers = 2
 )
 
-const delegateKey = "delegate"
+// The keys of the roles in rendezvous hashing.
+const (
+	delegateKey = "delegate"
+	readerKey   = "reader"
+)
 
 // Listed is an entry instance as the instance list names it. The list lags.
 type Listed struct {
@@ -56,6 +62,9 @@
 	// ConfigContact is when the instance last had an answer from the
 	// configuration service; zero when its latest try failed.
 	ConfigContact time.Time
+	// ConfigFailed says that the instance could not reach the configuration
+	// service of late.
+	ConfigFailed bool
 	// ListHash tells instance lists apart; ListRead is when the list was read
 	// from the platform, by whichever instance.
 	ListHash uint64
@@ -144,8 +153,8 @@
 	return !known || old.Home.Incarnation != h.Home.Incarnation, false
 }
 
-// Stopping reports whether the peer is alive and in its planned stop.
-func (t *Table) Stopping(name string) bool { return t.peers[name].Stopping }
+// Peer returns what the peer said last, if it is alive.
+func (t *Table) Peer(name string) Peer { return t.peers[name] }
 
 // Expire drops the peers whose time has passed and returns them, by name.
 func (t *Table) Expire(now time.Time) []Peer {
@@ -170,6 +179,16 @@
 	return alive
 }
 
+// Any reports whether the condition holds for any peer that is alive.
+func (t *Table) Any(holds func(Peer) bool) bool {
+	for _, peer := range t.peers {
+		if holds(peer) {
+			return true
+		}
+	}
+	return false
+}
+
 func sortPeers(peers []Peer) {
 	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
 }
@@ -187,10 +206,22 @@
 	return names
 }
 
-// Chosen reports whether the instance is one of the n of its data centre that
-// rendezvous hashing gives the key.
-func (t *Table) Chosen(key string, n int) bool {
-	return slices.Contains(Choose(t.Neighbours(), key, n), t.self)
+// Reader reports whether the instance is one of those that read the platform
+// for their data centre: chosen by rendezvous hashing among the ones that did
+// not fail at it of late, or among all when all did.
+func (t *Table) Reader(selfFailed bool) bool {
+	names := t.Neighbours()
+	able := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+		return name == t.self && selfFailed || t.peers[name].ConfigFailed
+	})
+	if len(able) > 0 {
+		names = able
+	}
+	return slices.Contains(NewChooser(names).Choose(readerKey, readers), t.self)
+}
+
+func (t *Table) isDelegate() bool {
+	return slices.Contains(NewChooser(t.Neighbours()).Choose(delegateKey, delegates), t.self)
 }
 
 // Partners returns whom the instance exchanges heartbeats with: all listed
@@ -206,7 +237,7 @@
 			others[l.DataCentre] = append(others[l.DataCentre], l)
 		}
 	}
-	if !t.Chosen(delegateKey, delegates) {
+	if !t.isDelegate() {
 		clear(t.asked)
 		return partners
 	}
@@ -236,7 +267,7 @@
 			names = append(names, l.Name)
 		}
 	}
-	chosen := Choose(names, delegateKey, delegates)
+	chosen := NewChooser(names).Choose(delegateKey, delegates)
 	var partners []Listed
 	for _, l := range centre {
 		if !slices.Contains(chosen, l.Name) {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -20,7 +20,7 @@
 	h := &peerpb.Heartbeat{
 		Name: l.rt.Settings.Instance, DataCentre: l.rt.Settings.DataCentre,
 		Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation),
-		Stopping: snapshot.Stopping, LeavingHash: snapshot.LeavingHash,
+		Stopping: snapshot.Stopping, LeavingHash: snapshot.LeavingHash, ConfigFailed: snapshot.ConfigFailed,
 		ConfigContactMs: ageToWire(now, snapshot.ConfigContactAt),
 		ListHash:        snapshot.ListHash, ListAgeMs: ageToWire(now, snapshot.ListReadAt),
 	}
@@ -64,8 +64,8 @@
 		Name: wire.Name, DataCentre: wire.DataCentre,
 		Home:     ident.Home{Peer: addr, Incarnation: ident.Incarnation(wire.Incarnation)},
 		Stopping: wire.Stopping, ConfigVersion: wire.ConfigVersion, ConfigDigest: wire.ConfigDigest,
-		ConfigContact: ageFromWire(now, wire.ConfigContactMs),
-		ListHash:      wire.ListHash, ListRead: ageFromWire(now, wire.ListAgeMs), LeavingHash: wire.LeavingHash,
+		ConfigContact: ageFromWire(now, wire.ConfigContactMs), ConfigFailed: wire.ConfigFailed,
+		ListHash: wire.ListHash, ListRead: ageFromWire(now, wire.ListAgeMs), LeavingHash: wire.LeavingHash,
 	}
 	for _, mark := range wire.Leaving {
 		h.Leaving = append(h.Leaving, member.Mark{Upstream: mark.Upstream, Incarnation: ident.Incarnation(mark.Incarnation)})
