Test: a stream that can't be over before its instance is killed

Cause: TestStreamSurvivesItsEntryInstance failed once on a busy machine: its stream of 200 tokens lasted one second, and all of it was on its way to the reader when the instance was killed after the 50th.

Change: the stream lasts five seconds (500 tokens of 10 ms). The check itself is as it was.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestStreamSurvivesItsEntryInstance(t *testing.T) {
-	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 2, Engines: 1, Services: 1, Step: 5 * time.Millisecond, Proxies: true})
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 2, Engines: 1, Services: 1, Step: 10 * time.Millisecond, Proxies: true})
 	r := &bench.Reader{Credential: bench.Credential}
 	r.OnToken = func() error {
 		if len(r.Texts) == 50 {
@@ -58,10 +58,10 @@
 		}
 		return nil
 	}
-	err := r.Begin(ctx, http.DefaultClient, fleet.Entries[0].Addr, bench.DraftClass, "output_tokens=200")
+	err := r.Begin(ctx, http.DefaultClient, fleet.Entries[0].Addr, bench.DraftClass, "output_tokens=500")
 	assert.Assert(t, err != nil && !r.Done, "the stream was not broken")
 	assert.NilError(t, r.Resume(ctx, http.DefaultClient, fleet.Entries[2].Addr))
 	assert.Assert(t, r.Done, r.Failure)
-	assert.Equal(t, len(r.Texts), 200)
+	assert.Equal(t, len(r.Texts), 500)
 	assert.NilError(t, r.Check())
 }
