Settings and configuration page, held against the fields of both

Change: docs/SETTINGS.md lists every field with default and range; tests compare it with the json tags both ways and with the limits in the code. jsonc gives a document's members as documents of their own that keep their places, and says of a missing field that nothing was found. Seen to fail: with a field renamed in the code, the page's test fails.

--- /dev/null
+++ b/config/page_test.go
@@ -0,0 +1,35 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/jsonc"
+)
+
+var row = regexp.MustCompile("(?m)^\\| `([a-z0-9_.\\[\\]]+)` \\|.*$")
+
+// TestPage holds the part on the configuration in docs/SETTINGS.md and the
+// fields of the values together, both ways.
+func TestPage(t *testing.T) {
+	content, err := os.ReadFile("../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	_, text, _ := strings.Cut(string(content), "\n## Configuration\n")
+	var listed []string
+	for _, match := range row.FindAllStringSubmatch(text, -1) {
+		listed = append(listed, match[1])
+	}
+	fields := slices.Concat(jsonc.Paths(classWire{}), jsonc.Paths(poolWire{}), jsonc.Paths(teamsWire{}))
+	slices.Sort(listed)
+	slices.Sort(fields)
+	assert.DeepEqual(t, listed, fields)
+	for _, limit := range []string{fmt.Sprint(maxOutputTokens), fmt.Sprint(maxTarget.Milliseconds()), "1,048,576 bytes", strings.Join(kindNames[:2], "`, `")} {
+		assert.Assert(t, strings.Contains(text, limit), limit)
+	}
+}
--- a/config/view.go
+++ b/config/view.go
@@ -191,9 +191,14 @@
 // is read again for that.
 func (p *parser) clash(key string, wire any, field, found, allowed string) {
 	document := jsonc.Read(key, p.doc.Values[key], wire)
-	known := len(document.Faults())
-	document.Fault(field, found, allowed)
-	p.faults = append(p.faults, document.Faults()[known:]...)
+	// Faults are in the order of their places, so the new one may be anywhere.
+	known := slices.Clone(document.Faults())
+	document.Fault(field, document.Found(field, found), allowed)
+	for _, fault := range document.Faults() {
+		if !slices.Contains(known, fault) {
+			p.faults = append(p.faults, fault)
+		}
+	}
 }
 
 // fragment returns what the value says, as parsed before if it is unchanged.
@@ -274,7 +279,7 @@
 	f.wantsPool = true
 	kind := slices.Index(kindNames[:], wire.Kind)
 	if kind < 0 {
-		document.Fault("kind", fmt.Sprintf("%q", wire.Kind), strings.Join(kindNames[:], ", "))
+		document.Fault("kind", document.Found("kind", fmt.Sprintf("%q", wire.Kind)), strings.Join(kindNames[:], ", "))
 	}
 	if kind == int(Stream) && wire.Model == "" {
 		document.Fault("model", "nothing", "the name of a model")
--- a/config/view_test.go
+++ b/config/view_test.go
@@ -36,6 +36,14 @@
 			`classes/draft:4:23: target.wait_ms: found -1; allowed: 0 (no target) to 3600000`,
 			`classes/draft:5:22: max_output_tokens: found 999999; allowed: 0 (the largest) to 131072`,
 		}},
+		"pool before another fault": {map[string]string{"classes/a": `{"kind": "read", "pool": "gone", "x": 1}`}, []string{
+			`classes/a:1:26: pool: found "gone"; allowed: the name of a published pool`,
+			`classes/a:1:34: x: found unknown field "x"; allowed: the fields kind, max_output_tokens, model, pool, target`,
+		}},
+		"no pool, no kind": {map[string]string{"classes/a": `{}`}, []string{
+			`classes/a:1:1: kind: found nothing; allowed: stream, read, charge`,
+			`classes/a:1:1: pool: found nothing; allowed: the name of a published pool`,
+		}},
 		"kind": {map[string]string{"classes/a": `{"kind": "batch", "pool": "shop"}`, "pools/shop": `{}`}, []string{
 			`classes/a:1:10: kind: found "batch"; allowed: stream, read, charge`,
 		}},
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -37,6 +37,9 @@
 		return
 	}
 	switch reader := target.Addr().Interface().(type) {
+	case *span:
+		*reader = span{v.StartOffset, v.EndOffset}
+		return
 	case json.Unmarshaler:
 		if err := reader.UnmarshalJSON(standard(v)); err != nil {
 			d.mismatch(v, path, describe(target.Type()))
--- a/jsonc/decode_test.go
+++ b/jsonc/decode_test.go
@@ -131,6 +131,17 @@
 	assert.Equal(t, d.Faults().Error(), "f:1:1: name: found nothing; allowed: a name\nf:5:9: on: found 1; allowed: true or false")
 }
 
+func TestMembers(t *testing.T) {
+	content := "{\n  \"a/b\": {\n    \"on\": 1}, // why\n  \"c\": [], \"c\": 1}"
+	parts, faults := jsonc.Members("f", []byte(content))
+	assert.Equal(t, faults.Error(), `f:4:12: c: found field "c" again; allowed: each field once`)
+	var into sample
+	assert.Equal(t, jsonc.Decode("f", parts["a/b"], &into).Error(), "f:3:11: on: found 1; allowed: true or false")
+	assert.Equal(t, strings.TrimSpace(string(parts["c"])), "[]")
+	_, faults = jsonc.Members("f", []byte("[]"))
+	assert.Equal(t, faults.Error(), "f:1:1: (document): found a list; allowed: an object")
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, seed := range []string{
 		``, `{}`, `{"name": "a", "name": "b"}`, `{"listen": {"peers": "10.0.0.1:1"}, "list": [{"tags": []}]}`,
--- a/jsonc/document.go
+++ b/jsonc/document.go
@@ -58,6 +58,35 @@
 	return d
 }
 
+// Members returns the members of the object in content as documents of their
+// own, by name. Blanks stand in each for what goes before it, so that its
+// faults have their place in content.
+func Members(file string, content []byte) (map[string][]byte, Faults) {
+	members := map[string]span{}
+	d := Read(file, content, &members)
+	parts := map[string][]byte{}
+	for name, at := range members {
+		part := blank(content[:at.end])
+		copy(part[at.start:], content[at.start:at.end])
+		parts[name] = part
+	}
+	return parts, d.Faults()
+}
+
+// span is where a value stands in its document.
+type span struct{ start, end int }
+
+// blank returns content with all but its line ends blanked out.
+func blank(content []byte) []byte {
+	blanks := bytes.Repeat([]byte(" "), len(content))
+	for i, b := range content {
+		if b == '\n' {
+			blanks[i] = b
+		}
+	}
+	return blanks
+}
+
 func invalidUTF8(content []byte) int {
 	for at := 0; at < len(content); {
 		r, size := utf8.DecodeRune(content[at:])
@@ -94,6 +123,15 @@
 	return ok
 }
 
+// Found returns shown for a value that the document holds, and says that any
+// other is missing, rather than show its zero value.
+func (d *Document) Found(path, shown string) string {
+	if d.Has(path) {
+		return shown
+	}
+	return "nothing"
+}
+
 // Position returns the line and column of the value at the path, such as
 // "listen.peers" or "keys[1].id". A value that is missing stands where the
 // nearest value around it begins.
--- a/jsonc/fields.go
+++ b/jsonc/fields.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"encoding"
 	"fmt"
 	"maps"
 	"reflect"
@@ -105,3 +106,29 @@
 	}
 	return row[len(b)]
 }
+
+// Paths returns the paths of all fields that Decode knows in the struct, the
+// elements of lists as "keys[]". The pages that list them are tested with it.
+func Paths(of any) []string {
+	return paths(reflect.New(reflect.TypeOf(of)).Elem(), root)
+}
+
+func paths(target reflect.Value, at string) []string {
+	switch target.Kind() {
+	case reflect.Slice:
+		return paths(reflect.New(target.Type().Elem()).Elem(), at+"[]")
+	case reflect.Struct:
+		if _, isText := target.Addr().Interface().(encoding.TextUnmarshaler); !isText {
+			break
+		}
+		return []string{at}
+	default:
+		return []string{at}
+	}
+	var all []string
+	for name, field := range fieldsOf(target) {
+		all = append(all, paths(field, join(at, name))...)
+	}
+	slices.Sort(all)
+	return all
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -59,6 +59,12 @@
 	if err != nil {
 		return Settings{}, err
 	}
+	return Parse(path, content)
+}
+
+// Parse is Load for content that was read already. Files that it names are
+// found from the directory of path.
+func Parse(path string, content []byte) (Settings, error) {
 	if len(content) > maxFileBytes {
 		return Settings{}, jsonc.Faults{{
 			File: path, Line: 1, Column: 1, Field: "(document)",
@@ -113,29 +119,21 @@
 
 func (c *checker) name(field, name string) {
 	if !validName.MatchString(name) {
-		c.Fault(field, c.found(field, fmt.Sprintf("%q", name)), allowedName)
-	}
-}
-
-// found says that a missing field is missing, rather than show its zero value.
-func (c *checker) found(field, value string) string {
-	if c.Has(field) {
-		return value
+		c.Fault(field, c.Found(field, fmt.Sprintf("%q", name)), allowedName)
 	}
-	return "nothing"
 }
 
 // listen checks an address to listen at, which may be unspecified.
 func (c *checker) listen(field string, addr netip.AddrPort) {
 	if !addr.IsValid() || addr.Port() == 0 || addr.Addr().IsMulticast() {
-		c.Fault(field, c.found(field, fmt.Sprintf("%q", addr)), allowedAddr+"; port 1 to 65535")
+		c.Fault(field, c.Found(field, fmt.Sprintf("%q", addr)), allowedAddr+"; port 1 to 65535")
 	}
 }
 
 // target checks an address that others connect to.
 func (c *checker) target(field string, addr netip.AddrPort) {
 	if !addr.IsValid() || addr.Port() == 0 || addr.Addr().IsMulticast() || addr.Addr().IsUnspecified() || addr.Addr().Zone() != "" {
-		c.Fault(field, c.found(field, fmt.Sprintf("%q", addr)), allowedTarget)
+		c.Fault(field, c.Found(field, fmt.Sprintf("%q", addr)), allowedTarget)
 	}
 }
 
@@ -172,14 +170,14 @@
 
 func (c *checker) keys(wires []keyWire) []ticket.Key {
 	if len(wires) == 0 {
-		c.Fault("keys", c.found("keys", "an empty list"), "at least one key")
+		c.Fault("keys", c.Found("keys", "an empty list"), "at least one key")
 	}
 	var keys []ticket.Key
 	seen := map[string]bool{}
 	for i, wire := range wires {
 		field := fmt.Sprintf("keys[%d].id", i)
 		if !validKeyID.MatchString(wire.ID) || seen[wire.ID] {
-			c.Fault(field, c.found(field, fmt.Sprintf("%q", wire.ID)), "1 to 63 letters, digits, '_' or '-', and another one for each key")
+			c.Fault(field, c.Found(field, fmt.Sprintf("%q", wire.ID)), "1 to 63 letters, digits, '_' or '-', and another one for each key")
 		}
 		seen[wire.ID] = true
 		keys = append(keys, ticket.Key{ID: wire.ID, Secret: c.secret(fmt.Sprintf("keys[%d].secret_file", i), wire.SecretFile)})
@@ -194,7 +192,7 @@
 // hold the secret itself by mistake.
 func (c *checker) secret(field, path string) []byte {
 	if path == "" {
-		c.Fault(field, c.found(field, "an empty path"), "the path of a file, from the directory of the settings file")
+		c.Fault(field, c.Found(field, "an empty path"), "the path of a file, from the directory of the settings file")
 		return nil
 	}
 	if !filepath.IsAbs(path) {
--- /dev/null
+++ b/settings/page_test.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/jsonc"
+	"mangoloft/ticket"
+)
+
+var row = regexp.MustCompile("(?m)^\\| `([a-z0-9_.\\[\\]]+)` \\|.*$")
+
+// TestPage holds docs/SETTINGS.md and the file's fields together, both ways,
+// and the defaults and ranges of numbers.
+func TestPage(t *testing.T) {
+	content, err := os.ReadFile("../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	_, text, _ := strings.Cut(string(content), "\n## Settings\n")
+	text, _, _ = strings.Cut(text, "\n## Configuration\n")
+	rows := map[string]string{}
+	var listed []string
+	for _, match := range row.FindAllStringSubmatch(text, -1) {
+		rows[match[1]] = match[0]
+		listed = append(listed, match[1])
+	}
+	slices.Sort(listed)
+	assert.DeepEqual(t, listed, jsonc.Paths(fileWire{}))
+	for field, numbers := range map[string][]int{
+		"limits.body_bytes":    {defaultBodyBytes, minBodyBytes, maxBodyBytes},
+		"limits.open_requests": {defaultOpenRequests, 1, maxOpenRequests},
+		"keys[].secret_file":   {ticket.MinSecretBytes, maxSecretBytes},
+	} {
+		for _, n := range numbers {
+			assert.Assert(t, strings.Contains(rows[field], fmt.Sprint(n)), "the row of %s does not hold %d", field, n)
+		}
+	}
+}
