check: settings, configurations and audit trails, and samples of the first two

Change: package check tells kinds of files apart by their content, reads a configuration from a directory or from one file of values by key, and keeps on after a file that can't be read. Tests check every sample, and every block of settings or configuration in the docs.

--- /dev/null
+++ b/check/check_test.go
@@ -0,0 +1,118 @@
+package check_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/audit"
+	"mangoloft/check"
+	"mangoloft/event"
+	"mangoloft/ident"
+)
+
+// run checks one file, or the content when the name is "-", and returns what
+// was written to both outputs.
+func run(t *testing.T, kind check.Kind, name, content string) (good bool, output string) {
+	t.Helper()
+	var out bytes.Buffer
+	checker := check.Checker{Kind: kind, In: strings.NewReader(content), Out: &out, Faults: &out}
+	good, err := checker.Files([]string{name})
+	assert.NilError(t, err)
+	return good, out.String()
+}
+
+func TestSamples(t *testing.T) {
+	for name, want := range map[string]string{
+		"settings.json": "good settings", "configuration": "good configuration", "whole.json": "good configuration",
+	} {
+		t.Run(name, func(t *testing.T) {
+			good, output := run(t, check.Detect, filepath.Join("../samples", name), "")
+			assert.Assert(t, good && strings.Contains(output, want), output)
+		})
+	}
+	entries, err := os.ReadDir("../samples")
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 4, "a sample is not checked here")
+}
+
+var codeBlock = regexp.MustCompile("(?ms)^```jsonc (\\w+)\n(.*?)^```$")
+
+// TestCodeBlocks checks every block of settings or configuration in the docs.
+func TestCodeBlocks(t *testing.T) {
+	pages, err := filepath.Glob("../docs/*.md")
+	assert.NilError(t, err)
+	blocks := 0
+	for _, page := range append(pages, "../README.md") {
+		content, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, block := range codeBlock.FindAllSubmatch(content, -1) {
+			blocks++
+			var kind check.Kind
+			assert.NilError(t, kind.UnmarshalText(block[1]))
+			// Settings name their secret from their own directory.
+			path := filepath.Join(t.TempDir(), "block.json")
+			assert.NilError(t, os.WriteFile(path, block[2], 0o600))
+			assert.NilError(t, os.WriteFile(filepath.Join(filepath.Dir(path), "secret"), bytes.Repeat([]byte("x"), 64), 0o600))
+			good, output := run(t, kind, path, "")
+			assert.Assert(t, good, "%s:\n%s\n%s", page, block[2], output)
+		}
+	}
+	assert.Assert(t, blocks >= 2, "the pages hold %d blocks", blocks)
+}
+
+func TestDetection(t *testing.T) {
+	var trail bytes.Buffer
+	writer := audit.NewTrail(&trail, "a", ident.Home{Incarnation: 1}, time.Now)
+	writer.Append(event.InstanceStarted, "", nil)
+	writer.Append(event.InstanceStopped, "", nil)
+	assert.Assert(t, writer.Close(time.Now().Add(30*time.Second)))
+	for name, c := range map[string]struct {
+		kind    check.Kind
+		content string
+		good    bool
+		want    string
+	}{
+		"trail":                        {check.Detect, trail.String(), true, "standard input: a whole trail\na, incarnation 1: 2 records"},
+		"edited trail":                 {check.Detect, strings.Replace(trail.String(), "101", "102", 1), false, "line 1: edited"},
+		"trail by name":                {check.Trail, "{}\n", false, "line 1: malformed"},
+		"configuration":                {check.Detect, "// why\n{\"pools/p\": {}}", true, "good configuration with 1 values"},
+		"faulty configuration":         {check.Detect, "{\"pools/p\": {},\n\"classes/c\": {\"kind\": 1}}", false, `standard input:2:23: ["classes/c"].kind: found 1`},
+		"key twice":                    {check.Configuration, `{"pools/p": {}, "pools/p": {}}`, false, `found field "pools/p" again`},
+		"configuration by name":        {check.Configuration, `{"instance": {}}`, false, "classes/, pools/ or teams/ and a name"},
+		"settings":                     {check.Detect, `{"instance": "a b"}`, false, "standard input:1:14: instance: found \"a b\""},
+		"settings by name":             {check.Settings, `{"pools/p": {}}`, false, `unknown field "pools/p"`},
+		"empty":                        {check.Detect, ``, false, "unexpected EOF"},
+		"configuration that ends late": {check.Detect, `{"pools/p": {}} {}`, false, "after top-level value"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			good, output := run(t, c.kind, check.Standard, c.content)
+			assert.Equal(t, good, c.good, output)
+			assert.Assert(t, strings.Contains(output, c.want), output)
+		})
+	}
+}
+
+func TestDirectoryFaultsNameTheirFile(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.MkdirAll(filepath.Join(dir, "classes"), 0o700))
+	path := filepath.Join(dir, "classes", "draft.json")
+	assert.NilError(t, os.WriteFile(path, []byte("{\n\"kind\": \"batch\"}"), 0o600))
+	good, output := run(t, check.Detect, dir, "")
+	assert.Assert(t, !good)
+	assert.Assert(t, strings.Contains(output, path+":2:9: kind: found \"batch\""), output)
+}
+
+func TestUnreadableFilesDoNotHideFaults(t *testing.T) {
+	var out bytes.Buffer
+	checker := check.Checker{In: strings.NewReader("{}"), Out: &out, Faults: &out}
+	good, err := checker.Files([]string{"none", check.Standard})
+	assert.ErrorContains(t, err, "none")
+	assert.Assert(t, !good && strings.Contains(out.String(), "instance: found nothing"), out.String())
+}
