Metrics by expvar, with their page

Change: counts of requests by verdict and reason and of tokens relayed, and values of readiness, configuration, peers, upstreams, the control goroutine's backlog, and records and events dropped.

--- a/caller/generation.go
+++ b/caller/generation.go
@@ -10,6 +10,7 @@
 	"mangoloft/config"
 	"mangoloft/control"
 	"mangoloft/decide"
+	"mangoloft/metrics"
 	"mangoloft/relay"
 	"mangoloft/ticket"
 	"mangoloft/verdict"
@@ -133,6 +134,7 @@
 		g.x.record.FirstAt = time.Now()
 	}
 	g.x.record.Tokens++
+	metrics.TokensRelayed.Add(1)
 	return nil
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -13,6 +13,7 @@
 	"mangoloft/event"
 	"mangoloft/ident"
 	"mangoloft/kernel"
+	"mangoloft/metrics"
 	"mangoloft/verdict"
 )
 
@@ -63,6 +64,7 @@
 		outcome := verdict.Of(err)
 		x.record.Verdict, x.record.Reason, x.record.Detail = outcome.Verdict, outcome.Reason, outcome.Detail
 		x.record.EndedAt = time.Now()
+		metrics.RequestEnded(outcome)
 		s.rt.Trail.Append(event.RequestEnded, x.record.ID, x.record)
 		if err != nil && !c.Response().Committed {
 			return x.fail(outcome)
--- a/kernel/runtime.go
+++ b/kernel/runtime.go
@@ -57,6 +57,9 @@
 // Snapshot returns the latest published control state.
 func (rt *Runtime) Snapshot() *control.Snapshot { return rt.snapshot.Load() }
 
+// Backlog returns how many events wait for the control goroutine.
+func (rt *Runtime) Backlog() int { return len(rt.events) }
+
 // NewRequest returns a request id of this incarnation.
 func (rt *Runtime) NewRequest() ident.Request {
 	return ident.Request{Home: rt.Home, Sequence: rt.sequence.Add(1)}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,109 @@
+// Package metrics holds the figures that an instance shows by expvar.
+// docs/METRICS.md explains each to the people on call.
+package metrics
+
+import (
+	"expvar"
+	"sync"
+
+	"mangoloft/control"
+	"mangoloft/verdict"
+)
+
+// The names of all figures.
+const (
+	requestsEnded       = "requests_ended"
+	tokensRelayed       = "tokens_relayed"
+	openRequests        = "open_requests"
+	ready               = "ready"
+	configVersion       = "config_version"
+	peersAlive          = "peers_alive"
+	peersListed         = "peers_listed"
+	upstreamsLive       = "upstreams_live"
+	upstreamsLeaving    = "upstreams_leaving"
+	controlBacklog      = "control_backlog"
+	auditRecordsDropped = "audit_records_dropped"
+	logEventsDropped    = "log_events_dropped"
+)
+
+// Names returns the names of all figures.
+func Names() []string {
+	return []string{
+		requestsEnded, tokensRelayed, openRequests, ready, configVersion, peersAlive, peersListed,
+		upstreamsLive, upstreamsLeaving, controlBacklog, auditRecordsDropped, logEventsDropped,
+	}
+}
+
+var (
+	requests = expvar.NewMap(requestsEnded)
+	// TokensRelayed counts the tokens that were passed on to readers.
+	TokensRelayed = expvar.NewInt(tokensRelayed)
+)
+
+// RequestEnded counts a request by its verdict and reason.
+func RequestEnded(o verdict.Outcome) {
+	requests.Add(o.Verdict.String()+"."+o.Reason.String(), 1)
+}
+
+// Source is what an instance knows of itself at any moment.
+type Source struct {
+	Snapshot     func() *control.Snapshot
+	OpenRequests func() int
+	// ControlBacklog is how many events wait for the control goroutine.
+	ControlBacklog                        func() int
+	AuditRecordsDropped, LogEventsDropped func() uint64
+}
+
+var (
+	mu        sync.Mutex
+	source    Source
+	published bool
+)
+
+// Publish shows the figures of the source, in place of any earlier one's.
+func Publish(s Source) {
+	mu.Lock()
+	defer mu.Unlock()
+	source = s
+	if published {
+		return
+	}
+	published = true
+	for name, read := range map[string]func(Source) any{
+		openRequests:        func(s Source) any { return s.OpenRequests() },
+		controlBacklog:      func(s Source) any { return s.ControlBacklog() },
+		auditRecordsDropped: func(s Source) any { return s.AuditRecordsDropped() },
+		logEventsDropped:    func(s Source) any { return s.LogEventsDropped() },
+		ready:               func(s Source) any { return s.Snapshot().Ready },
+		configVersion:       func(s Source) any { return versionOf(s.Snapshot()) },
+		peersAlive:          func(s Source) any { return len(s.Snapshot().Peers) },
+		peersListed:         func(s Source) any { return len(s.Snapshot().Listed) },
+		upstreamsLive:       func(s Source) any { return countUpstreams(s.Snapshot(), false) },
+		upstreamsLeaving:    func(s Source) any { return countUpstreams(s.Snapshot(), true) },
+	} {
+		expvar.Publish(name, expvar.Func(func() any { return read(current()) }))
+	}
+}
+
+func current() Source {
+	mu.Lock()
+	defer mu.Unlock()
+	return source
+}
+
+func versionOf(s *control.Snapshot) uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
+func countUpstreams(s *control.Snapshot, leaving bool) int {
+	count := 0
+	for _, u := range s.Upstreams {
+		if u.Leaving == leaving {
+			count++
+		}
+	}
+	return count
+}
