Callers' listener: an address in use ends the instance

Cause: serve waited for a goroutine that waited for the instance's end, so an instance that could not listen neither served nor ended. Change: the goroutine ends with serve.

--- a/caller/plugin.go
+++ b/caller/plugin.go
@@ -81,6 +81,9 @@
 	}
 	var group sync.WaitGroup
 	defer group.Wait()
+	// A server that can't listen ends the other goroutine too.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group.Go(func() {
 		<-ctx.Done()
 		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
