Command line: readable answers, JSON on request, exit codes, clear errors

Cause: status and explain printed raw JSON, every error gave exit code 1, a malformed id went to the instance, and go-arg's own errors were the only help. Two faults showed once the built program was tested: an instance whose operators' port was taken hung for good, and one whose standard output lost its reader was killed by SIGPIPE. Seen to fail: without ending the goroutine, the busy port case waits until its limit; without ignoring SIGPIPE, the case of the closed output fails.

--- a/cmd/mangoloft/main.go
+++ b/cmd/mangoloft/main.go
@@ -3,52 +3,67 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
-	"time"
 
 	"github.com/alexflint/go-arg"
-	"github.com/joomcode/errorx"
 
 	_ "mangoloft/caller"
 	_ "mangoloft/charge"
+	"mangoloft/check"
 	_ "mangoloft/engine"
+	"mangoloft/ident"
 	"mangoloft/kernel"
-	_ "mangoloft/operator"
+	"mangoloft/operator"
 	_ "mangoloft/peer"
 	_ "mangoloft/platform"
 	_ "mangoloft/service"
 	"mangoloft/settings"
 )
 
+// The exit codes.
+const (
+	exitDone = 0
+	// exitNo is for faults found, a request without a record, and an instance
+	// that ended by a failure.
+	exitNo = 1
+	// exitUnable is for a command that could not do its work.
+	exitUnable = 2
+)
+
 type serveCommand struct {
-	Settings string `arg:"required" help:"the settings file"`
+	Settings string `arg:"required" help:"the settings file; see docs/SETTINGS.md"`
 }
 
 type checkCommand struct {
-	File string `arg:"positional,required" help:"a settings file"`
+	Files []string   `arg:"positional,required" placeholder:"FILE" help:"settings, a configuration (a directory of values, or one file with an object of values by key), or a stream of audit records; - is standard input"`
+	Kind  check.Kind `arg:"--kind" default:"detect" help:"settings, configuration or trail; the content tells unless given"`
 }
 
 type explainCommand struct {
-	Operators netip.AddrPort `arg:"required" help:"the operators' address of any instance"`
-	RequestID string         `arg:"positional,required" help:"the request's id, from X-Request-Id"`
+	Operators netip.AddrPort `arg:"required" help:"the address for operators of any instance, such as 10.0.0.1:9090"`
+	JSON      bool           `arg:"--json" help:"show the audit records as JSON"`
+	RequestID string         `arg:"positional,required" placeholder:"REQUEST_ID" help:"the request's id, from X-Request-Id"`
 }
 
 type statusCommand struct {
-	Operators netip.AddrPort `arg:"required" help:"the operators' address of the instance"`
+	Operators netip.AddrPort `arg:"required" help:"the address for operators of the instance, such as 10.0.0.1:9090"`
+	JSON      bool           `arg:"--json" help:"show the status as JSON"`
 }
 
 type versionCommand struct{}
 
 type arguments struct {
-	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry instance until SIGTERM or SIGINT"`
-	Check   *checkCommand   `arg:"subcommand:check" help:"check a file and report every fault"`
+	Serve   *serveCommand   `arg:"subcommand:serve" help:"run an entry instance until SIGTERM or SIGINT, which begin its planned stop"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check files and report every fault"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"tell why a request ended as it did"`
 	Status  *statusCommand  `arg:"subcommand:status" help:"show an instance's state"`
 	Version *versionCommand `arg:"subcommand:version" help:"show the version"`
@@ -59,8 +74,12 @@
 	return "mangoloft serves generations of unknown length on crowded engines."
 }
 
-// askLimit bounds a question to an instance.
-const askLimit = 5 * time.Second
+// Epilogue implements arg.Epilogued.
+func (arguments) Epilogue() string {
+	return `Exit codes: 0 done; 1 faults found, no record of the request, or an instance
+that ended by a failure; 2 wrong usage, a file that can't be read, settings that
+can't be used, or an instance that doesn't answer.`
+}
 
 func main() {
 	var args arguments
@@ -68,59 +87,98 @@
 	if parser.Subcommand() == nil {
 		parser.Fail("name a command: serve, check, explain, status or version")
 	}
-	if err := run(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	os.Exit(run(args))
 }
 
-func run(args arguments) error {
+func run(args arguments) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	switch {
 	case args.Serve != nil:
-		s, err := settings.Load(args.Serve.Settings)
-		if err != nil {
-			return err
-		}
-		return kernel.Run(ctx, s, os.Stdout, os.Stderr)
+		return serve(ctx, *args.Serve)
 	case args.Check != nil:
-		_, err := settings.Load(args.Check.File)
-		return err
+		return checkFiles(*args.Check)
 	case args.Explain != nil:
-		return ask(ctx, args.Explain.Operators, "/requests/"+args.Explain.RequestID)
+		return explain(ctx, *args.Explain)
 	case args.Status != nil:
-		return ask(ctx, args.Status.Operators, "/status")
-	default:
-		fmt.Println("mangoloft", version())
-		return nil
+		client := operator.Client{Addr: args.Status.Operators}
+		content, err := client.Status(ctx)
+		return show(content, err, args.Status.JSON, operator.WriteStatus)
 	}
+	fmt.Println("mangoloft", version())
+	return exitDone
 }
 
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
+func serve(ctx context.Context, command serveCommand) int {
+	s, err := settings.Load(command.Settings)
+	if err != nil {
+		return fail(err, exitUnable)
+	}
+	// A pipe that nobody reads any more must not end the instance.
+	signal.Ignore(syscall.SIGPIPE)
+	if err := kernel.Run(ctx, s, os.Stdout, os.Stderr); err != nil {
+		return fail(err, exitNo)
+	}
+	return exitDone
+}
+
+func checkFiles(command checkCommand) int {
+	checker := check.Checker{Kind: command.Kind, In: os.Stdin, Out: os.Stdout, Faults: os.Stderr}
+	good, err := checker.Files(command.Files)
+	switch {
+	case err != nil:
+		return fail(err, exitUnable)
+	case !good:
+		return exitNo
 	}
-	return "unknown"
+	return exitDone
 }
 
-// ask prints an instance's answer.
-func ask(ctx context.Context, addr netip.AddrPort, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
+func explain(ctx context.Context, command explainCommand) int {
+	id, err := ident.ParseRequest(command.RequestID)
 	if err != nil {
-		return err
+		fmt.Fprintf(os.Stderr, "%q is no request id; an answer's X-Request-Id holds one, such as r-fwAAARtY...\n", command.RequestID)
+		return exitUnable
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := operator.Client{Addr: command.Operators}
+	content, err := client.Explain(ctx, id)
+	return show(content, err, command.JSON, operator.WriteExplanation)
+}
+
+// show prints an instance's answer, for people or as JSON.
+func show(content json.RawMessage, err error, asJSON bool, write func(io.Writer, json.RawMessage) error) int {
 	if err != nil {
-		return err
+		if operator.IsRefusal(err) {
+			return fail(err, exitNo)
+		}
+		return fail(err, exitUnable)
+	}
+	if asJSON {
+		fmt.Println(strings.TrimSpace(string(content)))
+		return exitDone
+	}
+	if err := write(os.Stdout, content); err != nil {
+		return fail(err, exitUnable)
+	}
+	return exitDone
+}
+
+func fail(err error, code int) int {
+	fmt.Fprintln(os.Stderr, err)
+	return code
+}
+
+// version tells what was built, from what, by what and for what.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		content, _ := io.ReadAll(response.Body)
-		return errorx.ExternalError.New("%s: %s", response.Status, content)
+	text := info.Main.Version
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			text += " revision " + setting.Value
+		}
 	}
-	_, err = io.Copy(os.Stdout, response.Body)
-	return err
+	return fmt.Sprintf("%s %s %s/%s", text, runtime.Version(), runtime.GOOS, runtime.GOARCH)
 }
--- /dev/null
+++ b/cmd/mangoloft/main_test.go
@@ -0,0 +1,264 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/bench"
+)
+
+// bin is where the programs are built, once for all tests.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mangoloft-bin-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	command := exec.Command("go", "build", "-o", dir, "mangoloft/cmd/mangoloft", "mangoloft/cmd/standin")
+	if output, err := command.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", output, err)
+		return 1
+	}
+	bin = dir
+	return m.Run()
+}
+
+// result is how one run of the program ended.
+type result struct {
+	code           int
+	stdout, stderr string
+}
+
+// mangoloft runs the program to its end.
+func mangoloft(t *testing.T, stdin string, args ...string) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	command := exec.CommandContext(ctx, filepath.Join(bin, "mangoloft"), args...)
+	var stdout, stderr bytes.Buffer
+	command.Stdin, command.Stdout, command.Stderr = strings.NewReader(stdin), &stdout, &stderr
+	err := command.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return result{command.ProcessState.ExitCode(), stdout.String(), stderr.String()}
+}
+
+// expect runs the program and holds its exit code and a part of what it
+// printed against those wanted.
+func expect(t *testing.T, code int, part string, args ...string) string {
+	t.Helper()
+	r := mangoloft(t, "", args...)
+	output := r.stdout + r.stderr
+	assert.Equal(t, r.code, code, output)
+	assert.Assert(t, strings.Contains(output, part), "%q is not in:\n%s", part, output)
+	return output
+}
+
+func TestUsage(t *testing.T) {
+	// Nothing listens at the address of a listener that was closed.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := listener.Addr().String()
+	listener.Close()
+	id := "r-fwAAARtYAAAAAAAAAAEAAAAAAAAAAQ"
+	for name, c := range map[string]struct {
+		code int
+		part string
+		args []string
+	}{
+		"help":                 {0, "Exit codes: 0 done", []string{"--help"}},
+		"help of a command":    {0, "--settings SETTINGS", []string{"serve", "--help"}},
+		"help of check":        {0, "--kind KIND", []string{"check", "--help"}},
+		"version":              {0, "mangoloft ", []string{"version"}},
+		"no command":           {2, "name a command", nil},
+		"unknown command":      {2, "invalid subcommand: frob", []string{"frob"}},
+		"unknown option":       {2, "unknown argument --frob", []string{"status", "--frob"}},
+		"no settings":          {2, "SETTINGS is required", []string{"serve"}},
+		"settings missing":     {2, "no such file", []string{"serve", "--settings", "none.json"}},
+		"faulty settings":      {2, "whole.json:4:2: [\"classes/voyage_briefing\"]: found unknown field", []string{"serve", "--settings", "../../samples/whole.json"}},
+		"check nothing":        {2, "FILE is required", []string{"check"}},
+		"check a missing file": {2, "no such file", []string{"check", "none.json"}},
+		"check samples":        {0, "a good configuration", []string{"check", "../../samples/settings.json", "../../samples/configuration"}},
+		"check finds faults":   {1, "unknown field", []string{"check", "--kind", "settings", "../../samples/whole.json"}},
+		"unknown kind":         {2, "the kind is", []string{"check", "--kind", "x", "y"}},
+		"malformed id":         {2, "\"r-1\" is no request id", []string{"explain", "--operators", closed, "r-1"}},
+		"malformed address":    {2, "--operators", []string{"status", "--operators", "localhost"}},
+		"unreachable status":   {2, "no answer from " + closed, []string{"status", "--operators", closed}},
+		"unreachable explain":  {2, "no answer from " + closed, []string{"explain", "--operators", closed, id}},
+	} {
+		t.Run(name, func(t *testing.T) { expect(t, c.code, c.part, c.args...) })
+	}
+}
+
+func TestCheckStandardInput(t *testing.T) {
+	r := mangoloft(t, `{"pools/p": {"x": 1}}`, "check", "-")
+	assert.Equal(t, r.code, 1)
+	assert.Equal(t, r.stderr, "standard input:1:14: [\"pools/p\"].x: found unknown field \"x\"; allowed: the fields checks_fencing\n")
+}
+
+// TestBusyPort holds that an instance which can't listen ends, and says why.
+func TestBusyPort(t *testing.T) {
+	for _, busy := range []string{"callers", "peers", "operators"} {
+		t.Run(busy, func(t *testing.T) {
+			addrs := map[string]string{}
+			for _, name := range []string{"callers", "peers", "operators"} {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				addrs[name] = listener.Addr().String()
+				if name != busy {
+					listener.Close()
+				}
+				defer listener.Close()
+			}
+			dir := t.TempDir()
+			settings := fmt.Sprintf(`{
+				"instance": "e", "data_centre": "dc1", "listen": {"callers": %q, "peers": %q, "operators": %q},
+				"platform": {"configuration": "127.0.0.1:1", "instance_list": "127.0.0.1:1"}, "keys": [{"id": "k", "secret_file": "key"}],
+			}`, addrs["callers"], addrs["peers"], addrs["operators"])
+			path := filepath.Join(dir, "settings.json")
+			assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
+			assert.NilError(t, os.WriteFile(filepath.Join(dir, "key"), bytes.Repeat([]byte("k"), 32), 0o600))
+			expect(t, 1, "listen tcp "+addrs[busy], "serve", "--settings", path)
+		})
+	}
+}
+
+// TestFleet looks at a running fleet by the command line.
+func TestFleet(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	plan := bench.Plan{Bin: bin, Dir: t.TempDir(), DataCentres: 1, Entries: 2, Engines: 1, Services: 1, Step: time.Millisecond}
+	fleet, err := bench.Start(ctx, plan)
+	defer fleet.Close()
+	assert.NilError(t, err)
+	first, second := fleet.Entries[0], fleet.Entries[1]
+	operators := first.Operators.String()
+	waitReady(ctx, t, fleet, first.Operators)
+
+	t.Run("status", func(t *testing.T) {
+		expect(t, 0, "peers alive    1: "+second.Name, "status", "--operators", operators)
+		var status struct {
+			Instance string `json:"instance"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(expect(t, 0, "{", "status", "--json", "--operators", operators)), &status))
+		assert.Equal(t, status.Instance, first.Name)
+	})
+	r := &bench.Reader{Credential: bench.Credential}
+	assert.NilError(t, r.Begin(ctx, http.DefaultClient, first.Addr, bench.DraftClass, "output_tokens=20"))
+	assert.Assert(t, r.Done, r.Failure)
+	t.Run("explain", func(t *testing.T) {
+		// Any instance can be asked, also one that is not the request's home.
+		expect(t, 0, "request "+r.RequestID+": ran, completed", "explain", "--operators", second.Operators.String(), r.RequestID)
+		expect(t, 0, "20 tokens delivered", "explain", "--operators", operators, r.RequestID)
+		expect(t, 0, `"reason":"completed"`, "explain", "--json", "--operators", operators, r.RequestID)
+		expect(t, 1, "no record of it", "explain", "--operators", operators, r.RequestID[:len(r.RequestID)-4]+"AAAA")
+	})
+	t.Run("metrics", func(t *testing.T) {
+		content, err := fleet.Get(ctx, "http://"+operators+"/debug/vars")
+		assert.NilError(t, err)
+		var figures struct {
+			Requests map[string]int `json:"requests_ended"`
+			Tokens   int            `json:"tokens_relayed"`
+		}
+		assert.NilError(t, json.Unmarshal(content, &figures))
+		assert.Equal(t, figures.Requests["ran.completed"], 1)
+		assert.Equal(t, figures.Tokens, 20)
+	})
+	t.Run("trail", func(t *testing.T) {
+		assert.NilError(t, first.Stop(ctx))
+		path := filepath.Join(plan.Dir, first.Name+".trail")
+		output := expect(t, 0, "a whole trail", "check", path)
+		assert.Assert(t, !strings.Contains(output, "has no end"), output)
+		content, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		edited := strings.Replace(string(content), `"team":"reef"`, `"team":"leaf"`, 1)
+		tampered := mangoloft(t, edited, "check", "-")
+		assert.Equal(t, tampered.code, 1)
+		assert.Assert(t, strings.Contains(tampered.stderr, ": edited: "+first.Name), tampered.stderr)
+		checkFields(t, content)
+	})
+	t.Run("closed output", func(t *testing.T) { serveWithoutReader(ctx, t, fleet, second, plan.Dir) })
+}
+
+// checkFields holds the records of a trail against their entries in
+// docs/EVENTS.md, which must name every field.
+func checkFields(t *testing.T, trail []byte) {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/EVENTS.md")
+	assert.NilError(t, err)
+	for line := range strings.Lines(string(trail)) {
+		var wire struct {
+			Event  int                        `json:"event"`
+			Name   string                     `json:"name"`
+			Record map[string]json.RawMessage `json:"record"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &wire))
+		_, entry, found := strings.Cut(string(page), fmt.Sprintf("### %d %s\n", wire.Event, wire.Name))
+		assert.Assert(t, found, line)
+		entry, _, _ = strings.Cut(entry, "\n### ")
+		for field := range wire.Record {
+			assert.Assert(t, strings.Contains(entry, "`"+field+"`"), "the entry of %s does not name %s", wire.Name, field)
+		}
+	}
+}
+
+// serveWithoutReader starts an instance in place of p, whose standard output
+// and error are pipes that nobody reads any more, and holds that it serves.
+func serveWithoutReader(ctx context.Context, t *testing.T, fleet *bench.Fleet, p *bench.Process, dir string) {
+	t.Helper()
+	p.Kill()
+	command := exec.CommandContext(ctx, filepath.Join(bin, "mangoloft"), "serve", "--settings", filepath.Join(dir, p.Name+".json"))
+	for _, output := range []*io.Writer{&command.Stdout, &command.Stderr} {
+		reader, writer, err := os.Pipe()
+		assert.NilError(t, err)
+		reader.Close()
+		defer writer.Close()
+		*output = writer
+	}
+	assert.NilError(t, command.Start())
+	defer func() { _ = command.Process.Kill() }()
+	waitReady(ctx, t, fleet, p.Operators)
+	r := &bench.Reader{Credential: bench.Credential}
+	assert.NilError(t, r.Begin(ctx, http.DefaultClient, p.Addr, bench.DraftClass, "output_tokens=20"))
+	assert.Assert(t, r.Done && len(r.Texts) == 20, r.Failure)
+	assert.NilError(t, command.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, command.Wait())
+}
+
+// waitReady waits until the instance takes requests and knows upstreams.
+func waitReady(ctx context.Context, t *testing.T, fleet *bench.Fleet, operators netip.AddrPort) {
+	t.Helper()
+	for {
+		content, err := fleet.Get(ctx, "http://"+operators.String()+"/status")
+		if err == nil && bytes.Contains(content, []byte(`"ready":true`)) && bytes.Contains(content, []byte(`"upstreams":[{`)) {
+			return
+		}
+		assert.NilError(t, ctx.Err(), "the instance is not ready")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/ident"
+)
+
+const (
+	// askLimit bounds a question to an instance.
+	askLimit = 5 * time.Second
+	// maxAnswerBytes bounds its answer.
+	maxAnswerBytes = 64 << 20
+)
+
+var (
+	namespace = errorx.NewNamespace("operator")
+	// unreachable is an instance that gives no answer, refused one that
+	// answers no.
+	unreachable = namespace.NewType("unreachable")
+	refused     = namespace.NewType("refused")
+)
+
+// IsRefusal reports whether the error is an instance's answer, rather than the
+// lack of one.
+func IsRefusal(err error) bool { return errorx.IsOfType(err, refused) }
+
+// Client asks one instance.
+type Client struct {
+	// Addr is the instance's address for operators.
+	Addr netip.AddrPort
+}
+
+// Status returns the instance's status as JSON.
+func (c Client) Status(ctx context.Context) (json.RawMessage, error) {
+	return c.get(ctx, "/status")
+}
+
+// Explain returns the audit records of a request as JSON.
+func (c Client) Explain(ctx context.Context, id ident.Request) (json.RawMessage, error) {
+	return c.get(ctx, "/requests/"+id.String())
+}
+
+func (c Client) get(ctx context.Context, path string) (json.RawMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, unreachable.New("no answer from %s, which should be an instance's listen.operators: %v", c.Addr, err)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, unreachable.New("the answer of %s broke off: %v", c.Addr, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, refused.New("%s answers: %s", c.Addr, messageOf(response, content))
+	}
+	if !json.Valid(content) {
+		return nil, refused.New("%s does not answer as an instance does to its operators", c.Addr)
+	}
+	return content, nil
+}
+
+// messageWire is the body of an answer that is not a success.
+type messageWire struct {
+	Message string `json:"message"`
+}
+
+func messageOf(response *http.Response, content []byte) string {
+	var wire messageWire
+	if json.Unmarshal(content, &wire) == nil && wire.Message != "" {
+		return wire.Message
+	}
+	return response.Status
+}
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -14,8 +14,10 @@
 	"github.com/joomcode/errorx"
 	"github.com/labstack/echo/v4"
 
+	"mangoloft/audit"
 	"mangoloft/ident"
 	"mangoloft/kernel"
+	"mangoloft/metrics"
 )
 
 const (
@@ -42,6 +44,10 @@
 	if !ok {
 		return nil, errorx.IllegalState.New("no plug-in explains requests")
 	}
+	metrics.Publish(metrics.Source{
+		Snapshot: rt.Snapshot, OpenRequests: rt.Work.Open, ControlBacklog: rt.Backlog,
+		AuditRecordsDropped: rt.Trail.Dropped, LogEventsDropped: rt.Log.Dropped,
+	})
 	s := &server{rt, explainer}
 	return []kernel.Actor{{Name: "operators", Run: s.serve}}, nil
 }
@@ -54,6 +60,9 @@
 	server := &http.Server{Addr: s.rt.Settings.Listen.Operators.String(), Handler: e, ReadHeaderTimeout: headerLimit}
 	var group sync.WaitGroup
 	defer group.Wait()
+	// A server that can't listen ends the other goroutine too.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	group.Go(func() {
 		<-ctx.Done()
 		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
@@ -78,10 +87,17 @@
 	ConfigVersion uint64         `json:"config_version"`
 	ConfigDigest  string         `json:"config_digest"`
 	OpenRequests  int            `json:"open_requests"`
+	Audit         auditWire      `json:"audit"`
 	Peers         []string       `json:"peers"`
 	Upstreams     []upstreamWire `json:"upstreams"`
 }
 
+// auditWire is the end of the instance's trail, worth keeping elsewhere.
+type auditWire struct {
+	audit.Head
+	Dropped uint64 `json:"dropped"`
+}
+
 type upstreamWire struct {
 	Name       string `json:"name"`
 	Pool       string `json:"pool"`
@@ -94,6 +110,7 @@
 	wire := statusWire{
 		Instance: s.rt.Settings.Instance, DataCentre: s.rt.Settings.DataCentre, Incarnation: s.rt.Home.Incarnation.String(),
 		Ready: snapshot.Ready, Stopping: snapshot.Stopping, OpenRequests: s.rt.Work.Open(),
+		Audit: auditWire{s.rt.Trail.Head(), s.rt.Trail.Dropped()},
 		Peers: []string{}, Upstreams: []upstreamWire{},
 	}
 	if snapshot.Config != nil {
--- /dev/null
+++ b/operator/text.go
@@ -0,0 +1,149 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"mangoloft/event"
+)
+
+// cellPadding is the space between two columns.
+const cellPadding = 2
+
+// WriteStatus writes a status as a table for people.
+func WriteStatus(w io.Writer, content json.RawMessage) error {
+	var wire statusWire
+	if err := json.Unmarshal(content, &wire); err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(w, 0, 0, cellPadding, ' ', 0)
+	fmt.Fprintf(table, "instance\t%s in %s, incarnation %s\n", wire.Instance, wire.DataCentre, wire.Incarnation)
+	fmt.Fprintf(table, "state\t%s\n", stateOf(wire))
+	fmt.Fprintf(table, "configuration\t%s\n", configurationOf(wire))
+	fmt.Fprintf(table, "open requests\t%d\n", wire.OpenRequests)
+	fmt.Fprintf(table, "audit trail\t%d records, %d dropped, last hash %s\n", wire.Audit.Sequence, wire.Audit.Dropped, wire.Audit.Hash)
+	fmt.Fprintf(table, "peers alive\t%d: %s\n", len(wire.Peers), strings.Join(wire.Peers, ", "))
+	fmt.Fprintf(table, "upstreams\t%d\n", len(wire.Upstreams))
+	if len(wire.Upstreams) > 0 {
+		fmt.Fprintln(table, "\nUPSTREAM\tPOOL\tDATA CENTRE\tSTATE")
+	}
+	for _, u := range wire.Upstreams {
+		state := "live"
+		if u.Leaving {
+			state = "leaving"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", u.Name, u.Pool, u.DataCentre, state)
+	}
+	return table.Flush()
+}
+
+func stateOf(wire statusWire) string {
+	switch {
+	case wire.Stopping:
+		return "stopping"
+	case wire.Ready:
+		return "ready"
+	}
+	return "not ready"
+}
+
+func configurationOf(wire statusWire) string {
+	if wire.ConfigVersion == 0 {
+		return "none yet"
+	}
+	return fmt.Sprintf("version %d, digest %s", wire.ConfigVersion, wire.ConfigDigest)
+}
+
+// explainedWire is an audit record as far as explanations show it. What else a
+// record holds is shown as it stands.
+type explainedWire struct {
+	Event    event.ID        `json:"event"`
+	Name     string          `json:"name"`
+	Instance string          `json:"instance"`
+	Time     time.Time       `json:"time"`
+	Record   json.RawMessage `json:"record"`
+}
+
+// endedWire is the record of a request that ended.
+type endedWire struct {
+	ID         string    `json:"id"`
+	Team       string    `json:"team"`
+	Class      string    `json:"class"`
+	Route      string    `json:"route"`
+	Verdict    string    `json:"verdict"`
+	Reason     string    `json:"reason"`
+	Detail     string    `json:"detail"`
+	Upstream   string    `json:"upstream"`
+	Generation string    `json:"generation"`
+	Tokens     int       `json:"tokens"`
+	FirstIndex int       `json:"first_index"`
+	Steps      []string  `json:"steps"`
+	ArrivedAt  time.Time `json:"arrived_at"`
+	FirstAt    time.Time `json:"first_token_at"`
+	EndedAt    time.Time `json:"ended_at"`
+}
+
+// WriteExplanation writes the audit records of a request for people: a line
+// for each step, with times since the request came.
+func WriteExplanation(w io.Writer, content json.RawMessage) error {
+	var records []explainedWire
+	if err := json.Unmarshal(content, &records); err != nil {
+		return err
+	}
+	var text strings.Builder
+	var start time.Time
+	for _, r := range records {
+		var ended endedWire
+		if r.Event == event.RequestEnded && json.Unmarshal(r.Record, &ended) == nil {
+			start = ended.ArrivedAt
+			writeEnded(&text, r, ended)
+		}
+	}
+	for _, r := range records {
+		if r.Event != event.RequestEnded {
+			fmt.Fprintf(&text, "  %s  %s: %s\n", since(start, r.Time), r.Name, r.Record)
+		}
+	}
+	_, err := io.WriteString(w, text.String())
+	return err
+}
+
+func writeEnded(text *strings.Builder, r explainedWire, e endedWire) {
+	fmt.Fprintf(text, "request %s: %s, %s\n", e.ID, e.Verdict, e.Reason)
+	fmt.Fprintf(text, "  %s for class %s of team %s, at %s on %s\n",
+		e.Route, orNone(e.Class), orNone(e.Team), r.Instance, e.ArrivedAt.UTC().Format("2006-01-02 15:04:05.000 MST"))
+	fmt.Fprintf(text, "  %s  came\n", since(e.ArrivedAt, e.ArrivedAt))
+	for _, step := range e.Steps {
+		fmt.Fprintf(text, "  %s  %s\n", blankTime, step)
+	}
+	if !e.FirstAt.IsZero() {
+		fmt.Fprintf(text, "  %s  first token, number %d of generation %s at %s\n", since(e.ArrivedAt, e.FirstAt), e.FirstIndex, e.Generation, e.Upstream)
+	}
+	fmt.Fprintf(text, "  %s  ended: %s, %s; %d tokens delivered", since(e.ArrivedAt, e.EndedAt), e.Verdict, e.Reason, e.Tokens)
+	if e.Detail != "" {
+		fmt.Fprintf(text, "; %s", e.Detail)
+	}
+	text.WriteString("\n")
+}
+
+func orNone(name string) string {
+	if name == "" {
+		return "(none)"
+	}
+	return name
+}
+
+// blankTime stands for a time that is not known.
+const blankTime = "           "
+
+// since returns the time from start to at, always as long as blankTime.
+func since(start, at time.Time) string {
+	if start.IsZero() {
+		return blankTime
+	}
+	return fmt.Sprintf("%+10.3fs", at.Sub(start).Seconds())
+}
