--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -189,6 +190,7 @@
 		assert.Equal(t, figures.Requests["ran.completed"], 1)
 		assert.Equal(t, figures.Tokens, 20)
 	})
+	t.Run("examples", func(t *testing.T) { runExamples(ctx, t, first.Addr) })
 	t.Run("trail", func(t *testing.T) {
 		assert.NilError(t, first.Stop(ctx))
 		path := filepath.Join(plan.Dir, first.Name+".trail")
@@ -205,6 +207,30 @@
 	t.Run("closed output", func(t *testing.T) { serveWithoutReader(ctx, t, fleet, second, plan.Dir) })
 }
 
+var (
+	example = regexp.MustCompile("(?ms)^```sh\n(.*?)^```$")
+	prints  = regexp.MustCompile(`(?m)^# prints: (.*)$`)
+)
+
+// runExamples runs every example of docs/API.md against the instance, and
+// looks for what its last line says it prints.
+func runExamples(ctx context.Context, t *testing.T, callers netip.AddrPort) {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/API.md")
+	assert.NilError(t, err)
+	examples := example.FindAllStringSubmatch(string(page), -1)
+	assert.Assert(t, len(examples) >= 6, "the page holds %d examples", len(examples))
+	for _, match := range examples {
+		want := prints.FindStringSubmatch(match[1])
+		assert.Assert(t, want != nil, "an example does not say what it prints:\n%s", match[1])
+		command := exec.CommandContext(ctx, "sh", "-eu", "-c", match[1])
+		command.Env = append(os.Environ(), "MANGOLOFT=http://"+callers.String(), "CREDENTIAL="+bench.Credential)
+		output, err := command.CombinedOutput()
+		assert.NilError(t, err, "%s\n%s", match[1], output)
+		assert.Assert(t, strings.Contains(string(output), want[1]), "%s\n%s", match[1], output)
+	}
+}
+
 // checkFields holds the records of a trail against their entries in
 // docs/EVENTS.md, which must name every field.
 func checkFields(t *testing.T, trail []byte) {
