status tells what an instance waits for and how fresh the platform's word is

Change: status shows what a newcomer lacks, whether the instance reads the platform for its data centre, and when the configuration service and the list were last heard; the figure heartbeat_partners says how many peers should be alive.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -19,6 +19,7 @@
 	configVersion       = "config_version"
 	peersAlive          = "peers_alive"
 	peersListed         = "peers_listed"
+	heartbeatPartners   = "heartbeat_partners"
 	upstreamsLive       = "upstreams_live"
 	upstreamsLeaving    = "upstreams_leaving"
 	controlBacklog      = "control_backlog"
@@ -29,7 +30,7 @@
 // Names returns the names of all figures.
 func Names() []string {
 	return []string{
-		requestsEnded, tokensRelayed, openRequests, ready, configVersion, peersAlive, peersListed,
+		requestsEnded, tokensRelayed, openRequests, ready, configVersion, peersAlive, peersListed, heartbeatPartners,
 		upstreamsLive, upstreamsLeaving, controlBacklog, auditRecordsDropped, logEventsDropped,
 	}
 }
@@ -78,6 +79,7 @@
 		configVersion:       func(s Source) any { return versionOf(s.Snapshot()) },
 		peersAlive:          func(s Source) any { return len(s.Snapshot().Peers) },
 		peersListed:         func(s Source) any { return len(s.Snapshot().Listed) },
+		heartbeatPartners:   func(s Source) any { return len(s.Snapshot().Partners) },
 		upstreamsLive:       func(s Source) any { return countUpstreams(s.Snapshot(), false) },
 		upstreamsLeaving:    func(s Source) any { return countUpstreams(s.Snapshot(), true) },
 	} {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -20,6 +20,7 @@
 func TestFigures(t *testing.T) {
 	snapshot := &control.Snapshot{
 		Config: &config.View{Version: 7}, Ready: true, Peers: make([]member.Peer, 2), Listed: make([]member.Listed, 3),
+		Partners:  make([]member.Listed, 1),
 		Upstreams: []decide.Upstream{{}, {Leaving: true}, {}},
 	}
 	metrics.Publish(metrics.Source{Snapshot: func() *control.Snapshot { return &control.Snapshot{} }})
@@ -31,7 +32,7 @@
 	metrics.TokensRelayed.Add(9)
 	want := map[string]string{
 		"requests_ended": `{"not_run.overloaded": 1}`, "tokens_relayed": "9", "open_requests": "4", "ready": "true",
-		"config_version": "7", "peers_alive": "2", "peers_listed": "3", "upstreams_live": "2", "upstreams_leaving": "1",
+		"config_version": "7", "peers_alive": "2", "peers_listed": "3", "heartbeat_partners": "1", "upstreams_live": "2", "upstreams_leaving": "1",
 		"control_backlog": "5", "audit_records_dropped": "6", "log_events_dropped": "8",
 	}
 	assert.Equal(t, len(want), len(metrics.Names()))
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -79,17 +79,25 @@
 
 // statusWire is what an instance tells operators about itself.
 type statusWire struct {
-	Instance      string         `json:"instance"`
-	DataCentre    string         `json:"data_centre"`
-	Incarnation   string         `json:"incarnation"`
-	Ready         bool           `json:"ready"`
-	Stopping      bool           `json:"stopping"`
-	ConfigVersion uint64         `json:"config_version"`
-	ConfigDigest  string         `json:"config_digest"`
-	OpenRequests  int            `json:"open_requests"`
-	Audit         auditWire      `json:"audit"`
-	Peers         []string       `json:"peers"`
-	Upstreams     []upstreamWire `json:"upstreams"`
+	Instance    string `json:"instance"`
+	DataCentre  string `json:"data_centre"`
+	Incarnation string `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	// Lacks names what an instance that is not ready waits for.
+	Lacks         []string `json:"lacks"`
+	ConfigVersion uint64   `json:"config_version"`
+	ConfigDigest  string   `json:"config_digest"`
+	// ConfigContactAt and ListReadAt are the latest answers of the platform
+	// that this instance or one that it heard from got.
+	ConfigContactAt time.Time `json:"config_contact_at"`
+	ListReadAt      time.Time `json:"list_read_at"`
+	// Reader says that this instance reads the platform for its data centre.
+	Reader       bool           `json:"reader"`
+	OpenRequests int            `json:"open_requests"`
+	Audit        auditWire      `json:"audit"`
+	Peers        []string       `json:"peers"`
+	Upstreams    []upstreamWire `json:"upstreams"`
 }
 
 // auditWire is the end of the instance's trail, worth keeping elsewhere.
@@ -110,9 +118,13 @@
 	wire := statusWire{
 		Instance: s.rt.Settings.Instance, DataCentre: s.rt.Settings.DataCentre, Incarnation: s.rt.Home.Incarnation.String(),
 		Ready: snapshot.Ready, Stopping: snapshot.Stopping, OpenRequests: s.rt.Work.Open(),
+		Lacks: []string{}, Reader: snapshot.Reader, ConfigContactAt: snapshot.ConfigContactAt, ListReadAt: snapshot.ListReadAt,
 		Audit: auditWire{s.rt.Trail.Head(), s.rt.Trail.Dropped()},
 		Peers: []string{}, Upstreams: []upstreamWire{},
 	}
+	for _, lack := range snapshot.Lacks {
+		wire.Lacks = append(wire.Lacks, lack.String())
+	}
 	if snapshot.Config != nil {
 		wire.ConfigVersion, wire.ConfigDigest = snapshot.Config.Version, snapshot.Config.Digest
 	}
--- a/operator/text.go
+++ b/operator/text.go
@@ -16,6 +16,10 @@
 
 // WriteStatus writes a status as a table for people.
 func WriteStatus(w io.Writer, content json.RawMessage) error {
+	return writeStatus(w, content, time.Now())
+}
+
+func writeStatus(w io.Writer, content json.RawMessage, now time.Time) error {
 	var wire statusWire
 	if err := json.Unmarshal(content, &wire); err != nil {
 		return err
@@ -24,6 +28,7 @@
 	fmt.Fprintf(table, "instance\t%s in %s, incarnation %s\n", wire.Instance, wire.DataCentre, wire.Incarnation)
 	fmt.Fprintf(table, "state\t%s\n", stateOf(wire))
 	fmt.Fprintf(table, "configuration\t%s\n", configurationOf(wire))
+	fmt.Fprintf(table, "platform\t%s\n", platformOf(wire, now))
 	fmt.Fprintf(table, "open requests\t%d\n", wire.OpenRequests)
 	fmt.Fprintf(table, "audit trail\t%d records, %d dropped, last hash %s\n", wire.Audit.Sequence, wire.Audit.Dropped, wire.Audit.Hash)
 	fmt.Fprintf(table, "peers alive\t%d: %s\n", len(wire.Peers), strings.Join(wire.Peers, ", "))
@@ -47,10 +52,27 @@
 		return "stopping"
 	case wire.Ready:
 		return "ready"
+	case len(wire.Lacks) > 0:
+		return "not ready, lacks " + strings.Join(wire.Lacks, ", ")
 	}
 	return "not ready"
 }
 
+func platformOf(wire statusWire, now time.Time) string {
+	text := fmt.Sprintf("configuration service heard %s, instance list read %s", ago(now, wire.ConfigContactAt), ago(now, wire.ListReadAt))
+	if wire.Reader {
+		text += ", read here for the data centre"
+	}
+	return text
+}
+
+func ago(now, at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f s ago", now.Sub(at).Seconds())
+}
+
 func configurationOf(wire statusWire) string {
 	if wire.ConfigVersion == 0 {
 		return "none yet"
