--- a/check/check_test.go
+++ b/check/check_test.go
@@ -42,7 +42,7 @@
 	assert.Equal(t, len(entries), 4, "a sample is not checked here")
 }
 
-var codeBlock = regexp.MustCompile("(?ms)^```jsonc (\\w+)\n(.*?)^```$")
+var codeBlock = regexp.MustCompile("(?ms)^ *```jsonc (\\w+)\n(.*?)^ *```$")
 
 // TestCodeBlocks checks every block of settings or configuration in the docs.
 func TestCodeBlocks(t *testing.T) {
