Bench: the configuration under faults, with real processes, and how soon a change is in force

Change: the stand-in service keeps all versions, can be stale or set back to a backup, and removes keys. bench reads from every instance's trail which version was in force when, and checks it as a register that only rises. Tests: 60 random faults (service cut, silent or stale for one instance or all, data centres cut off from each other, freezes, kills, invalid documents in between) with a change at each; a service restored from a backup, stale, down or silent while an instance restarts; invalid and oversized documents; removed keys. mangobench spread publishes changes and prints how soon each was in force.

--- /dev/null
+++ b/bench/config.go
@@ -0,0 +1,267 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/event"
+	"mangoloft/ident"
+)
+
+// ConfigChange is one configuration that an incarnation of an instance put in
+// force, as its audit trail says.
+type ConfigChange struct {
+	Incarnation ident.Incarnation
+	Version     uint64
+	Digest      string
+	Changed     []string
+	Removed     []string
+	Source      string
+	SeenAt      time.Time
+	InForceAt   time.Time
+}
+
+// changeWire is a line of a trail, as far as it is looked at here.
+type changeWire struct {
+	Event       event.ID          `json:"event"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Record      struct {
+		Version   uint64    `json:"version"`
+		Digest    string    `json:"digest"`
+		Changed   []string  `json:"changed"`
+		Removed   []string  `json:"removed"`
+		Source    string    `json:"source"`
+		SeenAt    time.Time `json:"seen_at"`
+		InForceAt time.Time `json:"in_force_at"`
+	} `json:"record"`
+}
+
+// maxLineBytes bounds a line of a trail.
+const maxLineBytes = 1 << 20
+
+// ConfigChanges reads what an entry instance's trail says of configurations, in
+// the order in which it happened. All incarnations are in one trail.
+func (f *Fleet) ConfigChanges(p *Process) ([]ConfigChange, error) {
+	file, err := os.Open(filepath.Join(f.plan.Dir, p.Name+".trail"))
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxLineBytes)
+	var changes []ConfigChange
+	for lines.Scan() {
+		var wire changeWire
+		// A killed process may leave a line cut short; other events have
+		// records of other shapes.
+		if json.Unmarshal(lines.Bytes(), &wire) != nil || wire.Event != event.ConfigAccepted {
+			continue
+		}
+		r := wire.Record
+		changes = append(changes, ConfigChange{wire.Incarnation, r.Version, r.Digest, r.Changed, r.Removed, r.Source, r.SeenAt, r.InForceAt})
+	}
+	return changes, lines.Err()
+}
+
+// CheckNoRevert returns an error when a version or, between two documents of
+// one version, a digest went back within an incarnation.
+func CheckNoRevert(changes []ConfigChange) error {
+	for i, next := range changes[min(1, len(changes)):] {
+		before := changes[i]
+		if before.Incarnation != next.Incarnation {
+			continue
+		}
+		if next.Version < before.Version || next.Version == before.Version && next.Digest <= before.Digest {
+			return errorx.AssertionFailed.New("incarnation %s went from version %d %s back to %d %s",
+				next.Incarnation, before.Version, before.Digest, next.Version, next.Digest)
+		}
+	}
+	return nil
+}
+
+// ChangeConfig publishes one value and returns the version that has it.
+func (f *Fleet) ChangeConfig(ctx context.Context, key, value string) (uint64, error) {
+	return f.version(f.send(ctx, http.MethodPut, f.Configuration.direct, "/values/"+url.PathEscape(key), []byte(value)))
+}
+
+// RemoveConfig takes one value away and returns the version that lacks it.
+func (f *Fleet) RemoveConfig(ctx context.Context, key string) (uint64, error) {
+	return f.version(f.send(ctx, http.MethodDelete, f.Configuration.direct, "/values/"+url.PathEscape(key), nil))
+}
+
+func (f *Fleet) version(answer []byte, err error) (uint64, error) {
+	if err != nil {
+		return 0, err
+	}
+	var wire struct {
+		Version uint64 `json:"version"`
+	}
+	return wire.Version, json.Unmarshal(answer, &wire)
+}
+
+// SetConfigStale makes the configuration service show its present version for
+// good, or the latest one again.
+func (f *Fleet) SetConfigStale(ctx context.Context, stale bool) error {
+	return f.put(ctx, f.Configuration.direct, fmt.Sprint("/stale?stale=", stale), nil)
+}
+
+// RestoreConfig sets the configuration service back to an old version.
+func (f *Fleet) RestoreConfig(ctx context.Context, version uint64) error {
+	return f.put(ctx, f.Configuration.direct, fmt.Sprint("/restore/", version), nil)
+}
+
+// ConfigReads returns how many calls the configuration service has answered or
+// holds.
+func (f *Fleet) ConfigReads(ctx context.Context) (int, error) {
+	content, err := f.Get(ctx, "http://"+f.Configuration.direct.String()+"/reads")
+	if err != nil {
+		return 0, err
+	}
+	var reads int
+	return reads, json.Unmarshal(content, &reads)
+}
+
+// WaitVersion waits until every entry instance has at least the version in force.
+func (f *Fleet) WaitVersion(ctx context.Context, version uint64, until time.Time) error {
+	for _, p := range f.Entries {
+		for {
+			status, err := f.Status(ctx, p)
+			if err == nil && status.ConfigVersion >= version {
+				break
+			}
+			if time.Now().After(until) {
+				return errorx.TimeoutElapsed.New("%s has version %d of %d: %v", p.Name, status.ConfigVersion, version, err)
+			}
+			if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+const pollInterval = 20 * time.Millisecond
+
+// SpreadPlan says how to measure how soon a change is in force everywhere.
+type SpreadPlan struct {
+	Bin                  string
+	DataCentres, Entries int
+	Changes              int
+	// Interval is the time between two changes.
+	Interval time.Duration
+}
+
+// SpreadFigures are the times from the publishing of a change until it was in
+// force, over all changes and entry instances.
+type SpreadFigures struct {
+	Instances  int     `json:"instances"`
+	Changes    int     `json:"changes"`
+	MedianMS   float64 `json:"median_ms"`
+	P99MS      float64 `json:"p99_ms"`
+	WorstMS    float64 `json:"worst_ms"`
+	Missing    int     `json:"missing"`
+	Reads      int     `json:"service_reads"`
+	ReadsPerS  float64 `json:"service_reads_per_second"`
+	FromPeers  int     `json:"from_peers"`
+	FromReader int     `json:"from_service"`
+}
+
+// MeasureSpread publishes changes one after the other and reads from the
+// trails when each was in force at each entry instance.
+func MeasureSpread(ctx context.Context, plan SpreadPlan) (SpreadFigures, error) {
+	dir, err := os.MkdirTemp("", "mangoloft-spread-")
+	if err != nil {
+		return SpreadFigures{}, err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := Start(ctx, Plan{
+		Bin: plan.Bin, Dir: dir, DataCentres: plan.DataCentres, Entries: plan.Entries, Engines: 1, Services: 1, Step: time.Second,
+	})
+	defer fleet.Close()
+	if err != nil {
+		return SpreadFigures{}, err
+	}
+	figures := SpreadFigures{Instances: len(fleet.Entries), Changes: plan.Changes}
+	readsBefore, err := fleet.ConfigReads(ctx)
+	if err != nil {
+		return figures, err
+	}
+	start := time.Now()
+	published := map[uint64]time.Time{}
+	var version uint64
+	for i := range plan.Changes {
+		at := time.Now()
+		value := fmt.Sprintf(`{"kind": "read", "pool": "shop", "target": {"wait_ms": %d}}`, i+1)
+		if version, err = fleet.ChangeConfig(ctx, "classes/"+ReadClass, value); err != nil {
+			return figures, err
+		}
+		published[version] = at
+		sleepUntil(ctx, at.Add(plan.Interval))
+	}
+	if err := fleet.WaitVersion(ctx, version, time.Now().Add(readyLimit)); err != nil {
+		return figures, err
+	}
+	readsAfter, err := fleet.ConfigReads(ctx)
+	if err != nil {
+		return figures, err
+	}
+	figures.Reads = readsAfter - readsBefore
+	figures.ReadsPerS = float64(figures.Reads) / time.Since(start).Seconds()
+	return figures, figures.read(fleet, published)
+}
+
+func (s *SpreadFigures) read(fleet *Fleet, published map[uint64]time.Time) error {
+	var spreads []time.Duration
+	for _, p := range fleet.Entries {
+		changes, err := fleet.ConfigChanges(p)
+		if err != nil {
+			return err
+		}
+		if err := CheckNoRevert(changes); err != nil {
+			return err
+		}
+		for version, at := range published {
+			// An instance may pass over a version, if a newer one comes first.
+			i := slices.IndexFunc(changes, func(c ConfigChange) bool { return c.Version >= version })
+			if i < 0 {
+				s.Missing++
+				continue
+			}
+			spreads = append(spreads, changes[i].InForceAt.Sub(at))
+			if changes[i].Source == "configuration_service" {
+				s.FromReader++
+			} else {
+				s.FromPeers++
+			}
+		}
+	}
+	if len(spreads) == 0 {
+		return errorx.IllegalState.New("no change was seen")
+	}
+	slices.Sort(spreads)
+	at := func(share float64) float64 {
+		return spreads[int(share*float64(len(spreads)-1))].Seconds() * 1000
+	}
+	s.MedianMS, s.P99MS, s.WorstMS = at(0.5), at(0.99), at(1)
+	return nil
+}
+
+// PrintSpread measures and prints the figures as one line of JSON.
+func PrintSpread(ctx context.Context, plan SpreadPlan, out io.Writer) error {
+	figures, err := MeasureSpread(ctx, plan)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(out).Encode(figures)
+}
--- /dev/null
+++ b/bench/config_test.go
@@ -0,0 +1,214 @@
+package bench_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/bench"
+)
+
+// settleLimit is how long a fleet without faults may take to be of one mind.
+// It is generous: the bench measures, tests only judge.
+const settleLimit = 30 * time.Second
+
+// classValue is a configuration value that differs from one i to the next.
+func classValue(i int) string {
+	return fmt.Sprintf(`{"kind": "read", "pool": "shop", "target": {"wait_ms": %d}}`, i+1)
+}
+
+// settle ends all faults, publishes one more change, and checks that it is in
+// force everywhere and that no instance ever went back.
+func settle(ctx context.Context, t *testing.T, fleet *bench.Fleet) {
+	t.Helper()
+	for _, p := range append([]*bench.Process{fleet.Configuration, fleet.Instance}, fleet.Entries...) {
+		p.Proxy.Heal()
+		if p.PeerProxy != nil {
+			p.PeerProxy.Heal()
+		}
+		assert.NilError(t, p.Signal(syscall.SIGCONT))
+	}
+	assert.NilError(t, fleet.SetConfigStale(ctx, false))
+	version, err := fleet.ChangeConfig(ctx, "classes/"+bench.ReadClass, classValue(999))
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.WaitVersion(ctx, version, time.Now().Add(settleLimit)))
+	checkHistories(t, fleet)
+}
+
+// checkHistories checks every instance's trail as a register that only rises.
+func checkHistories(t *testing.T, fleet *bench.Fleet) {
+	t.Helper()
+	for _, p := range fleet.Entries {
+		changes, err := fleet.ConfigChanges(p)
+		assert.NilError(t, err)
+		assert.Assert(t, len(changes) > 0, "%s put nothing in force", p.Name)
+		assert.NilError(t, bench.CheckNoRevert(changes), p.Name)
+		for _, c := range changes {
+			assert.Assert(t, !c.SeenAt.IsZero() && !c.InForceAt.Before(c.SeenAt), "%s: %+v", p.Name, c)
+		}
+	}
+}
+
+// partition cuts a data centre off from the others, but not from the platform.
+func partition(fleet *bench.Fleet, centre string, f bench.Fault) {
+	for _, a := range fleet.Entries {
+		for _, b := range fleet.Entries {
+			if (a.DataCentre == centre) != (b.DataCentre == centre) {
+				b.PeerProxy.Set(a.IP, f)
+			}
+		}
+	}
+}
+
+func TestConfigNeverReverts(t *testing.T) {
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 3, Engines: 1, Services: 1, Step: time.Second, Proxies: true})
+	random := rand.New(rand.NewPCG(1, 2))
+	faults := []bench.Fault{bench.Pass, bench.Cut, bench.Silence, bench.SilenceAnswers}
+	for i := range 60 {
+		p := fleet.Entries[random.IntN(len(fleet.Entries))]
+		f := faults[random.IntN(len(faults))]
+		switch random.IntN(7) {
+		case 0:
+			fleet.Configuration.Proxy.Set(p.IP, f)
+		case 1:
+			partition(fleet, "dc1", f)
+		case 2:
+			assert.NilError(t, fleet.SetConfigStale(ctx, f != bench.Pass))
+		case 3:
+			assert.NilError(t, p.Signal(syscall.SIGSTOP))
+		case 4:
+			assert.NilError(t, p.Signal(syscall.SIGCONT))
+		case 5:
+			p.Kill()
+			assert.NilError(t, fleet.Restart(p))
+		case 6:
+			_, err := fleet.ChangeConfig(ctx, "pools/extra", `{"unknown": 1}`)
+			assert.NilError(t, err)
+			_, err = fleet.RemoveConfig(ctx, "pools/extra")
+			assert.NilError(t, err)
+		}
+		_, err := fleet.ChangeConfig(ctx, "classes/"+bench.ReadClass, classValue(i))
+		assert.NilError(t, err)
+		time.Sleep(150 * time.Millisecond)
+	}
+	settle(ctx, t, fleet)
+}
+
+func TestConfigSurvivesItsService(t *testing.T) {
+	tests := map[string]func(ctx context.Context, t *testing.T, fleet *bench.Fleet) error{
+		"restored from a backup": func(ctx context.Context, _ *testing.T, fleet *bench.Fleet) error {
+			return fleet.RestoreConfig(ctx, 2)
+		},
+		"stale": func(ctx context.Context, _ *testing.T, fleet *bench.Fleet) error {
+			if err := fleet.SetConfigStale(ctx, true); err != nil {
+				return err
+			}
+			_, err := fleet.ChangeConfig(ctx, "classes/"+bench.ReadClass, classValue(1))
+			return err
+		},
+		"down": func(_ context.Context, _ *testing.T, fleet *bench.Fleet) error {
+			fleet.Configuration.Proxy.Set(bench.AllSources, bench.Cut)
+			return nil
+		},
+		"silent": func(_ context.Context, _ *testing.T, fleet *bench.Fleet) error {
+			fleet.Configuration.Proxy.Set(bench.AllSources, bench.Silence)
+			return nil
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 3, Engines: 1, Services: 1, Step: time.Second, Proxies: true})
+			version, err := fleet.ChangeConfig(ctx, "classes/"+bench.ReadClass, classValue(0))
+			assert.NilError(t, err)
+			assert.NilError(t, fleet.WaitVersion(ctx, version, time.Now().Add(settleLimit)))
+			assert.NilError(t, fault(ctx, t, fleet))
+			// A new incarnation has nothing but the service and its peers.
+			p := fleet.Entries[0]
+			p.Kill()
+			assert.NilError(t, fleet.Restart(p))
+			assert.NilError(t, fleet.WaitReady(ctx, time.Now().Add(settleLimit)))
+			status, err := fleet.Status(ctx, p)
+			assert.NilError(t, err)
+			assert.Equal(t, status.ConfigVersion, version)
+			checkHistories(t, fleet)
+		})
+	}
+}
+
+// Every instance refuses an invalid document, and takes the next valid one.
+func TestInvalidConfigIsRefusedEverywhere(t *testing.T) {
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 2, Engines: 1, Services: 1, Step: time.Second})
+	before, err := fleet.Status(ctx, fleet.Entries[0])
+	assert.NilError(t, err)
+	readsBefore, err := fleet.ConfigReads(ctx)
+	assert.NilError(t, err)
+	for _, value := range []string{`{"unknown": 1}`, string(slices.Repeat([]byte(" "), 3<<20))} {
+		_, err = fleet.ChangeConfig(ctx, "pools/extra", value)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		for _, p := range fleet.Entries {
+			status, err := fleet.Status(ctx, p)
+			assert.NilError(t, err)
+			assert.Equal(t, status.ConfigVersion, before.ConfigVersion, p.Name)
+		}
+	}
+	readsAfter, err := fleet.ConfigReads(ctx)
+	assert.NilError(t, err)
+	// Four readers, each with a watch every 2 s and a value for each document;
+	// the fall-back adds a few. A loop over the refused one would add hundreds.
+	assert.Assert(t, readsAfter-readsBefore < 80, "%d reads", readsAfter-readsBefore)
+	version, err := fleet.RemoveConfig(ctx, "pools/extra")
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.WaitVersion(ctx, version, time.Now().Add(settleLimit)))
+	checkHistories(t, fleet)
+}
+
+func TestRemovedKeyLeavesEveryInstance(t *testing.T) {
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 4, Engines: 1, Services: 1, Step: time.Second})
+	added, err := fleet.ChangeConfig(ctx, "pools/extra", `{}`)
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.WaitVersion(ctx, added, time.Now().Add(settleLimit)))
+	version, err := fleet.RemoveConfig(ctx, "pools/extra")
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.WaitVersion(ctx, version, time.Now().Add(settleLimit)))
+	digests := map[string]bool{}
+	for _, p := range fleet.Entries {
+		changes, err := fleet.ConfigChanges(p)
+		assert.NilError(t, err)
+		last := changes[len(changes)-1]
+		digests[last.Digest] = true
+		assert.Equal(t, last.Version, version)
+	}
+	assert.Equal(t, len(digests), 1)
+	for _, p := range fleet.Entries {
+		changes, err := fleet.ConfigChanges(p)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, changes[len(changes)-1].Removed, []string{"pools/extra"})
+	}
+	checkHistories(t, fleet)
+}
+
+func TestCheckNoRevert(t *testing.T) {
+	tests := map[string]struct {
+		changes []bench.ConfigChange
+		reverts bool
+	}{
+		"nothing":                     {nil, false},
+		"rising":                      {[]bench.ConfigChange{{Version: 1}, {Version: 3}}, false},
+		"falling":                     {[]bench.ConfigChange{{Version: 3}, {Version: 1}}, true},
+		"the same again":              {[]bench.ConfigChange{{Version: 3}, {Version: 3}}, true},
+		"a larger digest":             {[]bench.ConfigChange{{Version: 3, Digest: "a"}, {Version: 3, Digest: "b"}}, false},
+		"another incarnation is free": {[]bench.ConfigChange{{Version: 3, Incarnation: 1}, {Version: 1, Incarnation: 2}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, bench.CheckNoRevert(test.changes) != nil, test.reverts)
+		})
+	}
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -63,6 +63,8 @@
 	// Addr is where it serves; for an entry instance, where it serves callers.
 	Addr, Peers, Operators netip.AddrPort
 	Incarnation            ident.Incarnation
+	// direct is Addr without the proxy.
+	direct netip.AddrPort
 	// Proxy stands before Addr and PeerProxy before Peers, if the plan has proxies.
 	Proxy, PeerProxy *Proxy
 
@@ -143,6 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.direct = listen
 	p.args = append([]string{"standin", kind, "--listen", listen.String()}, args...)
 	if kind == "engine" || kind == "service" {
 		p.Incarnation = ident.NewIncarnation(time.Now())
@@ -341,7 +344,7 @@
 	if err != nil {
 		return err
 	}
-	return f.put(ctx, f.Instance.Addr, "/instances", content)
+	return f.put(ctx, f.Instance.direct, "/instances", content)
 }
 
 func (f *Fleet) publish(ctx context.Context) error {
@@ -363,27 +366,34 @@
 
 // PutConfig publishes one value of the configuration.
 func (f *Fleet) PutConfig(ctx context.Context, key, value string) error {
-	return f.put(ctx, f.Configuration.Addr, "/values/"+url.PathEscape(key), []byte(value))
+	_, err := f.send(ctx, http.MethodPut, f.Configuration.direct, "/values/"+url.PathEscape(key), []byte(value))
+	return err
 }
 
-// put retries until the stand-in, which may just be starting, takes it.
 func (f *Fleet) put(ctx context.Context, addr netip.AddrPort, path string, content []byte) error {
+	_, err := f.send(ctx, http.MethodPut, addr, path, content)
+	return err
+}
+
+// send retries until the stand-in, which may just be starting, takes it.
+func (f *Fleet) send(ctx context.Context, method string, addr netip.AddrPort, path string, content []byte) ([]byte, error) {
 	giveUpAt := time.Now().Add(readyLimit)
 	for {
-		request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr.String()+path, bytes.NewReader(content))
+		request, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(content))
 		if err != nil {
-			return err
+			return nil, err
 		}
 		response, err := f.http.Do(request)
 		if err == nil {
+			answer, _ := io.ReadAll(response.Body)
 			response.Body.Close()
-			if response.StatusCode == http.StatusNoContent {
-				return nil
+			if response.StatusCode/100 == 2 {
+				return answer, nil
 			}
 			err = errorx.ExternalError.New("%s: %s", path, response.Status)
 		}
 		if time.Now().After(giveUpAt) {
-			return err
+			return nil, err
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/cmd/mangobench/main.go
+++ b/cmd/mangobench/main.go
@@ -26,9 +26,17 @@
 	Reads   int    `default:"4" help:"callers of reads at once"`
 }
 
+type spreadCommand struct {
+	DataCentres int           `arg:"--data-centres" default:"3"`
+	Entries     int           `default:"6" help:"entry instances in each data centre"`
+	Changes     int           `default:"50" help:"changes of the configuration"`
+	Interval    time.Duration `default:"200ms" help:"the time between two changes"`
+}
+
 type arguments struct {
-	Soak *soakCommand `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
-	Demo *demoCommand `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
+	Spread *spreadCommand `arg:"subcommand:spread" help:"measure how soon a change of the configuration is in force everywhere"`
+	Soak   *soakCommand   `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
+	Demo   *demoCommand   `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
 }
 
 func main() {
@@ -49,6 +57,11 @@
 			Bin: filepath.Dir(program), Seed: args.Soak.Seed, Length: time.Duration(args.Soak.Seconds) * time.Second,
 			Streams: args.Soak.Streams, Charges: args.Soak.Charges, Reads: args.Soak.Reads,
 		}, os.Stdout)
+	case args.Spread != nil:
+		err = bench.PrintSpread(ctx, bench.SpreadPlan{
+			Bin: filepath.Dir(program), DataCentres: args.Spread.DataCentres, Entries: args.Spread.Entries,
+			Changes: args.Spread.Changes, Interval: args.Spread.Interval,
+		}, os.Stdout)
 	default:
 		parser.Fail("name a command")
 	}
--- a/standin/configuration.go
+++ b/standin/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,40 +15,69 @@
 )
 
 // Configuration is the platform's configuration service. The system can only
-// read it; operators put values into it.
+// read it; operators put values into it. It keeps all versions, so that it can
+// be made stale or set back to a backup.
 type Configuration struct {
-	mu      sync.Mutex
-	index   config.Index
-	values  map[string][]byte
+	mu       sync.Mutex
+	versions []config.Document
+	// stale is how many versions the service shows; zero shows all.
+	stale   int
 	changed chan struct{}
 	reads   int
 }
 
 // NewConfiguration returns a service without values.
 func NewConfiguration() *Configuration {
-	return &Configuration{
-		index: config.Index{Values: map[string]config.Entry{}}, values: map[string][]byte{}, changed: make(chan struct{}),
+	empty := config.Document{Index: config.Index{Values: map[string]config.Entry{}}, Values: map[string][]byte{}}
+	return &Configuration{versions: []config.Document{empty}, changed: make(chan struct{})}
+}
+
+// shown returns the version that readers see.
+func (s *Configuration) shown() config.Document {
+	if s.stale > 0 {
+		return s.versions[s.stale-1]
 	}
+	return s.versions[len(s.versions)-1]
 }
 
-// Put stores a value under the next version.
-func (s *Configuration) Put(key string, value []byte) {
+// change makes the next version out of the latest one.
+func (s *Configuration) change(edit func(*config.Document)) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.index.Version++
-	s.index.Values[key] = config.Entry{Version: s.index.Version, SHA256: config.Hash(value)}
-	s.values[key] = value
+	latest := s.versions[len(s.versions)-1]
+	next := config.Document{
+		Index:  config.Index{Version: latest.Index.Version + 1, Values: maps.Clone(latest.Index.Values)},
+		Values: maps.Clone(latest.Values),
+	}
+	edit(&next)
+	s.versions = append(s.versions, next)
+	s.wake()
+	return next.Index.Version
+}
+
+func (s *Configuration) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// Put stores a value under the next version, which it returns.
+func (s *Configuration) Put(key string, value []byte) uint64 {
+	return s.change(func(next *config.Document) {
+		next.Index.Values[key] = config.Entry{Version: next.Index.Version, SHA256: config.Hash(value)}
+		next.Values[key] = value
+	})
+}
+
 // Routes returns the service's HTTP interface.
 func (s *Configuration) Routes() http.Handler {
 	router := echo.New()
 	router.GET("/index", s.watch)
 	router.GET("/values/:key", s.value)
 	router.PUT("/values/:key", s.put)
+	router.DELETE("/values/:key", s.remove)
 	router.GET("/reads", s.countReads)
+	router.PUT("/stale", s.setStale)
+	router.PUT("/restore/:version", s.restore)
 	return router
 }
 
@@ -60,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	for held := false; !held && s.index.Version <= after; {
+	for held := false; !held && s.shown().Index.Version <= after; {
 		changed := s.changed
 		s.mu.Unlock()
 		select {
@@ -72,7 +102,7 @@
 		}
 		s.mu.Lock()
 	}
-	return c.JSON(http.StatusOK, s.index)
+	return c.JSON(http.StatusOK, s.shown().Index)
 }
 
 func (s *Configuration) value(c echo.Context) error {
@@ -83,13 +113,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	value, ok := s.values[key]
+	value, ok := s.shown().Values[key]
 	if !ok {
 		return c.NoContent(http.StatusNotFound)
 	}
 	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, value)
 }
 
+// versionWire is the answer to a change.
+type versionWire struct {
+	Version uint64 `json:"version"`
+}
+
 func (s *Configuration) put(c echo.Context) error {
 	key, err := url.PathUnescape(c.Param("key"))
 	if err != nil {
@@ -99,8 +134,18 @@
 	if err != nil {
 		return err
 	}
-	s.Put(key, value)
-	return c.NoContent(http.StatusNoContent)
+	return c.JSON(http.StatusOK, versionWire{s.Put(key, value)})
+}
+
+func (s *Configuration) remove(c echo.Context) error {
+	key, err := url.PathUnescape(c.Param("key"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, versionWire{s.change(func(next *config.Document) {
+		delete(next.Index.Values, key)
+		delete(next.Values, key)
+	})})
 }
 
 // countReads tells how many calls the service has answered.
@@ -109,3 +154,31 @@
 	defer s.mu.Unlock()
 	return c.JSON(http.StatusOK, s.reads)
 }
+
+// setStale makes readers see the present version for good, or the latest again.
+func (s *Configuration) setStale(c echo.Context) error {
+	stale := c.QueryParam("stale") == "true"
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !stale:
+		s.stale = 0
+	case s.stale == 0:
+		s.stale = len(s.versions)
+	}
+	s.wake()
+	return c.NoContent(http.StatusNoContent)
+}
+
+// restore sets the service back to an old version, as from a backup.
+func (s *Configuration) restore(c echo.Context) error {
+	version, err := strconv.Atoi(c.Param("version"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil || version < 0 || version >= len(s.versions) {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	s.versions, s.stale = s.versions[:version+1], 0
+	s.wake()
+	return c.NoContent(http.StatusNoContent)
+}
