--- a/bench/charges.go
+++ b/bench/charges.go
@@ -28,6 +28,8 @@
 	Verdict, Reason string
 	RetryAfter      string
 	Took            time.Duration
+	// Err is why no whole answer came.
+	Err error
 }
 
 // Completed reports whether the call's whole answer came.
@@ -84,12 +86,12 @@
 	request.Header.Set("Authorization", "Bearer "+c.Credential)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return Reply{Took: time.Since(begun)}
+		return Reply{Took: time.Since(begun), Err: err}
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	if err != nil {
-		return Reply{Took: time.Since(begun)}
+		return Reply{Took: time.Since(begun), Err: err}
 	}
 	reply := Reply{
 		RequestID: response.Header.Get("X-Request-Id"), Status: response.StatusCode, Body: string(content),
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -42,6 +42,9 @@
 	Step time.Duration
 	// Proxies puts a proxy before every listener but the operators'.
 	Proxies bool
+	// StopGrace is how long an entry instance takes new work in a planned stop;
+	// zero for its own default.
+	StopGrace time.Duration
 }
 
 // The names in the configuration that every fleet starts with.
@@ -169,6 +172,10 @@
 		return nil, err
 	}
 	path := filepath.Join(f.plan.Dir, name+".json")
+	limits := ""
+	if f.plan.StopGrace > 0 {
+		limits = fmt.Sprintf(`"stop_grace_ms": %d`, f.plan.StopGrace.Milliseconds())
+	}
 	settings := fmt.Sprintf(`{
 	"instance": %q,
 	"data_centre": %q,
@@ -176,8 +183,9 @@
 	"advertise": %q,
 	"platform": {"configuration": %q, "instance_list": %q},
 	"keys": [{"id": "k1", "secret_file": "key"}],
+	"limits": {%s},
 }
-`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr)
+`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr, limits)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// readinessGrace is how long the instance still takes new requests after
-	// it has told the balancer not to send any.
-	readinessGrace = 1 * time.Second
 	// handOverLimit bounds the steps after the last call of a planned stop.
 	handOverLimit = 10 * time.Second
 	// outputLimit bounds the writing of what is left of the trail and the log.
@@ -103,7 +100,7 @@
 func (rt *Runtime) drain(ctx context.Context) {
 	rt.emit(event.InstanceStopping)
 	rt.Send(control.StopRequested{})
-	wait(ctx, time.Now().Add(readinessGrace))
+	wait(ctx, time.Now().Add(time.Duration(rt.Settings.Limits.StopGraceMS)*time.Millisecond))
 	callsDone, allDone := rt.Work.close()
 	select {
 	case <-callsDone:
--- a/peer/handover.go
+++ b/peer/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -47,28 +48,40 @@
 	return held
 }
 
-// HandOver gives the ledgers to one successor. Once a peer may have taken them,
-// no other is asked: two holders would be worse than none.
+// HandOver gives the ledgers to one successor and stays until all have heard.
 func (l *links) HandOver(ctx context.Context, handed []charge.Handed) (successor string, err error) {
 	transfer := &peerpb.LedgerTransfer{}
 	for _, h := range handed {
 		transfer.Ledgers = append(transfer.Ledgers, ledgerToWire(h))
 	}
-	for _, peer := range l.candidates() {
-		incarnation, ok := l.takesWork(ctx, peer)
+	successor, err = giveToOne(
+		l.candidates(),
+		func(p member.Peer) (ident.Incarnation, bool) { return l.takesWork(ctx, p) },
+		func(p member.Peer, i ident.Incarnation) error {
+			transfer.To = homeToWire(ident.Home{Peer: p.Home.Peer, Incarnation: i})
+			return l.transfer(ctx, p.Home.Peer, transfer)
+		},
+	)
+	if err == nil {
+		wait(ctx, time.Now().Add(spreadGrace))
+	}
+	return successor, err
+}
+
+// giveToOne sends the ledgers to the first candidate that takes work. Once a
+// candidate may have them, no other is asked: two holders would be worse than
+// none.
+func giveToOne(candidates []member.Peer, takesWork func(member.Peer) (ident.Incarnation, bool), send func(member.Peer, ident.Incarnation) error) (successor string, err error) {
+	for _, peer := range candidates {
+		incarnation, ok := takesWork(peer)
 		if !ok {
 			continue
 		}
-		transfer.To = homeToWire(ident.Home{Peer: peer.Home.Peer, Incarnation: incarnation})
-		err = l.transfer(ctx, peer, transfer)
+		err := send(peer, incarnation)
 		if status.Code(err) == codes.FailedPrecondition {
 			continue // It took nothing.
 		}
-		if err != nil {
-			return peer.Name, err
-		}
-		wait(ctx, time.Now().Add(spreadGrace))
-		return peer.Name, nil
+		return peer.Name, err
 	}
 	return "", errorx.IllegalState.New("no live peer takes the ledgers")
 }
@@ -105,27 +118,35 @@
 	return ident.Incarnation(answer.Incarnation), !answer.Stopping
 }
 
-// transfer sends the ledgers to the one incarnation that transfer names. It may
+// transfer sends the ledgers to the one incarnation that they are for. It may
 // do so again after a silence, because that incarnation knows them again.
-func (l *links) transfer(ctx context.Context, peer member.Peer, transfer *peerpb.LedgerTransfer) error {
-	var err error
-	for try := range maxTransfers {
-		var client peerpb.PeerClient
-		if client, err = l.client(peer.Home.Peer); err != nil {
+func (l *links) transfer(ctx context.Context, addr netip.AddrPort, transfer *peerpb.LedgerTransfer) error {
+	return sendUntilKnown(func() error {
+		client, err := l.client(addr)
+		if err != nil {
 			return err
 		}
-		limited, cancel := context.WithTimeout(ctx, transferLimit)
-		_, err = client.TakeLedgers(limited, transfer)
-		cancel()
-		refused := status.Code(err) == codes.FailedPrecondition
-		if err == nil || refused && try == 0 {
+		ctx, cancel := context.WithTimeout(ctx, transferLimit)
+		defer cancel()
+		_, err = client.TakeLedgers(ctx, transfer)
+		if err != nil && status.Code(err) != codes.FailedPrecondition {
+			l.abandon(addr)
+		}
+		return err
+	})
+}
+
+// sendUntilKnown sends until the receiver says what it did. A refusal proves
+// that nothing was taken only when nothing was sent before it.
+func sendUntilKnown(send func() error) error {
+	err := send()
+	for range maxTransfers - 1 {
+		if err == nil || status.Code(err) == codes.FailedPrecondition {
 			return err
 		}
-		if refused {
-			// The transfer before may have been taken, or may still arrive.
+		if err = send(); status.Code(err) == codes.FailedPrecondition {
 			return errorx.ExternalError.New("refused after a silence: %v", err)
 		}
-		l.abandon(peer.Home.Peer)
 	}
 	return err
 }
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -42,7 +42,8 @@
 	// closeLimit bounds the wait for answers at the very end.
 	closeLimit = 1 * time.Second
 	// maxMessageBytes bounds one message; a whole configuration must fit.
-	maxMessageBytes = 16 << 20
+	// and so must the largest body of a call.
+	maxMessageBytes = 80 << 20
 )
 
 func init() {
--- a/settings/load.go
+++ b/settings/load.go
@@ -76,7 +76,7 @@
 
 // parse checks the content of the file at path. Secrets come by readSecret.
 func parse(path string, content []byte, readSecret func(path string) (secretFile, error)) (Settings, error) {
-	wire := fileWire{Limits: Limits{BodyBytes: defaultBodyBytes, OpenRequests: defaultOpenRequests}}
+	wire := fileWire{Limits: Limits{BodyBytes: defaultBodyBytes, OpenRequests: defaultOpenRequests, StopGraceMS: defaultStopGraceMS}}
 	c := &checker{Document: jsonc.Read(path, content, &wire), dir: filepath.Dir(path), readSecret: readSecret}
 	c.name("instance", wire.Instance)
 	c.name("data_centre", wire.DataCentre)
@@ -85,6 +85,7 @@
 	c.target("platform.instance_list", wire.Platform.InstanceList)
 	c.inRange("limits.body_bytes", wire.Limits.BodyBytes, minBodyBytes, maxBodyBytes)
 	c.inRange("limits.open_requests", int64(wire.Limits.OpenRequests), 1, maxOpenRequests)
+	c.inRange("limits.stop_grace_ms", wire.Limits.StopGraceMS, 0, maxStopGraceMS)
 	keys := c.keys(wire.Keys)
 	if faults := c.Faults(); len(faults) > 0 {
 		return Settings{}, faults
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -80,7 +80,7 @@
 	s, err := parse("/etc/s.json", []byte(content), fakeSecrets)
 	assert.NilError(t, err)
 	assert.Equal(t, s.Advertise, s.Listen.Peers)
-	assert.Equal(t, s.Limits, Limits{BodyBytes: defaultBodyBytes, OpenRequests: defaultOpenRequests})
+	assert.Equal(t, s.Limits, Limits{BodyBytes: defaultBodyBytes, OpenRequests: defaultOpenRequests, StopGraceMS: defaultStopGraceMS})
 	assert.DeepEqual(t, s.Warnings, []string{"keys[0].secret_file: the file has mode 0644; others than its owner may read or change it"})
 	assert.Equal(t, string(s.Keys[0].Secret), secretText)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,6 +44,9 @@
 	BodyBytes int64 `json:"body_bytes"`
 	// OpenRequests is how many requests may be open at once.
 	OpenRequests int `json:"open_requests"`
+	// StopGraceMS is how long, in milliseconds, a planned stop still takes new
+	// requests after readiness fell: longer than the balancer takes to notice.
+	StopGraceMS int64 `json:"stop_grace_ms"`
 }
 
 const (
@@ -52,6 +55,8 @@
 	maxBodyBytes        = 64 << 20
 	defaultOpenRequests = 4096
 	maxOpenRequests     = 1_000_000
+	defaultStopGraceMS  = 1000
+	maxStopGraceMS      = 600_000
 )
 
 // Dialer returns a dialer that gives up after the limit. Connections leave from
--- a/standin/service.go
+++ b/standin/service.go
@@ -61,7 +61,7 @@
 )
 
 // slowAnswer is how late a Slow answer comes.
-const slowAnswer = 500 * time.Millisecond
+const slowAnswer = 1500 * time.Millisecond
 
 // NewService returns a service that has run nothing.
 func NewService(incarnation ident.Incarnation) *Service {
