Incarnations are text in JSON

Cause: an incarnation uses all 64 bits, and as a number in an audit record it loses digits in jq and every other reader that takes numbers as floating point; status showed it as hexadecimal, so the two could not be compared. Change: text in hexadecimal everywhere.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -30,6 +30,16 @@
 // String returns the incarnation in hexadecimal.
 func (i Incarnation) String() string { return strconv.FormatUint(uint64(i), 16) }
 
+// MarshalText implements encoding.TextMarshaler. As a number in JSON it would
+// lose digits in programs that read numbers as floating point.
+func (i Incarnation) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (i *Incarnation) UnmarshalText(text []byte) (err error) {
+	*i, err = ParseIncarnation(string(text))
+	return err
+}
+
 // ParseIncarnation reads what String wrote.
 func ParseIncarnation(text string) (Incarnation, error) {
 	n, err := strconv.ParseUint(text, 16, 64)
--- a/ident/ident_test.go
+++ b/ident/ident_test.go
@@ -1,6 +1,7 @@
 package ident_test
 
 import (
+	"encoding/json"
 	"net/netip"
 	"testing"
 	"time"
@@ -47,3 +48,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, back, first)
 }
+
+// TestIncarnationInJSON holds that no digit is lost by readers that take
+// numbers as floating point.
+func TestIncarnationInJSON(t *testing.T) {
+	want := ident.Incarnation(1<<63 + 1)
+	content, err := json.Marshal(want)
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), `"8000000000000001"`)
+	var got ident.Incarnation
+	assert.NilError(t, json.Unmarshal(content, &got))
+	assert.Equal(t, got, want)
+	assert.ErrorContains(t, json.Unmarshal([]byte(`"x"`), &got), "malformed incarnation")
+}
