--- a/bench/demo.go
+++ b/bench/demo.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"mangoloft/operator"
 )
 
 // errEnough ends a read on purpose.
@@ -138,8 +140,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(d.out, "explained by %s: %s\n", d.Entries[3].Name, content)
-	return nil
+	fmt.Fprintf(d.out, "explained by %s:\n", d.Entries[3].Name)
+	return operator.WriteExplanation(d.out, content)
 }
 
 func (d *demo) call(ctx context.Context, class, body, ticket string) error {
