Strict decoding: large documents with many faults cost less

Cause: each fault counted the lines before it anew and looked through all faults before it, so a document of the largest size with a fault in every element cost the square of them, on the control goroutine. Change: line ends are found once, faulty fields are kept in a set, and strings without escapes are not parsed a second time.

--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding"
 	"encoding/json"
 	"fmt"
@@ -254,6 +255,9 @@
 
 func text(v hujson.Value) string {
 	literal, _ := v.Value.(hujson.Literal)
+	if literal.Kind() == '"' && bytes.IndexByte(literal, '\\') < 0 {
+		return string(literal[1 : len(literal)-1])
+	}
 	return literal.String()
 }
 
--- a/jsonc/document.go
+++ b/jsonc/document.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -28,7 +29,10 @@
 	content []byte
 	// offsets holds where the value of each path begins.
 	offsets map[string]int
-	faults  Faults
+	// lineEnds holds the offset of each line's end, once a place was asked for.
+	lineEnds []int
+	faults   Faults
+	faulty   map[string]bool
 }
 
 // Decode reads content into the struct that into points to, and returns every
@@ -40,7 +44,7 @@
 
 // Read is Decode for callers that go on to check what the fields mean.
 func Read(file string, content []byte, into any) *Document {
-	d := &Document{file: file, content: content, offsets: map[string]int{}}
+	d := &Document{file: file, content: content, offsets: map[string]int{}, faulty: map[string]bool{}}
 	if at := invalidUTF8(content); at >= 0 {
 		d.faultAt(at, rootField, "bytes that are not UTF-8", "text in UTF-8")
 		return d
@@ -108,7 +112,7 @@
 		_, text, _ = strings.Cut(rest, ": ")
 	}
 	fault.Found = text
-	d.faults = append(d.faults, fault)
+	d.add(fault)
 }
 
 // Faults returns all faults found so far, in the order of their places.
@@ -150,21 +154,35 @@
 // Fault adds a fault of the value at the path, unless it has one already: a
 // value that can't be read has no meaning to check.
 func (d *Document) Fault(path, found, allowed string) {
-	for _, fault := range d.faults {
-		if fault.Field == path || fault.Field == rootField {
-			return
-		}
+	if d.faulty[path] || d.faulty[rootField] {
+		return
 	}
 	line, column := d.Position(path)
-	d.faults = append(d.faults, Fault{d.file, line, column, path, found, allowed})
+	d.add(Fault{d.file, line, column, path, found, allowed})
 }
 
 func (d *Document) faultAt(offset int, field, found, allowed string) {
 	line, column := d.place(offset)
-	d.faults = append(d.faults, Fault{d.file, line, column, field, found, allowed})
+	d.add(Fault{d.file, line, column, field, found, allowed})
+}
+
+func (d *Document) add(f Fault) {
+	d.faults = append(d.faults, f)
+	d.faulty[f.Field] = true
 }
 
 func (d *Document) place(offset int) (line, column int) {
-	before := d.content[:offset]
-	return bytes.Count(before, []byte("\n")) + 1, len(before) - bytes.LastIndexByte(before, '\n')
+	if d.lineEnds == nil {
+		d.lineEnds = []int{}
+		for i, b := range d.content {
+			if b == '\n' {
+				d.lineEnds = append(d.lineEnds, i)
+			}
+		}
+	}
+	before, _ := slices.BinarySearch(d.lineEnds, offset)
+	if before == 0 {
+		return 1, offset + 1
+	}
+	return before + 1, offset - d.lineEnds[before-1]
 }
