--- a/cmd/mangoloft/main.go
+++ b/cmd/mangoloft/main.go
@@ -148,10 +148,11 @@
 // show prints an instance's answer, for people or as JSON.
 func show(content json.RawMessage, err error, asJSON bool, write func(io.Writer, json.RawMessage) error) int {
 	if err != nil {
+		fmt.Fprintln(os.Stderr, operator.MessageOf(err))
 		if operator.IsRefusal(err) {
-			return fail(err, exitNo)
+			return exitNo
 		}
-		return fail(err, exitUnable)
+		return exitUnable
 	}
 	if asJSON {
 		fmt.Println(strings.TrimSpace(string(content)))
--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -109,7 +109,7 @@
 		"unknown kind":         {2, "the kind is", []string{"check", "--kind", "x", "y"}},
 		"malformed id":         {2, "\"r-1\" is no request id", []string{"explain", "--operators", closed, "r-1"}},
 		"malformed address":    {2, "--operators", []string{"status", "--operators", "localhost"}},
-		"unreachable status":   {2, "no answer from " + closed, []string{"status", "--operators", closed}},
+		"unreachable status":   {2, "no answer from " + closed + ", which should", []string{"status", "--operators", closed}},
 		"unreachable explain":  {2, "no answer from " + closed, []string{"explain", "--operators", closed, id}},
 	} {
 		t.Run(name, func(t *testing.T) { expect(t, c.code, c.part, c.args...) })
@@ -177,6 +177,8 @@
 		expect(t, 0, "request "+r.RequestID+": ran, completed", "explain", "--operators", second.Operators.String(), r.RequestID)
 		expect(t, 0, "20 tokens delivered", "explain", "--operators", operators, r.RequestID)
 		expect(t, 0, `"reason":"completed"`, "explain", "--json", "--operators", operators, r.RequestID)
+		_, err := fleet.Get(ctx, "http://"+operators+"/requests/r-1")
+		assert.ErrorContains(t, err, "400")
 		expect(t, 1, "no record of it", "explain", "--operators", operators, r.RequestID[:len(r.RequestID)-4]+"AAAA")
 	})
 	t.Run("metrics", func(t *testing.T) {
--- a/operator/client.go
+++ b/operator/client.go
@@ -32,6 +32,14 @@
 // lack of one.
 func IsRefusal(err error) bool { return errorx.IsOfType(err, refused) }
 
+// MessageOf returns an error of a Client as people want to read it.
+func MessageOf(err error) string {
+	if own := errorx.Cast(err); own != nil {
+		return own.Message()
+	}
+	return err.Error()
+}
+
 // Client asks one instance.
 type Client struct {
 	// Addr is the instance's address for operators.
--- a/operator/text.go
+++ b/operator/text.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -109,6 +110,13 @@
 	EndedAt    time.Time `json:"ended_at"`
 }
 
+// line is one line of an explanation, in the order of their times.
+type line struct {
+	at time.Time
+	// shown is the time as it is printed: that of a step is not known.
+	shown, text string
+}
+
 // WriteExplanation writes the audit records of a request for people: a line
 // for each step, with times since the request came.
 func WriteExplanation(w io.Writer, content json.RawMessage) error {
@@ -117,39 +125,49 @@
 		return err
 	}
 	var text strings.Builder
+	var lines []line
 	var start time.Time
 	for _, r := range records {
 		var ended endedWire
 		if r.Event == event.RequestEnded && json.Unmarshal(r.Record, &ended) == nil {
 			start = ended.ArrivedAt
-			writeEnded(&text, r, ended)
+			writeHead(&text, r, ended)
+			lines = append(lines, linesOf(ended)...)
 		}
 	}
 	for _, r := range records {
 		if r.Event != event.RequestEnded {
-			fmt.Fprintf(&text, "  %s  %s: %s\n", since(start, r.Time), r.Name, r.Record)
+			lines = append(lines, line{r.Time, since(start, r.Time), fmt.Sprintf("%s: %s", r.Name, r.Record)})
 		}
 	}
+	slices.SortStableFunc(lines, func(a, b line) int { return a.at.Compare(b.at) })
+	for _, l := range lines {
+		fmt.Fprintf(&text, "  %s  %s\n", l.shown, l.text)
+	}
 	_, err := io.WriteString(w, text.String())
 	return err
 }
 
-func writeEnded(text *strings.Builder, r explainedWire, e endedWire) {
+func writeHead(text *strings.Builder, r explainedWire, e endedWire) {
 	fmt.Fprintf(text, "request %s: %s, %s\n", e.ID, e.Verdict, e.Reason)
 	fmt.Fprintf(text, "  %s for class %s of team %s, at %s on %s\n",
 		e.Route, orNone(e.Class), orNone(e.Team), r.Instance, e.ArrivedAt.UTC().Format("2006-01-02 15:04:05.000 MST"))
-	fmt.Fprintf(text, "  %s  came\n", since(e.ArrivedAt, e.ArrivedAt))
+}
+
+func linesOf(e endedWire) []line {
+	lines := []line{{e.ArrivedAt, since(e.ArrivedAt, e.ArrivedAt), "came"}}
 	for _, step := range e.Steps {
-		fmt.Fprintf(text, "  %s  %s\n", blankTime, step)
+		lines = append(lines, line{e.ArrivedAt, blankTime, step})
 	}
 	if !e.FirstAt.IsZero() {
-		fmt.Fprintf(text, "  %s  first token, number %d of generation %s at %s\n", since(e.ArrivedAt, e.FirstAt), e.FirstIndex, e.Generation, e.Upstream)
+		first := fmt.Sprintf("first token, number %d of generation %s at %s", e.FirstIndex, e.Generation, e.Upstream)
+		lines = append(lines, line{e.FirstAt, since(e.ArrivedAt, e.FirstAt), first})
 	}
-	fmt.Fprintf(text, "  %s  ended: %s, %s; %d tokens delivered", since(e.ArrivedAt, e.EndedAt), e.Verdict, e.Reason, e.Tokens)
+	end := fmt.Sprintf("ended: %s, %s; %d tokens delivered", e.Verdict, e.Reason, e.Tokens)
 	if e.Detail != "" {
-		fmt.Fprintf(text, "; %s", e.Detail)
+		end += "; " + e.Detail
 	}
-	text.WriteString("\n")
+	return append(lines, line{e.EndedAt, since(e.ArrivedAt, e.EndedAt), end})
 }
 
 func orNone(name string) string {
--- a/operator/text_test.go
+++ b/operator/text_test.go
@@ -92,8 +92,8 @@
 			"               sent to g1: it is near",
 			"               one \"more\"",
 			"      +0.250s  first token, number 0 of generation r-1.0 at g1",
-			"      +2.125s  ended: ran, completed; 20 tokens delivered",
 			"      +1.000s  stream_resumed: {\"next\":3}",
+			"      +2.125s  ended: ran, completed; 20 tokens delivered",
 		}},
 		"a refusal": {`[{"event": 501, "instance": "e1", "record": {"id": "r-2", "route": "/v1/calls/:class", "verdict": "not_run",
 			"reason": "unknown_team", "detail": "no credential", "arrived_at": "2027-01-31T09:30:00Z", "ended_at": "2027-01-31T09:30:00Z"}}]`, []string{
