Log: troubles that last are written sparingly

Cause: a service that is down is tried twice a second, and each try wrote an event; an hour of it is thousands of lines of one kind at each reader. Change: EmitSparingly writes one event of a number every 10 s at most and tells how many were left out. The log takes its clock from outside.

--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -88,13 +89,27 @@
 type Log struct {
 	out    *output.Writer
 	logger log.Logger
+	now    func() time.Time
+
+	mu      sync.Mutex
+	repeats map[ID]repeat
+}
+
+// repeat is an event that comes again and again.
+type repeat struct {
+	quietUntil time.Time
+	suppressed int
 }
 
+// repeatInterval is the least time between two events of one number that are
+// emitted sparingly.
+const repeatInterval = 10 * time.Second
+
 // NewLog returns a log of one instance that writes to w. It must be closed.
-func NewLog(w io.Writer, instance string) *Log {
+func NewLog(w io.Writer, instance string, now func() time.Time) *Log {
 	out := output.New(w)
-	logger := log.NewJSONLogger(out)
-	return &Log{out, log.With(logger, "time", log.DefaultTimestampUTC, "instance", instance)}
+	logger := log.With(log.NewJSONLogger(out), "time", log.TimestampFormat(func() time.Time { return now().UTC() }, time.RFC3339Nano), "instance", instance)
+	return &Log{out: out, logger: logger, now: now, repeats: map[ID]repeat{}}
 }
 
 // Emit writes one event with pairs of field names and values.
@@ -103,6 +118,23 @@
 	_ = l.logger.Log(append([]any{"event", uint16(id), "name", id.String()}, pairs...)...)
 }
 
+// EmitSparingly is Emit for troubles that last and are tried again all the
+// time. Of one number it writes an event every repeatInterval at most, which
+// tells how many were suppressed before it.
+func (l *Log) EmitSparingly(id ID, pairs ...any) {
+	l.mu.Lock()
+	now, r := l.now(), l.repeats[id]
+	if now.Before(r.quietUntil) {
+		r.suppressed++
+		l.repeats[id] = r
+		l.mu.Unlock()
+		return
+	}
+	l.repeats[id] = repeat{quietUntil: now.Add(repeatInterval)}
+	l.mu.Unlock()
+	l.Emit(id, append(pairs, "suppressed", r.suppressed)...)
+}
+
 // Dropped returns how many events the stream has not got.
 func (l *Log) Dropped() uint64 { return l.out.Dropped() }
 
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -34,7 +34,7 @@
 	home := ident.Home{Peer: s.Advertise, Incarnation: ident.NewIncarnation(time.Now())}
 	rt := &Runtime{
 		Settings: s, Home: home, Keyring: keyring,
-		Log:    event.NewLog(logs, s.Instance),
+		Log:    event.NewLog(logs, s.Instance, time.Now),
 		Trail:  audit.NewTrail(trail, s.Instance, home, time.Now),
 		Work:   Work{limit: s.Limits.OpenRequests},
 		events: make(chan envelope, eventBacklog), stopped: make(chan struct{}),
