--- a/peer/config.go
+++ b/peer/config.go
@@ -19,7 +19,7 @@
 	askedAt := time.Now()
 	doc, err := l.configFrom(ctx, from)
 	if err != nil {
-		l.rt.Log.Emit(event.ConfigServiceFailed, "peer", from.Name, "error", err)
+		l.rt.Log.EmitSparingly(event.ConfigServiceFailed, "peer", from.Name, "error", err)
 		l.rt.Send(control.FetchFailed{})
 		return
 	}
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -254,7 +254,7 @@
 	askedAt := time.Now()
 	list, err := l.listFrom(ctx, from)
 	if err != nil {
-		l.rt.Log.Emit(event.ListFailed, "peer", from.Name, "error", err)
+		l.rt.Log.EmitSparingly(event.ListFailed, "peer", from.Name, "error", err)
 		l.rt.Send(control.FetchFailed{})
 		return
 	}
