--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,7 +85,6 @@
 	Engines, Services       []*Process
 	Configuration, Instance *Process
 	group                   sync.WaitGroup
-	processes               int
 	http                    *http.Client
 }
 
@@ -143,7 +143,7 @@
 }
 
 func (f *Fleet) startStandin(name, centre, kind string, args ...string) (*Process, error) {
-	p := &Process{Name: name, DataCentre: centre, IP: f.nextIP()}
+	p := &Process{Name: name, DataCentre: centre, IP: nextIP()}
 	listen, err := f.listener(p.IP, &p.Addr, &p.Proxy)
 	if err != nil {
 		return nil, err
@@ -159,7 +159,7 @@
 
 // StartEntry starts one more entry instance.
 func (f *Fleet) StartEntry(name, centre string) (*Process, error) {
-	p := &Process{Name: name, DataCentre: centre, IP: f.nextIP()}
+	p := &Process{Name: name, DataCentre: centre, IP: nextIP()}
 	callers, err := f.listener(p.IP, &p.Addr, &p.Proxy)
 	if err != nil {
 		return nil, err
@@ -280,13 +280,21 @@
 	}
 }
 
-// nextIP returns a loopback address that no other process of the fleet has.
-func (f *Fleet) nextIP() netip.Addr {
-	f.processes++
-	return netip.AddrFrom4([4]byte{127, 0, byte(1 + f.processes/addrsPerNet), byte(1 + f.processes%addrsPerNet)})
+// processes counts the processes of all fleets of this program.
+var processes atomic.Uint32
+
+// nextIP returns a loopback address that no other process has, also of other
+// fleets that run at the same time: with shared addresses one of them could
+// get the port that another has just chosen and not yet listened at.
+func nextIP() netip.Addr {
+	n := processes.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%netsPerMachine), byte(n / addrsPerNet), byte(1 + n%addrsPerNet)})
 }
 
-const addrsPerNet = 200
+const (
+	netsPerMachine = 250
+	addrsPerNet    = 200
+)
 
 // listener chooses where a process listens, and sets addr to where others
 // reach it: there, or at a proxy before it.
