--- a/bench/reader.go
+++ b/bench/reader.go
@@ -30,6 +30,9 @@
 	Failure string
 	// refused says that Failure came in place of a stream.
 	refused bool
+	// OnBegin, when set, is called when a reference comes without a token; an
+	// error hangs up.
+	OnBegin func() error
 	// OnToken, when set, is called after each token; an error hangs up.
 	OnToken func() error
 }
@@ -122,6 +125,9 @@
 		r.Done = true
 		return nil
 	case event.Data == "":
+		if r.OnBegin != nil {
+			return r.OnBegin()
+		}
 		return nil
 	}
 	var chunk chunkWire
--- /dev/null
+++ b/caller/cancels_test.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/relay"
+	"mangoloft/verdict"
+)
+
+// cancelScript is an engine that answers cancels as given, the last answer
+// again and again.
+type cancelScript struct {
+	relay.Engine
+	answers []cancelAnswer
+	at      []time.Time
+}
+
+type cancelAnswer struct {
+	ended bool
+	err   error
+}
+
+func (s *cancelScript) Cancel(context.Context, netip.AddrPort, relay.Attachment) (bool, error) {
+	answer := s.answers[min(len(s.at), len(s.answers)-1)]
+	s.at = append(s.at, time.Now())
+	return answer.ended, answer.err
+}
+
+func TestCanceller(t *testing.T) {
+	unreachable := verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "cut")
+	tests := map[string]struct {
+		answers []cancelAnswer
+		grace   time.Duration
+		// calls are the times of the calls, and last is the recorded outcome.
+		calls []time.Duration
+		last  cancelAnswer
+	}{
+		"at once":        {[]cancelAnswer{{true, nil}}, 0, []time.Duration{0}, cancelAnswer{true, nil}},
+		"after a grace":  {[]cancelAnswer{{true, nil}}, resumeGrace, []time.Duration{resumeGrace}, cancelAnswer{true, nil}},
+		"another reader": {[]cancelAnswer{{false, nil}}, 0, []time.Duration{0}, cancelAnswer{false, nil}},
+		"a second try":   {[]cancelAnswer{{false, unreachable}, {true, nil}}, 0, []time.Duration{0, cancelPause}, cancelAnswer{true, nil}},
+		"never reached": {
+			[]cancelAnswer{{false, unreachable}},
+			0,
+			[]time.Duration{0, 1 * time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second, 7 * time.Second, 8 * time.Second, 9 * time.Second, 10 * time.Second},
+			cancelAnswer{false, unreachable},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &cancelScript{answers: test.answers}
+				var recorded []cancelAnswer
+				c := newCanceller(engine, func(_ cancelOrder, ended bool, err error) {
+					recorded = append(recorded, cancelAnswer{ended, err})
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				group.Go(func() { assert.Check(t, c.run(ctx)) })
+				// The order comes while the canceller sleeps.
+				time.Sleep(time.Second)
+				began := time.Now()
+				cancelAt := began.Add(test.grace)
+				c.add(cancelOrder{cancelAt: cancelAt, giveUpAt: cancelAt.Add(cancelPatience)})
+				c.drain(ctx)
+				assert.Equal(t, len(engine.at), len(test.calls))
+				for i, want := range test.calls {
+					assert.Equal(t, engine.at[i].Sub(began), want)
+				}
+				assert.Equal(t, len(recorded), 1)
+				assert.Equal(t, recorded[0], test.last)
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
+
+// A planned stop doesn't wait for longer than it may, and then cancels nothing
+// before its time.
+func TestCancellerDrainEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &cancelScript{answers: []cancelAnswer{{true, nil}}}
+		c := newCanceller(engine, func(cancelOrder, bool, error) {})
+		ctx, cancel := context.WithTimeout(t.Context(), resumeGrace/2)
+		defer cancel()
+		var group sync.WaitGroup
+		group.Go(func() { assert.Check(t, c.run(ctx)) })
+		began := time.Now()
+		c.add(cancelOrder{cancelAt: began.Add(resumeGrace), giveUpAt: began.Add(resumeGrace)})
+		c.drain(ctx)
+		group.Wait()
+		assert.Equal(t, time.Since(began), resumeGrace/2)
+		assert.Equal(t, len(engine.at), 0)
+	})
+}
