--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -421,7 +421,7 @@
 	for _, p := range f.Entries {
 		for !f.ready(ctx, p) {
 			if time.Now().After(until) {
-				return errorx.TimeoutElapsed.New("%s is not ready", p.Name)
+				return errorx.TimeoutElapsed.New("%s is not ready: %s", p.Name, f.describe(ctx, p))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -429,6 +429,16 @@
 	return nil
 }
 
+// describe tells what an entry instance says of itself and what it last logged.
+func (f *Fleet) describe(ctx context.Context, p *Process) string {
+	status, err := f.Status(ctx, p)
+	logs, _ := os.ReadFile(filepath.Join(f.plan.Dir, p.Name+".log")) // It may not have started.
+	return fmt.Sprintf("status %+v, %v, log: %s", status, err, logs[max(0, len(logs)-shownLogBytes):])
+}
+
+// shownLogBytes is how much of a log's end an error shows.
+const shownLogBytes = 2000
+
 // Status is the part of an instance's status that the bench looks at.
 type Status struct {
 	Incarnation   string   `json:"incarnation"`
