mangobench relay: what relaying a token costs an entry instance

Processor time is that of the instance's process; added time is the arrival of a token through the instance less that of the same token read directly from the engine, in the same process.

--- /dev/null
+++ b/bench/relay_cost.go
@@ -0,0 +1,311 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// RelayCostPlan says how much one entry instance relays, and for how long.
+type RelayCostPlan struct {
+	// Bin is the directory with the programs.
+	Bin string
+	// Streams are read through the instance. Sampled of them are read directly
+	// from the engine as well, to compare each token's time of arrival.
+	Streams, Sampled int
+	Step             time.Duration
+	Length           time.Duration
+}
+
+// RelayCost is what relaying took.
+type RelayCost struct {
+	Streams       int     `json:"streams"`
+	StepMS        float64 `json:"step_ms"`
+	Seconds       float64 `json:"seconds"`
+	Tokens        int64   `json:"tokens"`
+	ProcessorSecs float64 `json:"processor_s"`
+	// TokensPerCore is tokens for each second of the instance's processor time.
+	TokensPerCore float64 `json:"tokens_per_core_s"`
+	// Compared counts the tokens whose arrivals were compared. Added is the
+	// arrival through the instance less that directly from the engine.
+	Compared   int     `json:"compared"`
+	AddedP50US float64 `json:"added_p50_us"`
+	AddedP99US float64 `json:"added_p99_us"`
+	// StreamKiB is the instance's growth of resident memory for each stream.
+	StreamKiB float64 `json:"stream_kib"`
+	// Violations counts tokens that came out of order.
+	Violations int64 `json:"violations"`
+}
+
+const (
+	// warmUp is the time from the last stream's first token to the measurement.
+	warmUp      = 2 * time.Second
+	costEngines = 2
+	// clockTicksPerSecond is the unit of processor times in /proc.
+	clockTicksPerSecond = 100
+)
+
+// PrintRelayCost measures and prints one line of JSON.
+func PrintRelayCost(ctx context.Context, plan RelayCostPlan, out io.Writer) error {
+	cost, err := MeasureRelayCost(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(out).Encode(cost); err != nil {
+		return err
+	}
+	if cost.Violations > 0 {
+		return errorx.AssertionFailed.New("%d tokens came out of order", cost.Violations)
+	}
+	return nil
+}
+
+// MeasureRelayCost starts an entry instance and engines, reads streams through
+// it at the engines' pace, and measures the instance.
+func MeasureRelayCost(ctx context.Context, plan RelayCostPlan) (RelayCost, error) {
+	dir, err := os.MkdirTemp("", "mangoloft-relay-")
+	if err != nil {
+		return RelayCost{}, err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := Start(ctx, Plan{Bin: plan.Bin, Dir: dir, DataCentres: 1, Entries: 1, Engines: costEngines, Services: 1, Step: plan.Step})
+	defer fleet.Close()
+	if err != nil {
+		return RelayCost{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m := &costMeter{fleet: fleet, client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 0, DisableKeepAlives: true}}}
+	defer m.group.Wait()
+	defer cancel()
+	return m.measure(ctx, plan)
+}
+
+// costMeter reads streams and counts.
+type costMeter struct {
+	fleet      *Fleet
+	client     *http.Client
+	group      sync.WaitGroup
+	begun      atomic.Int64
+	tokens     atomic.Int64
+	violations atomic.Int64
+}
+
+func (m *costMeter) measure(ctx context.Context, plan RelayCostPlan) (RelayCost, error) {
+	entry := m.fleet.Entries[0]
+	idleKiB, err := entry.ResidentKiB()
+	if err != nil {
+		return RelayCost{}, err
+	}
+	tokens := int((readyLimit + warmUp + plan.Length) / plan.Step)
+	samples := make([]*arrivalPair, plan.Sampled)
+	for i := range plan.Streams {
+		var pair *arrivalPair
+		if i < len(samples) {
+			pair = &arrivalPair{relayed: make([]time.Time, tokens), direct: make([]time.Time, tokens)}
+			samples[i] = pair
+		}
+		m.group.Go(func() { m.read(ctx, entry, tokens, pair) })
+	}
+	if err := m.waitBegun(ctx, int64(plan.Streams)); err != nil {
+		return RelayCost{}, err
+	}
+	before, err := m.sample(entry)
+	if err != nil {
+		return RelayCost{}, err
+	}
+	select {
+	case <-ctx.Done():
+		return RelayCost{}, ctx.Err()
+	case <-time.After(plan.Length):
+	}
+	after, err := m.sample(entry)
+	if err != nil {
+		return RelayCost{}, err
+	}
+	cost := RelayCost{
+		Streams: plan.Streams, StepMS: float64(plan.Step.Microseconds()) / 1000, Seconds: after.at.Sub(before.at).Seconds(),
+		Tokens: after.tokens - before.tokens, ProcessorSecs: after.processor - before.processor,
+		StreamKiB: float64(after.residentKiB-idleKiB) / float64(plan.Streams), Violations: m.violations.Load(),
+	}
+	cost.TokensPerCore = float64(cost.Tokens) / cost.ProcessorSecs
+	var added []time.Duration
+	for _, pair := range samples {
+		added = append(added, pair.added(before.at, after.at)...)
+	}
+	if cost.Compared = len(added); cost.Compared > 0 {
+		slices.Sort(added)
+		cost.AddedP50US = float64(added[len(added)/2].Microseconds())
+		cost.AddedP99US = float64(added[len(added)*99/100].Microseconds())
+	}
+	return cost, nil
+}
+
+func (m *costMeter) waitBegun(ctx context.Context, streams int64) error {
+	until := time.Now().Add(readyLimit)
+	for m.begun.Load() < streams {
+		if time.Now().After(until) {
+			return errorx.TimeoutElapsed.New("%d of %d streams began", m.begun.Load(), streams)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(warmUp):
+		return nil
+	}
+}
+
+// costSample is the state of the measurement at one time.
+type costSample struct {
+	at          time.Time
+	tokens      int64
+	processor   float64
+	residentKiB int
+}
+
+func (m *costMeter) sample(p *Process) (costSample, error) {
+	processor, err := p.ProcessorSeconds()
+	if err != nil {
+		return costSample{}, err
+	}
+	resident, err := p.ResidentKiB()
+	return costSample{time.Now(), m.tokens.Load(), processor, resident}, err
+}
+
+// arrivalPair holds when each token of one stream came by the two ways.
+type arrivalPair struct {
+	mu              sync.Mutex
+	relayed, direct []time.Time
+}
+
+func (a *arrivalPair) added(from, until time.Time) []time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var added []time.Duration
+	for i, direct := range a.direct {
+		if relayed := a.relayed[i]; !direct.IsZero() && relayed.After(from) && relayed.Before(until) {
+			added = append(added, relayed.Sub(direct))
+		}
+	}
+	return added
+}
+
+func (a *arrivalPair) note(times []time.Time, index int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if index < len(times) {
+		times[index] = time.Now()
+	}
+}
+
+// read reads one stream through the instance and, when it is sampled, the same
+// generation directly.
+func (m *costMeter) read(ctx context.Context, entry *Process, tokens int, pair *arrivalPair) {
+	body := fmt.Sprintf(`{"model": %q, "prompt": "output_tokens=%d", "stream": true}`, DraftClass, tokens)
+	next := 0
+	m.lines(ctx, http.MethodPost, "http://"+entry.Addr.String()+"/v1/completions", body, func(generation string, index int) {
+		if index != next {
+			m.violations.Add(1)
+		}
+		if next == 0 {
+			m.begun.Add(1)
+			if pair != nil {
+				m.group.Go(func() { m.readDirectly(ctx, generation, pair) })
+			}
+		}
+		next++
+		m.tokens.Add(1)
+		if pair != nil {
+			pair.note(pair.relayed, index)
+		}
+	})
+}
+
+// readDirectly finds the engine that has the generation and reads it there.
+func (m *costMeter) readDirectly(ctx context.Context, generation string, pair *arrivalPair) {
+	for _, engine := range m.fleet.Engines {
+		target := fmt.Sprintf("http://%s/generations/%s?reader=bench&from=0", engine.Addr, generation)
+		m.lines(ctx, http.MethodGet, target, "", func(_ string, index int) { pair.note(pair.direct, index) })
+	}
+}
+
+// lines reads events as they come and calls token for each text of the form
+// that the stand-in engines make. It looks for the text alone, because it runs
+// beside what it measures.
+func (m *costMeter) lines(ctx context.Context, method, target, body string, token func(generation string, index int)) {
+	request, err := http.NewRequestWithContext(ctx, method, target, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+Credential)
+	response, err := m.client.Do(request)
+	if err != nil {
+		return // A stream that doesn't begin is missed by waitBegun.
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		_, rest, found := bytes.Cut(lines.Bytes(), []byte(`"text":" `))
+		if !found {
+			continue
+		}
+		text, _, _ := bytes.Cut(rest, []byte(`"`))
+		generation, number, _ := bytes.Cut(text, []byte("/"))
+		if index, err := strconv.Atoi(string(number)); err == nil {
+			token(string(generation), index)
+		}
+	}
+}
+
+// ResidentKiB returns the memory that the process uses.
+func (p *Process) ResidentKiB() (int, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(content)) {
+		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
+			return strconv.Atoi(strings.Fields(rest)[0])
+		}
+	}
+	return 0, errorx.ExternalError.New("%s has no resident memory", p.Name)
+}
+
+// ProcessorSeconds returns the processor time that the process has used.
+func (p *Process) ProcessorSeconds() (float64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in parentheses may hold spaces. Behind it the user's and the
+	// system's time are the 12th and 13th fields.
+	_, rest, _ := strings.Cut(string(content), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, errorx.ExternalError.New("%s has no processor times", p.Name)
+	}
+	var ticks int
+	for _, field := range fields[11:13] {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return float64(ticks) / clockTicksPerSecond, nil
+}
--- a/bench/streams.go
+++ b/bench/streams.go
@@ -138,6 +138,3 @@
 	}
 	return load, json.Unmarshal(content, &load)
 }
-
-// Pid returns the id of the running process.
-func (p *Process) Pid() int { return p.command.Process.Pid }
--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -6,9 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -330,7 +327,8 @@
 		slowTokens   = 60000
 		maxGrowthKiB = 64 << 10
 	)
-	before := residentKiB(t, fleet.Entries[0])
+	before, err := fleet.Entries[0].ResidentKiB()
+	assert.NilError(t, err)
 	for range slowReaders {
 		readNothing(t, fleet.Entries[0], slowTokens)
 	}
@@ -338,8 +336,9 @@
 	const tokens = 3000
 	assert.NilError(t, fast.ReadAll(ctx, impatientClient(t), fleet.Entries, prompt(tokens)))
 	assert.NilError(t, fast.CheckWhole(tokens))
-	growth := residentKiB(t, fleet.Entries[0]) - before
-	assert.Assert(t, growth < maxGrowthKiB, "the instance grew by %d KiB", growth)
+	after, err := fleet.Entries[0].ResidentKiB()
+	assert.NilError(t, err)
+	assert.Assert(t, after-before < maxGrowthKiB, "the instance grew by %d KiB", after-before)
 	eventually(t, "the slow readers are dropped", func() bool {
 		status, err := fleet.Status(ctx, fleet.Entries[0])
 		return err == nil && status.OpenRequests == 0
@@ -361,19 +360,3 @@
 	_, err = io.ReadFull(conn, make([]byte, len("HTTP/1.1 200")))
 	assert.NilError(t, err)
 }
-
-// residentKiB returns the memory that a process uses.
-func residentKiB(t *testing.T, p *bench.Process) int {
-	t.Helper()
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(content)) {
-		if rest, found := strings.CutPrefix(line, "VmRSS:"); found {
-			kib, err := strconv.Atoi(strings.Fields(rest)[0])
-			assert.NilError(t, err)
-			return kib
-		}
-	}
-	t.Fatal("no VmRSS")
-	return 0
-}
