--- a/caller/completions.go
+++ b/caller/completions.go
@@ -91,6 +91,6 @@
 
 // beginning says which stream the tokens from index next on belong to.
 type beginning struct {
-	refer ticket.Referrer
+	refer *ticket.Referrer
 	next  int
 }
--- a/caller/sse.go
+++ b/caller/sse.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/labstack/echo/v4"
 
@@ -76,6 +79,10 @@
 // send. One that takes longer is gone.
 const writeLimit = 10 * time.Second
 
+// writeLimitSlack is by how much writeLimit may be shorter, since setting a
+// deadline for each token costs more than it gives.
+const writeLimitSlack = time.Second
+
 // retryHint is after how many milliseconds a stock event source reconnects. It
 // is well within resumeGrace.
 const retryHint = "500"
@@ -88,13 +95,45 @@
 type sseOutput struct {
 	x       *exchange
 	control *http.ResponseController
-	refer   ticket.Referrer
+	refer   *ticket.Referrer
 	next    int
 	pending []byte
+	// before and after enclose a token's text in its event.
+	before, after []byte
+	// deadlineAt is when the current write deadline was set.
+	deadlineAt time.Time
 }
 
 func newSSEOutput(x *exchange) *sseOutput {
-	return &sseOutput{x: x, control: http.NewResponseController(x.Response())}
+	o := &sseOutput{x: x, control: http.NewResponseController(x.Response())}
+	o.before, o.after = x.aroundText()
+	return o
+}
+
+// aroundText returns the event of a token without the text. All else in it is
+// the same for each token, so that it is encoded once.
+func (x *exchange) aroundText() (before, after []byte) {
+	content, err := json.Marshal(x.chunk("", ""))
+	if err != nil {
+		panic(err) // A plain struct of strings and numbers marshals.
+	}
+	before, after, _ = bytes.Cut(content, []byte(`"text":""`))
+	before = slices.Concat([]byte("\ndata: "), before, []byte(`"text":`))
+	return before, slices.Concat(after, []byte("\n\n"))
+}
+
+// appendText appends the text as a JSON string.
+func appendText(to []byte, text string) ([]byte, error) {
+	for i := range len(text) {
+		// Plain text needs no encoder, which would copy it twice.
+		if c := text[i]; c < ' ' || c >= utf8.RuneSelf || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			content, err := json.Marshal(text)
+			return append(to, content...), err
+		}
+	}
+	to = append(to, '"')
+	to = append(to, text...)
+	return append(to, '"'), nil
 }
 
 func (o *sseOutput) begin(b beginning) error {
@@ -116,13 +155,14 @@
 func (o *sseOutput) add(text string) { o.pending = append(o.pending, text...) }
 
 func (o *sseOutput) token(t relay.Token) error {
-	content, err := json.Marshal(o.x.chunk(t.Text, ""))
-	if err != nil {
-		return err
-	}
 	o.next = t.Index + 1
-	o.add("id: " + o.refer.At(o.next) + "\ndata: " + string(content) + "\n\n")
-	return nil
+	o.pending = append(o.pending, "id: "...)
+	o.pending = o.refer.AppendAt(o.pending, o.next)
+	o.pending = append(o.pending, o.before...)
+	var err error
+	o.pending, err = appendText(o.pending, t.Text)
+	o.pending = append(o.pending, o.after...)
+	return err
 }
 
 func (o *sseOutput) finish(reason string) error {
@@ -147,8 +187,11 @@
 	if len(o.pending) == 0 {
 		return nil
 	}
-	if err := o.control.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
-		return err
+	if now := time.Now(); now.Sub(o.deadlineAt) > writeLimitSlack {
+		if err := o.control.SetWriteDeadline(now.Add(writeLimit)); err != nil {
+			return err
+		}
+		o.deadlineAt = now
 	}
 	_, err := o.x.Response().Write(o.pending)
 	if o.pending = o.pending[:0]; cap(o.pending) > keptBytes {
--- a/engine/client.go
+++ b/engine/client.go
@@ -180,7 +180,7 @@
 		defer response.Body.Close()
 		return nil, refusal(response)
 	}
-	return newFeed(response.Body, cancel), nil
+	return &feed{cancel, response.Body}, nil
 }
 
 func refusal(response *http.Response) error {
--- a/engine/feed.go
+++ b/engine/feed.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"iter"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -15,23 +14,28 @@
 // feed reads the tokens of one connection. It implements relay.Feed.
 type feed struct {
 	cancel context.CancelFunc
-	body   io.Closer
-	next   func() (sse.Event, error, bool)
-	stop   func()
+	body   io.ReadCloser
 }
 
-func newFeed(body io.ReadCloser, cancel context.CancelFunc) *feed {
-	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxTokenBytes}))
-	return &feed{cancel, body, next, stop}
+func (f *feed) Read(take func(relay.Token) (enough bool, err error)) error {
+	for event, err := range sse.Read(f.body, &sse.ReadConfig{MaxEventSize: maxTokenBytes}) {
+		if err != nil {
+			return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the connection ended: %v", err)
+		}
+		token, err := parseToken(event.Data)
+		if err != nil {
+			return err
+		}
+		if enough, err := take(token); enough || err != nil {
+			return err
+		}
+	}
+	return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the connection ended before the generation")
 }
 
-func (f *feed) Next() (relay.Token, error) {
-	event, err, more := f.next()
-	if err != nil || !more {
-		return relay.Token{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the connection ended: %v", err)
-	}
+func parseToken(data string) (relay.Token, error) {
 	var wire tokenWire
-	if err := json.Unmarshal([]byte(event.Data), &wire); err != nil {
+	if err := json.Unmarshal([]byte(data), &wire); err != nil {
 		return relay.Token{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "malformed token: %v", err)
 	}
 	return relay.Token(wire), nil
@@ -39,6 +43,5 @@
 
 func (f *feed) Close() {
 	f.cancel()
-	f.stop()
 	f.body.Close()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,9 +41,10 @@
 
 // Feed is one connection that brings the tokens of a generation.
 type Feed interface {
-	// Next blocks until a token comes, the connection ends, or it has been
-	// silent past its deadline.
-	Next() (Token, error)
+	// Read passes tokens to take until take says that it has enough, the
+	// connection ends, or it has been silent past its deadline. The first of
+	// these that is an error is returned.
+	Read(take func(Token) (enough bool, err error)) error
 	Close()
 }
 
@@ -137,32 +138,31 @@
 	return resumePatience
 }
 
-// drain passes on the tokens of one connection. Only the token that is due
-// next goes through: whatever a late connection brings again falls here, and a
-// connection that brings what it shouldn't is given up.
+// drain passes on the tokens of one connection.
 func (s *Stream) drain(feed Feed) (finish string, err error) {
-	for {
-		token, err := feed.Next()
-		if err != nil {
-			return "", err
-		}
-		if token.Generation != s.Attachment.Generation {
-			return "", verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "a token of generation %q came", token.Generation)
-		}
-		if token.Index > s.Next || token.Finish != "" && token.Index < s.Next {
-			return "", verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "index %d came where %d was due", token.Index, s.Next)
-		}
-		if token.Index < s.Next {
-			continue
-		}
-		if token.Finish != "" {
-			return token.Finish, nil
-		}
-		if s.Reader.Token(token) != nil {
-			return "", ErrReaderGone
-		}
-		s.Next++
+	err = feed.Read(func(token Token) (enough bool, err error) {
+		finish = token.Finish
+		return finish != "", s.pass(token)
+	})
+	return finish, err
+}
+
+// pass lets only the token through that is due next: whatever a late connection
+// brings again falls here, and a connection that brings what it shouldn't is
+// given up.
+func (s *Stream) pass(token Token) error {
+	switch {
+	case token.Generation != s.Attachment.Generation:
+		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "a token of generation %q came", token.Generation)
+	case token.Index > s.Next || token.Finish != "" && token.Index < s.Next:
+		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "index %d came where %d was due", token.Index, s.Next)
+	case token.Index < s.Next || token.Finish != "":
+		return nil
+	case s.Reader.Token(token) != nil:
+		return ErrReaderGone
 	}
+	s.Next++
+	return nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,22 +60,20 @@
 type scriptedFeed struct {
 	ctx context.Context
 	connection
-	read int
 }
 
-func (f *scriptedFeed) Next() (relay.Token, error) {
-	if f.read == 0 {
-		select {
-		case <-time.After(f.after):
-		case <-f.ctx.Done():
-			return relay.Token{}, f.ctx.Err()
-		}
+func (f *scriptedFeed) Read(take func(relay.Token) (bool, error)) error {
+	select {
+	case <-time.After(f.after):
+	case <-f.ctx.Done():
+		return f.ctx.Err()
 	}
-	if f.read == len(f.tokens) {
-		return relay.Token{}, errBroken
+	for _, token := range f.tokens {
+		if enough, err := take(token); enough || err != nil {
+			return err
+		}
 	}
-	f.read++
-	return f.tokens[f.read-1], nil
+	return errBroken
 }
 
 func (f *scriptedFeed) Close() {}
--- a/ticket/reference.go
+++ b/ticket/reference.go
@@ -1,6 +1,10 @@
 package ticket
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"hash"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -10,9 +14,9 @@
 
 const (
 	streamPrefix = "ms1"
-	// indexMACLength shortens the signature of one token's index: it stands
+	// indexMACBytes shortens the signature of one token's index: it stands
 	// on every token, and a forged index reaches only the forger's own stream.
-	indexMACLength = 12
+	indexMACBytes = 9
 )
 
 // Stream is the part of a stream reference that all tokens of a generation
@@ -37,23 +41,54 @@
 	Class      string         `json:"class"`
 }
 
-// Referrer makes the references of one stream. The costly signature is made
-// once; each index adds a short one.
+// Referrer makes the references of one stream, for one goroutine. The costly
+// signature is made once; each index adds a short one over the first and the
+// index.
 type Referrer struct {
 	signed string
-	secret []byte
+	index  indexMAC
 }
 
 // SignStream returns the maker of references into the stream.
-func (k *Keyring) SignStream(s Stream) Referrer {
+func (k *Keyring) SignStream(s Stream) *Referrer {
 	signed := k.sign(streamPrefix, streamWire{s.Request.String(), s.Generation, s.Upstream, s.Addr, s.Team, s.Class})
-	return Referrer{signed: signed, secret: k.keys[0].Secret}
+	return &Referrer{signed: signed, index: newIndexMAC(k.keys[0].Secret, signed)}
 }
 
 // At returns the reference of a reader that has got the tokens before next.
-func (r Referrer) At(next int) string {
-	body := r.signed + "." + strconv.Itoa(next)
-	return body + "." + mac(r.secret, body)[:indexMACLength]
+func (r *Referrer) At(next int) string { return string(r.AppendAt(nil, next)) }
+
+// AppendAt appends what At returns.
+func (r *Referrer) AppendAt(text []byte, next int) []byte {
+	text = append(text, r.signed...)
+	text = append(text, '.')
+	text = strconv.AppendInt(text, int64(next), 10)
+	text = append(text, '.')
+	return r.index.append(text, next)
+}
+
+// indexMAC signs indexes of one stream.
+type indexMAC struct {
+	keyed hash.Hash
+	// message is the part that all indexes share: the signature of the stream,
+	// behind a word that no other signed text begins with.
+	message []byte
+	sum     []byte
+}
+
+func newIndexMAC(secret []byte, signed string) indexMAC {
+	message := append([]byte("index."), signed[strings.LastIndexByte(signed, '.')+1:]...)
+	return indexMAC{keyed: hmac.New(sha256.New, secret), message: append(message, '.')}
+}
+
+func (m *indexMAC) append(text []byte, next int) []byte {
+	shared := len(m.message)
+	m.message = strconv.AppendInt(m.message, int64(next), 10)
+	m.keyed.Reset()
+	m.keyed.Write(m.message)
+	m.message = m.message[:shared]
+	m.sum = m.keyed.Sum(m.sum[:0])
+	return base64.RawURLEncoding.AppendEncode(text, m.sum[:indexMACBytes])
 }
 
 // VerifyStream reads what At wrote: the stream, and the index of the next
@@ -73,7 +108,10 @@
 		return Stream{}, 0, err
 	}
 	next, err := strconv.Atoi(body[dot+1:])
-	if err != nil || next < 0 || !k.signedIndex(body, signature) {
+	if err != nil || next < 0 || strconv.Itoa(next) != body[dot+1:] {
+		return Stream{}, 0, errForged
+	}
+	if !k.signedIndex(body[:dot], next, signature) {
 		return Stream{}, 0, errForged
 	}
 	request, err := ident.ParseRequest(wire.Request)
@@ -83,11 +121,13 @@
 	return Stream{request, wire.Generation, wire.Upstream, wire.Addr, wire.Team, wire.Class}, next, nil
 }
 
-func (k *Keyring) signedIndex(body, signature string) bool {
-	id := strings.Split(body, ".")[1]
+// signedIndex checks the signature of an index of a verified stream.
+func (k *Keyring) signedIndex(signed string, next int, signature string) bool {
+	id := strings.Split(signed, ".")[1]
 	for _, key := range k.keys {
 		if key.ID == id {
-			return mac(key.Secret, body)[:indexMACLength] == signature
+			m := newIndexMAC(key.Secret, signed)
+			return hmac.Equal(m.append(nil, next), []byte(signature))
 		}
 	}
 	return false
