--- a/bench/reader.go
+++ b/bench/reader.go
@@ -108,6 +108,20 @@
 	return *wire.Error.Delivered, true
 }
 
+// Reason returns the reason of a refusal.
+func (r *Reader) Reason() string {
+	var wire struct {
+		Error struct {
+			Reason string `json:"reason"`
+		} `json:"error"`
+	}
+	_, body, _ := strings.Cut(r.Failure, "{")
+	if json.Unmarshal([]byte("{"+body), &wire) != nil {
+		return "unreadable"
+	}
+	return wire.Error.Reason
+}
+
 // chunkWire is what the reader looks at of an event.
 type chunkWire struct {
 	Choices []struct {
--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -20,6 +20,8 @@
 	KillEngine
 	// FreezeEngine pauses an engine.
 	FreezeEngine
+	// KillService kills a plain service; a new incarnation takes its place.
+	KillService
 	// CutUpstream resets the connections to an engine or service.
 	CutUpstream
 	// SilenceUpstream holds the bytes to and from an engine or service.
@@ -36,6 +38,8 @@
 	SilencePeer
 	// PlatformDown makes the configuration service and the instance list unreachable.
 	PlatformDown
+	// StaleConfiguration makes the configuration service show an old version.
+	StaleConfiguration
 	// OperatorRace changes two values of the configuration at the same time.
 	OperatorRace
 
@@ -44,10 +48,10 @@
 
 var faultNames = [...]string{
 	KillEntry: "kill_entry", StopEntry: "stop_entry", FreezeEntry: "freeze_entry", KillEngine: "kill_engine",
-	FreezeEngine: "freeze_engine", CutUpstream: "cut_upstream", SilenceUpstream: "silence_upstream",
+	FreezeEngine: "freeze_engine", KillService: "kill_service", CutUpstream: "cut_upstream", SilenceUpstream: "silence_upstream",
 	SilenceUpstreamAnswers: "silence_upstream_answers", ForgetUpstream: "forget_upstream",
 	ForgetCallers: "forget_callers", CutCentre: "cut_data_centre", SilencePeer: "silence_peer",
-	PlatformDown: "platform_down", OperatorRace: "operator_race",
+	PlatformDown: "platform_down", StaleConfiguration: "stale_configuration", OperatorRace: "operator_race",
 }
 
 // String returns the fault's name in snake case.
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -60,7 +60,7 @@
 		done := make(chan struct{})
 		group.Add(func() error { engine.Run(done); return nil }, func(error) { close(done) })
 	case args.Service != nil:
-		listen, routes = args.Service.Listen, standin.NewService(incarnation(parser, args.Service.Incarnation)).Routes()
+		listen, routes = args.Service.Listen, standin.NewService(incarnation(parser, args.Service.Incarnation), os.Stdout).Routes()
 	case args.Configuration != nil:
 		listen, routes = args.Configuration.Listen, standin.NewConfiguration().Routes()
 	case args.List != nil:
--- a/standin/service.go
+++ b/standin/service.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,9 @@
 // call that ran twice, and it can be told to fail in the ways that services do.
 type Service struct {
 	incarnation ident.Incarnation
+	// journal gets a line of JSON for each run, before its answer, so that the
+	// runs are known after the service was killed.
+	journal *json.Encoder
 
 	mu      sync.Mutex
 	running int
@@ -63,9 +67,10 @@
 // slowAnswer is how late a Slow answer comes.
 const slowAnswer = 1500 * time.Millisecond
 
-// NewService returns a service that has run nothing.
-func NewService(incarnation ident.Incarnation) *Service {
-	return &Service{incarnation: incarnation, ran: map[string]int{}}
+// NewService returns a service that has run nothing, and writes a line of JSON
+// to journal for each Run.
+func NewService(incarnation ident.Incarnation, journal io.Writer) *Service {
+	return &Service{incarnation: incarnation, journal: json.NewEncoder(journal), ran: map[string]int{}}
 }
 
 // Routes returns the service's HTTP interface.
@@ -132,6 +137,8 @@
 	r.Answer = fmt.Sprintf("%s for %s: %s (run %s/%d)", r.Class, team, r.Body, s.incarnation, len(s.runs))
 	s.runs = append(s.runs, r)
 	s.ran[r.Class+" "+r.Body]++
+	// A journal that can't be written shows as a run that is missing in it.
+	_ = s.journal.Encode(r)
 	return r.Answer
 }
 
