--- a/ident/ident.go
+++ b/ident/ident.go
@@ -52,8 +52,8 @@
 // Home is the one incarnation of one entry instance that something belongs to.
 type Home struct {
 	// Peer is the address where the instance listens for its peers.
-	Peer        netip.AddrPort
-	Incarnation Incarnation
+	Peer        netip.AddrPort `json:"peer"`
+	Incarnation Incarnation    `json:"incarnation"`
 }
 
 // Request names one request. It holds the home that keeps the request's
