--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -34,6 +34,7 @@
 	for field, numbers := range map[string][]int{
 		"limits.body_bytes":    {defaultBodyBytes, minBodyBytes, maxBodyBytes},
 		"limits.open_requests": {defaultOpenRequests, 1, maxOpenRequests},
+		"limits.stop_grace_ms": {defaultStopGraceMS, 0, maxStopGraceMS},
 		"keys[].secret_file":   {ticket.MinSecretBytes, maxSecretBytes},
 	} {
 		for _, n := range numbers {
