Audit trail: a head kept elsewhere shows a trail that was cut off or written anew

Cause: a chain of hashes alone can't show that records were cut off at its end, nor that everything behind one place was written anew. Seen to fail: with edited records counted as holding their hash, the case of an edited last record fails.

--- a/audit/verify.go
+++ b/audit/verify.go
@@ -36,16 +36,21 @@
 	Misplaced
 	// Replaced is a record that doesn't hold the hash of the one before it.
 	Replaced
+	// Truncated is a known head that no record has: the trail was cut off
+	// before it, or written anew.
+	Truncated
 )
 
-var kindNames = [...]string{Malformed: "malformed", Edited: "edited", Gap: "gap", Misplaced: "misplaced", Replaced: "replaced"}
+var kindNames = [...]string{
+	Malformed: "malformed", Edited: "edited", Gap: "gap", Misplaced: "misplaced", Replaced: "replaced", Truncated: "truncated",
+}
 
 // String returns the kind's name.
 func (k FaultKind) String() string { return kindNames[k] }
 
 // Fault is one place where a trail is not as it was written.
 type Fault struct {
-	// Line counts from 1.
+	// Line counts from 1; for Truncated it is that of the stream's end.
 	Line   int
 	Kind   FaultKind
 	Chain  string
@@ -83,9 +88,13 @@
 }
 
 // Verify checks the chain of every incarnation in a stream of records, which
-// may be interleaved. The error is that of reading the stream.
-func Verify(r io.Reader) (Report, error) {
-	v := &verifier{chains: map[string]*Chain{}}
+// may be interleaved. Heads are hashes of records that are known to have been
+// written. The error is that of reading the stream.
+func Verify(r io.Reader, heads ...string) (Report, error) {
+	v := &verifier{chains: map[string]*Chain{}, heads: map[string]bool{}}
+	for _, head := range heads {
+		v.heads[head] = true
+	}
 	lines := bufio.NewReader(r)
 	for number := 1; ; number++ {
 		line, err := readLine(lines)
@@ -94,6 +103,7 @@
 		}
 		if err != nil {
 			v.report.Incomplete = len(line) > 0
+			v.end(number, heads)
 			return v.report, nil
 		}
 		v.line(number, line)
@@ -118,6 +128,17 @@
 type verifier struct {
 	report Report
 	chains map[string]*Chain
+	// heads holds the known heads that no record has had yet.
+	heads map[string]bool
+}
+
+// end reports the heads that were not seen, in the order they were given.
+func (v *verifier) end(number int, heads []string) {
+	for _, head := range heads {
+		if v.heads[head] {
+			v.fault(number, Truncated, nil, fmt.Sprintf("no record has the hash %s: the trail was cut off before it, or written anew", head))
+		}
+	}
 }
 
 // lineWire is a record as far as its place in the chain goes.
@@ -150,6 +171,9 @@
 	if !intact {
 		v.fault(number, Edited, chain, fmt.Sprintf("record %d does not fit its own hash", wire.Sequence))
 	}
+	if intact {
+		delete(v.heads, wire.Hash)
+	}
 	if v.place(number, chain, wire) {
 		chain.Head = Head{wire.Sequence, wire.Hash}
 		chain.Stopped = wire.Event == event.InstanceStopped
--- a/audit/verify_test.go
+++ b/audit/verify_test.go
@@ -41,9 +41,9 @@
 }
 
 // verify returns the faults, one a line, and the report.
-func verify(t *testing.T, stream []string) (string, audit.Report) {
+func verify(t *testing.T, stream []string, heads ...string) (string, audit.Report) {
 	t.Helper()
-	report, err := audit.Verify(strings.NewReader(strings.Join(stream, "")))
+	report, err := audit.Verify(strings.NewReader(strings.Join(stream, "")), heads...)
 	assert.NilError(t, err)
 	var faults []string
 	for _, fault := range report.Faults {
@@ -109,6 +109,30 @@
 	}
 }
 
+// TestVerifyHeads holds that a head kept elsewhere shows what the chain alone
+// can't.
+func TestVerifyHeads(t *testing.T) {
+	whole, anew := lines(t, "a", 1, 6), lines(t, "a", 1, 5)
+	_, report := verify(t, whole)
+	head := report.Chains[0].Head.Hash
+	for name, c := range map[string]struct {
+		stream []string
+		want   string
+	}{
+		"whole":          {whole, ""},
+		"gone on":        {append(slices.Clone(whole), lines(t, "a", 2, 3)...), ""},
+		"cut off":        {whole[:5], "6 truncated"},
+		"written anew":   {anew, "6 truncated"},
+		"edited":         {append(slices.Clone(whole[:5]), edit(whole[5], "stop", "stay")), "6 edited, 7 truncated"},
+		"nothing at all": {nil, "1 truncated"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			faults, _ := verify(t, c.stream, head)
+			assert.Equal(t, faults, c.want)
+		})
+	}
+}
+
 func TestVerifyInterleaved(t *testing.T) {
 	a, b, later := lines(t, "a", 1, 4), lines(t, "b", 1, 4), lines(t, "a", 2, 4)
 	var stream []string
--- a/check/check.go
+++ b/check/check.go
@@ -62,7 +62,10 @@
 // Checker checks files and tells about them.
 type Checker struct {
 	Kind Kind
-	In   io.Reader
+	// Heads are hashes of records that are known to have been written to the
+	// trails.
+	Heads []string
+	In    io.Reader
 	// Out gets what was found to be good, Faults what was not.
 	Out, Faults io.Writer
 }
@@ -224,7 +227,7 @@
 }
 
 func (c Checker) trail(name string, r io.Reader) (bool, error) {
-	report, err := audit.Verify(r)
+	report, err := audit.Verify(r, c.Heads...)
 	if err != nil {
 		return false, err
 	}
--- a/cmd/mangoloft/main.go
+++ b/cmd/mangoloft/main.go
@@ -46,6 +46,7 @@
 type checkCommand struct {
 	Files []string   `arg:"positional,required" placeholder:"FILE" help:"settings, a configuration (a directory of values, or one file with an object of values by key), or a stream of audit records; - is standard input"`
 	Kind  check.Kind `arg:"--kind" default:"detect" help:"settings, configuration or trail; the content tells unless given"`
+	Heads []string   `arg:"--head,separate" placeholder:"HASH" help:"a hash that status once showed, which the trail must hold; may be given several times"`
 }
 
 type explainCommand struct {
@@ -123,7 +124,7 @@
 }
 
 func checkFiles(command checkCommand) int {
-	checker := check.Checker{Kind: command.Kind, In: os.Stdin, Out: os.Stdout, Faults: os.Stderr}
+	checker := check.Checker{Kind: command.Kind, Heads: command.Heads, In: os.Stdin, Out: os.Stdout, Faults: os.Stderr}
 	good, err := checker.Files(command.Files)
 	switch {
 	case err != nil:
--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -194,9 +194,16 @@
 	})
 	t.Run("examples", func(t *testing.T) { runExamples(ctx, t, first.Addr) })
 	t.Run("trail", func(t *testing.T) {
+		var status struct {
+			Audit struct {
+				Hash string `json:"hash"`
+			} `json:"audit"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(expect(t, 0, "{", "status", "--json", "--operators", operators)), &status))
 		assert.NilError(t, first.Stop(ctx))
 		path := filepath.Join(plan.Dir, first.Name+".trail")
-		output := expect(t, 0, "a whole trail", "check", path)
+		output := expect(t, 0, "a whole trail", "check", "--head", status.Audit.Hash, path)
+		expect(t, 1, "truncated", "check", "--head", strings.Repeat("0", 64), path)
 		assert.Assert(t, !strings.Contains(output, "has no end"), output)
 		content, err := os.ReadFile(path)
 		assert.NilError(t, err)
