--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -170,7 +170,7 @@
 		assert.Equal(t, status.Instance, first.Name)
 	})
 	r := &bench.Reader{Credential: bench.Credential}
-	assert.NilError(t, r.Begin(ctx, http.DefaultClient, first.Addr, bench.DraftClass, "output_tokens=20"))
+	assert.NilError(t, r.Begin(ctx, http.DefaultClient, first.Addr, bench.DraftClass, "output_tokens=20 "+promptMark))
 	assert.Assert(t, r.Done, r.Failure)
 	t.Run("explain", func(t *testing.T) {
 		// Any instance can be asked, also one that is not the request's home.
@@ -213,6 +213,7 @@
 		assert.Assert(t, strings.Contains(tampered.stderr, ": edited: "+first.Name), tampered.stderr)
 		checkFields(t, content)
 	})
+	t.Run("nothing private", func(t *testing.T) { checkPrivacy(t, plan.Dir) })
 	t.Run("closed output", func(t *testing.T) { serveWithoutReader(ctx, t, fleet, second, plan.Dir) })
 }
 
@@ -262,6 +263,28 @@
 	}
 }
 
+// promptMark stands in a prompt.
+const promptMark = "passage-notes-4711"
+
+// checkPrivacy looks through all trails and logs for what must be in none: a
+// prompt, a call's body, a credential, a secret.
+func checkPrivacy(t *testing.T, dir string) {
+	t.Helper()
+	secret, err := os.ReadFile(filepath.Join(dir, "key"))
+	assert.NilError(t, err)
+	outputs, err := filepath.Glob(filepath.Join(dir, "entry-*.[tl]*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(outputs), 4, "two trails and two logs")
+	for _, output := range outputs {
+		content, err := os.ReadFile(output)
+		assert.NilError(t, err)
+		assert.Assert(t, len(content) > 0, output)
+		for _, private := range []string{promptMark, "headset 9", bench.Credential, string(secret)} {
+			assert.Assert(t, !bytes.Contains(content, []byte(private)), "%s holds %q", output, private)
+		}
+	}
+}
+
 // serveWithoutReader starts an instance in place of p, whose standard output
 // and error are pipes that nobody reads any more, and holds that it serves.
 func serveWithoutReader(ctx context.Context, t *testing.T, fleet *bench.Fleet, p *bench.Process, dir string) {
