TLS by settings, key rotation without a restart, and teams kept apart under test

The planned stop ran its last steps, among them the cancelling of generations, while streams were still open.

Change: tls.peers, tls.callers and tls.operators name PEM files. Peers must both show a certificate of the authority for the address that was dialled; callers and operators must show one when ca_file is there. The keys of the settings file are looked at each second and put on the ring when they changed (event 109; a file with a fault is event 110 and changes nothing). A stream's reference is signed whole by one key also when the ring changes meanwhile. The planned stop has two kinds of steps: those after the last call, which hand the ledgers over, and those after the last request.

--- a/bench/charges.go
+++ b/bench/charges.go
@@ -27,6 +27,7 @@
 	// Ticket is the one to go on with.
 	Ticket          string
 	Verdict, Reason string
+	Message         string
 	RetryAfter      string
 	Took            time.Duration
 	// Err is why no whole answer came.
@@ -100,11 +101,11 @@
 	}
 	var failure struct {
 		Error struct {
-			Verdict, Reason string
+			Verdict, Reason, Message string
 		} `json:"error"`
 	}
 	if json.Unmarshal(content, &failure) == nil {
-		reply.Verdict, reply.Reason = failure.Error.Verdict, failure.Error.Reason
+		reply.Verdict, reply.Reason, reply.Message = failure.Error.Verdict, failure.Error.Reason, failure.Error.Message
 	}
 	return reply
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -43,6 +43,10 @@
 	Step time.Duration
 	// Proxies puts a proxy before every listener but the operators'.
 	Proxies bool
+	// OpenRequests is an entry instance's limit; zero for its own default.
+	OpenRequests int
+	// Authority, when set, secures the links between entry instances.
+	Authority *Authority
 	// StopGrace is how long an entry instance takes new work in a planned stop;
 	// zero for its own default.
 	StopGrace time.Duration
@@ -174,7 +178,14 @@
 	path := filepath.Join(f.plan.Dir, name+".json")
 	limits := ""
 	if f.plan.StopGrace > 0 {
-		limits = fmt.Sprintf(`"stop_grace_ms": %d`, f.plan.StopGrace.Milliseconds())
+		limits = fmt.Sprintf(`"stop_grace_ms": %d,`, f.plan.StopGrace.Milliseconds())
+	}
+	if f.plan.OpenRequests > 0 {
+		limits += fmt.Sprintf(`"open_requests": %d`, f.plan.OpenRequests)
+	}
+	secured, err := f.secure(p)
+	if err != nil {
+		return nil, err
 	}
 	settings := fmt.Sprintf(`{
 	"instance": %q,
@@ -184,8 +195,9 @@
 	"platform": {"configuration": %q, "instance_list": %q},
 	"keys": [{"id": "k1", "secret_file": "key"}],
 	"limits": {%s},
+	"tls": {%s},
 }
-`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr, limits)
+`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr, limits, secured)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
@@ -489,3 +501,6 @@
 	}
 	return content, err
 }
+
+// TrailOf returns the path of the audit trail of all incarnations of p.
+func (f *Fleet) TrailOf(p *Process) string { return filepath.Join(f.plan.Dir, p.Name+".trail") }
--- a/caller/plugin.go
+++ b/caller/plugin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/labstack/echo/v4/middleware"
 
 	"mangoloft/call"
+	"mangoloft/certs"
 	"mangoloft/kernel"
 	"mangoloft/relay"
 )
@@ -78,7 +80,7 @@
 
 func (s *server) serve(ctx context.Context) error {
 	server := &http.Server{
-		Addr: s.rt.Settings.Listen.Callers.String(), Handler: s.routes(),
+		Handler:           s.routes(),
 		ConnContext:       boundSendBuffer,
 		ReadHeaderTimeout: headerLimit, ReadTimeout: bodyLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -95,7 +97,11 @@
 			server.Close()
 		}
 	})
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	listener, err := certs.ListenHTTP(s.rt.Settings.Listen.Callers, s.rt.Settings.TLS.Callers)
+	if err != nil {
+		return err
+	}
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -106,6 +112,9 @@
 const sendBufferBytes = 128 << 10
 
 func boundSendBuffer(ctx context.Context, conn net.Conn) context.Context {
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = secured.NetConn()
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendBufferBytes) // A connection that is closed already fails later.
 	}
--- /dev/null
+++ b/certs/certs_test.go
@@ -0,0 +1,115 @@
+package certs_test
+
+import (
+	"crypto/tls"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/bench"
+	"mangoloft/certs"
+)
+
+var local = netip.MustParseAddr("127.0.0.1")
+
+// issue writes a certificate of the authority and returns its files, whose
+// authorities are those given.
+func issue(t *testing.T, dir, name string, by *bench.Authority, trusted ...*bench.Authority) certs.Files {
+	t.Helper()
+	assert.NilError(t, by.Issue(dir, name, local))
+	var pool []byte
+	for _, authority := range trusted {
+		pool = append(pool, authority.PEM()...)
+	}
+	files := certs.Files{Certificate: filepath.Join(dir, name+".crt"), Key: filepath.Join(dir, name+".key"), CA: filepath.Join(dir, name+".ca")}
+	assert.NilError(t, os.WriteFile(files.CA, pool, 0o600))
+	return files
+}
+
+func newAuthority(t *testing.T) *bench.Authority {
+	t.Helper()
+	authority, err := bench.NewAuthority()
+	assert.NilError(t, err)
+	return authority
+}
+
+// get makes one request on a new connection.
+func get(addr string, config *tls.Config) error {
+	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
+	response, err := client.Get("https://" + addr)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
+func clientOf(t *testing.T, files certs.Files) *tls.Config {
+	t.Helper()
+	source, err := certs.NewSource(files)
+	assert.NilError(t, err)
+	return source.Client()
+}
+
+// TestRotation changes the files under a running server.
+func TestRotation(t *testing.T) {
+	dir := t.TempDir()
+	before, after := newAuthority(t), newAuthority(t)
+	files := issue(t, dir, "server", before, before)
+	listener, err := certs.ListenHTTP(netip.AddrPortFrom(local, 0), files)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) }) // It ends by Close.
+	defer group.Wait()
+	defer server.Close()
+	addr := listener.Addr().String()
+
+	oldClient := clientOf(t, issue(t, dir, "old", before, before))
+	newClient := clientOf(t, issue(t, dir, "new", after, after))
+	anonymous := oldClient.Clone()
+	anonymous.Certificates = nil
+	assert.NilError(t, get(addr, oldClient))
+	assert.Assert(t, get(addr, newClient) != nil, "a client of another authority was served")
+	assert.Assert(t, get(addr, anonymous) != nil, "a client without a certificate was served")
+
+	// A half-written certificate changes nothing.
+	assert.NilError(t, os.WriteFile(files.Certificate, []byte("-----BEGIN"), 0o600))
+	for begun := time.Now(); time.Since(begun) < time.Second; {
+		assert.NilError(t, get(addr, oldClient))
+	}
+
+	issue(t, dir, "server", after, after)
+	giveUpAt := time.Now().Add(20 * time.Second)
+	for get(addr, newClient) != nil {
+		assert.Assert(t, time.Now().Before(giveUpAt), "the new files are not in use")
+	}
+	assert.Assert(t, get(addr, oldClient) != nil, "a client of the former authority was served")
+}
+
+func TestNewSourceRefuses(t *testing.T) {
+	dir := t.TempDir()
+	authority := newAuthority(t)
+	good := issue(t, dir, "good", authority, authority)
+	other := issue(t, dir, "other", authority)
+	tests := map[string]certs.Files{
+		"a missing file":          {Certificate: good.Certificate, Key: filepath.Join(dir, "none")},
+		"another's key":           {Certificate: good.Certificate, Key: other.Key},
+		"a file of no authority":  {Certificate: good.Certificate, Key: good.Key, CA: other.CA},
+		"a key for a certificate": {Certificate: good.Key, Key: good.Key},
+	}
+	for name, files := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := certs.NewSource(files)
+			assert.Assert(t, err != nil)
+		})
+	}
+}
--- a/charge/plugin.go
+++ b/charge/plugin.go
@@ -26,7 +26,7 @@
 	c := &Charges{rt: rt, dispatcher: &call.Dispatcher{Placer: rt, Runner: services}}
 	c.book = NewBook(rt.Home, rt.Settings.DataCentre, rt.Keyring, c.dispatch, time.Now)
 	rt.Provide(c)
-	rt.OnDrain(c.handOver)
+	rt.OnHandOver(c.handOver)
 	return nil, nil
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -26,6 +26,8 @@
 	AuditGap         ID = 106
 	SettingsWarning  ID = 107
 	InstanceLacks    ID = 108
+	KeysReplaced     ID = 109
+	SettingsUnread   ID = 110
 
 	ConfigAccepted      ID = 201
 	ConfigRefused       ID = 202
@@ -59,6 +61,8 @@
 	AuditGap:            "audit_gap",
 	SettingsWarning:     "settings_warning",
 	InstanceLacks:       "instance_lacks",
+	KeysReplaced:        "keys_replaced",
+	SettingsUnread:      "settings_unread",
 	ConfigAccepted:      "config_accepted",
 	ConfigRefused:       "config_refused",
 	ConfigServiceFailed: "config_service_failed",
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// handOverLimit bounds the steps after the last call of a planned stop.
-	handOverLimit = 10 * time.Second
+	// stepsLimit bounds the steps after the last call of a planned stop, and
+	// those after its last request.
+	stepsLimit = 10 * time.Second
 	// outputLimit bounds the writing of what is left of the trail and the log.
 	outputLimit = 2 * time.Second
 	// eventBacklog is how many events may wait for the control goroutine.
@@ -53,6 +54,9 @@
 		group.Add(func() error { return a.Run(base) }, func(error) { cancel() })
 	}
 	add(Actor{"control", func(ctx context.Context) error { return rt.runControl(ctx, state) }})
+	if s.File != "" {
+		add(Actor{"keys", func(ctx context.Context) error { return rt.watchKeys(ctx, settings.Load) }})
+	}
 	for _, plugin := range registered {
 		actors, err := plugin.Start(rt)
 		if err != nil {
@@ -107,17 +111,19 @@
 	case <-ctx.Done():
 		return
 	}
-	rt.handOver(ctx)
+	runSteps(ctx, rt.handovers)
 	select {
 	case <-allDone:
 	case <-ctx.Done():
+		return
 	}
+	runSteps(ctx, rt.drainers)
 }
 
-func (rt *Runtime) handOver(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(handOverLimit))
+func runSteps(ctx context.Context, steps []func(context.Context)) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(stepsLimit))
 	defer cancel()
-	for _, step := range rt.drainers {
+	for _, step := range steps {
 		step(ctx)
 	}
 }
--- a/kernel/runtime.go
+++ b/kernel/runtime.go
@@ -28,11 +28,12 @@
 
 	parts    []any
 	watchers []func(control.Action)
-	drainers []func(context.Context)
-	snapshot atomic.Pointer[control.Snapshot]
-	sequence atomic.Uint64
-	events   chan envelope
-	stopped  chan struct{}
+	// handovers and drainers are steps of the planned stop.
+	handovers, drainers []func(context.Context)
+	snapshot            atomic.Pointer[control.Snapshot]
+	sequence            atomic.Uint64
+	events              chan envelope
+	stopped             chan struct{}
 }
 
 // envelope is an event on its way to the control goroutine.
@@ -50,8 +51,12 @@
 // must not block.
 func (rt *Runtime) OnAction(watch func(control.Action)) { rt.watchers = append(rt.watchers, watch) }
 
-// OnDrain adds a step to the planned stop, run when no new request is taken and
-// no call is under way any more. Streams may still be.
+// OnHandOver adds a step to the planned stop, run when no new request is taken
+// and no call is under way any more. Streams may still be.
+func (rt *Runtime) OnHandOver(step func(context.Context)) { rt.handovers = append(rt.handovers, step) }
+
+// OnDrain adds a step to the planned stop, run when no request is under way
+// any more.
 func (rt *Runtime) OnDrain(drain func(context.Context)) { rt.drainers = append(rt.drainers, drain) }
 
 // Snapshot returns the latest published control state.
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -15,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"mangoloft/audit"
+	"mangoloft/certs"
 	"mangoloft/ident"
 	"mangoloft/kernel"
 	"mangoloft/metrics"
@@ -57,7 +58,7 @@
 	e.GET("/status", s.status)
 	e.GET("/requests/:id", s.explain)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	server := &http.Server{Addr: s.rt.Settings.Listen.Operators.String(), Handler: e, ReadHeaderTimeout: headerLimit}
+	server := &http.Server{Handler: e, ReadHeaderTimeout: headerLimit}
 	var group sync.WaitGroup
 	defer group.Wait()
 	// A server that can't listen ends the other goroutine too.
@@ -71,7 +72,11 @@
 			server.Close()
 		}
 	})
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	listener, err := certs.ListenHTTP(s.rt.Settings.Listen.Operators, s.rt.Settings.TLS.Operators)
+	if err != nil {
+		return err
+	}
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
 	"mangoloft/control"
@@ -60,6 +60,10 @@
 		rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, peers: map[string]contact{}, holders: holders{addr: map[ident.Home]netip.AddrPort{}},
 		news: make(chan struct{}, 1), fetches: make(chan control.Action, fetchBacklog),
 	}
+	var err error
+	if l.serverCredentials, l.clientCredentials, err = secrecy(rt.Settings.TLS.Peers); err != nil {
+		return nil, err
+	}
 	l.loads, _ = kernel.Find[loadSource](rt)
 	rt.OnAction(l.watch)
 	rt.Provide(l)
@@ -74,6 +78,9 @@
 type links struct {
 	rt    *kernel.Runtime
 	loads loadSource
+	// What secures the connections that peers make, and those to peers.
+	serverCredentials, clientCredentials credentials.TransportCredentials
+
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*grpc.ClientConn
 	// holders says where the tickets of homes that stopped are run.
@@ -114,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.Creds(l.serverCredentials))
 	peerpb.RegisterPeerServer(server, &handler{rt: l.rt, links: l})
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -146,7 +153,7 @@
 				BaseDelay: heartbeatInterval / 2, Multiplier: 1, MaxDelay: heartbeatInterval,
 			}, MinConnectTimeout: dialLimit}),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: silenceLimit}),
-			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithTransportCredentials(l.clientCredentials),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 			// A call that gRPC repeats by itself could run twice.
 			grpc.WithDisableRetry(),
--- a/settings/load.go
+++ b/settings/load.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 
+	"mangoloft/certs"
 	"mangoloft/jsonc"
 	"mangoloft/ticket"
 )
@@ -24,6 +25,19 @@
 	Platform   Platform       `json:"platform"`
 	Keys       []keyWire      `json:"keys" jsonc:"hidden"`
 	Limits     Limits         `json:"limits"`
+	TLS        tlsWire        `json:"tls"`
+}
+
+type tlsWire struct {
+	Peers     filesWire `json:"peers"`
+	Callers   filesWire `json:"callers"`
+	Operators filesWire `json:"operators"`
+}
+
+type filesWire struct {
+	CertificateFile string `json:"certificate_file"`
+	KeyFile         string `json:"key_file"`
+	CAFile          string `json:"ca_file"`
 }
 
 type keyWire struct {
@@ -87,6 +101,10 @@
 	c.inRange("limits.open_requests", int64(wire.Limits.OpenRequests), 1, maxOpenRequests)
 	c.inRange("limits.stop_grace_ms", wire.Limits.StopGraceMS, 0, maxStopGraceMS)
 	keys := c.keys(wire.Keys)
+	secured := TLS{
+		Peers: c.files(peersField, wire.TLS.Peers), Callers: c.files("tls.callers", wire.TLS.Callers),
+		Operators: c.files("tls.operators", wire.TLS.Operators),
+	}
 	if faults := c.Faults(); len(faults) > 0 {
 		return Settings{}, faults
 	}
@@ -95,10 +113,10 @@
 		advertise = wire.Listen.Peers
 	}
 	return Settings{
-		Instance: wire.Instance, DataCentre: wire.DataCentre, Listen: wire.Listen,
+		File: path, Instance: wire.Instance, DataCentre: wire.DataCentre, Listen: wire.Listen,
 		// An id holds four bytes for an IPv4 address, however it was written.
 		Advertise: netip.AddrPortFrom(advertise.Addr().Unmap(), advertise.Port()),
-		Platform:  wire.Platform, Keys: keys, Limits: wire.Limits, Warnings: c.warnings,
+		Platform:  wire.Platform, Keys: keys, Limits: wire.Limits, TLS: secured, Warnings: c.warnings,
 	}, nil
 }
 
@@ -214,6 +232,33 @@
 	return secret
 }
 
+// peersField names the files of the links between peers, which need an authority.
+const peersField = "tls.peers"
+
+// files checks that the files of a listener are there and belong together.
+func (c *checker) files(field string, wire filesWire) certs.Files {
+	if wire == (filesWire{}) {
+		return certs.Files{}
+	}
+	files := certs.Files{Certificate: c.path(wire.CertificateFile), Key: c.path(wire.KeyFile), CA: c.path(wire.CAFile)}
+	if files.Certificate == "" || files.Key == "" || files.CA == "" && field == peersField {
+		c.Fault(field, "only a part of the files", "certificate_file and key_file, and ca_file for peers")
+		return certs.Files{}
+	}
+	if _, err := certs.NewSource(files); err != nil {
+		c.Fault(field, "files that can't be used: "+cause(err), "PEM files of a certificate, its key, and the authority")
+	}
+	return files
+}
+
+// path returns a path from the directory of the settings file.
+func (c *checker) path(path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(c.dir, path)
+}
+
 // cause returns the reason of a file error without the path.
 func cause(err error) string {
 	var pathError *fs.PathError
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -60,6 +60,9 @@
 		"secret for a key":     {`{"id": "k1", "secret_file": "key"}`, `"` + secretText + `"`, "5:12: keys[0]: found a string; allowed: an object"},
 		"short secret":         {`"key"`, `"short"`, `5:40: keys[0].secret_file: found a secret of 5 bytes; allowed: 32 to 4096 bytes`},
 		"limits out of range":  {`"keys"`, `"limits": {"body_bytes": 1, "open_requests": 0}, "keys"`, "5:28: limits.body_bytes: found 1; allowed: 1024 to 67108864\n/etc/s.json:5:48: limits.open_requests: found 0; allowed: 1 to 1000000"},
+		"a part of the files":  {`"keys"`, `"tls": {"callers": {"key_file": "k"}}, "keys"`, `5:22: tls.callers: found only a part of the files; allowed: certificate_file and key_file, and ca_file for peers`},
+		"no such certificate":  {`"keys"`, `"tls": {"callers": {"certificate_file": "/etc/none", "key_file": "k"}}, "keys"`, `5:22: tls.callers: found files that can't be used: no such file or directory; allowed: PEM files of a certificate, its key, and the authority`},
+		"peers, no authority":  {`"keys"`, `"tls": {"peers": {"certificate_file": "/etc/none", "key_file": "k"}}, "keys"`, `5:20: tls.peers: found only a part of the files; allowed: certificate_file and key_file, and ca_file for peers`},
 		"nothing at all":       {good, ``, `1:1: (document): found parsing value: unexpected EOF; allowed: JSON with comments and trailing commas`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,11 +7,14 @@
 	"net/netip"
 	"time"
 
+	"mangoloft/certs"
 	"mangoloft/ticket"
 )
 
 // Settings is what an entry instance is told about itself.
 type Settings struct {
+	// File is where they were read.
+	File       string
 	Instance   string
 	DataCentre string
 	Listen     Listen
@@ -21,6 +24,7 @@
 	Platform  Platform
 	Keys      []ticket.Key
 	Limits    Limits
+	TLS       TLS
 	// Warnings are what an operator should mend although the instance runs.
 	Warnings []string
 }
@@ -38,6 +42,12 @@
 	InstanceList  netip.AddrPort `json:"instance_list"`
 }
 
+// TLS says which listeners are secured, and by which files.
+type TLS struct {
+	// Peers, when there, secures the links between instances both ways.
+	Peers, Callers, Operators certs.Files
+}
+
 // Limits bounds what callers may send.
 type Limits struct {
 	// BodyBytes is the largest body of a request.
--- a/ticket/keyring.go
+++ b/ticket/keyring.go
@@ -8,7 +8,9 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
+	"slices"
 	"strings"
+	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 )
@@ -26,38 +28,56 @@
 // key is rotated by putting the new one last everywhere, then first
 // everywhere, then dropping the old one.
 type Keyring struct {
-	keys []Key
+	keys atomic.Pointer[[]Key]
 }
 
 // NewKeyring checks the keys and returns a ring of them.
 func NewKeyring(keys []Key) (*Keyring, error) {
+	k := &Keyring{}
+	if err := k.Replace(keys); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Replace puts other keys on the ring, at once for all who use it. On an error
+// the ring stays as it is.
+func (k *Keyring) Replace(keys []Key) error {
 	if len(keys) == 0 {
-		return nil, errorx.IllegalArgument.New("a key ring needs at least one key")
+		return errorx.IllegalArgument.New("a key ring needs at least one key")
 	}
 	seen := map[string]bool{}
 	for _, key := range keys {
 		if key.ID == "" || strings.Contains(key.ID, ".") || seen[key.ID] {
-			return nil, errorx.IllegalArgument.New("key id %q is empty, used twice, or has a dot in it", key.ID)
+			return errorx.IllegalArgument.New("key id %q is empty, used twice, or has a dot in it", key.ID)
 		}
 		seen[key.ID] = true
 		if len(key.Secret) < MinSecretBytes {
-			return nil, errorx.IllegalArgument.New("the secret of key %q has %d bytes, fewer than %d", key.ID, len(key.Secret), MinSecretBytes)
+			return errorx.IllegalArgument.New("the secret of key %q has %d bytes, fewer than %d", key.ID, len(key.Secret), MinSecretBytes)
 		}
 	}
-	return &Keyring{keys: keys}, nil
+	keys = slices.Clone(keys)
+	k.keys.Store(&keys)
+	return nil
 }
 
+// all returns the keys; the first one signs.
+func (k *Keyring) all() []Key { return *k.keys.Load() }
+
 var errForged = errorx.IllegalFormat.New("malformed, altered, or signed by an unknown key")
 
+// sign signs with the first key.
+func (k *Keyring) sign(prefix string, payload any) string { return k.all()[0].sign(prefix, payload) }
+
 // sign returns prefix.key.payload.mac; the prefix keeps one kind of signed
 // text from being taken for another.
-func (k *Keyring) sign(prefix string, payload any) string {
+func (key Key) sign(prefix string, payload any) string {
 	content, err := json.Marshal(payload)
 	if err != nil {
 		panic(err) // Only this package's own wire types come here, and they all marshal.
 	}
-	body := prefix + "." + k.keys[0].ID + "." + base64.RawURLEncoding.EncodeToString(content)
-	return body + "." + mac(k.keys[0].Secret, body)
+	body := prefix + "." + key.ID + "." + base64.RawURLEncoding.EncodeToString(content)
+	return body + "." + mac(key.Secret, body)
 }
 
 // verify checks the signature of text and reads its payload.
@@ -71,7 +91,7 @@
 	if len(parts) != 3 || parts[0] != prefix {
 		return errForged
 	}
-	for _, key := range k.keys {
+	for _, key := range k.all() {
 		if key.ID != parts[1] {
 			continue
 		}
--- a/ticket/reference.go
+++ b/ticket/reference.go
@@ -51,8 +51,9 @@
 
 // SignStream returns the maker of references into the stream.
 func (k *Keyring) SignStream(s Stream) *Referrer {
-	signed := k.sign(streamPrefix, streamWire{s.Request.String(), s.Generation, s.Upstream, s.Addr, s.Team, s.Class})
-	return &Referrer{signed: signed, index: newIndexMAC(k.keys[0].Secret, signed)}
+	key := k.all()[0]
+	signed := key.sign(streamPrefix, streamWire{s.Request.String(), s.Generation, s.Upstream, s.Addr, s.Team, s.Class})
+	return &Referrer{signed: signed, index: newIndexMAC(key.Secret, signed)}
 }
 
 // At returns the reference of a reader that has got the tokens before next.
@@ -124,7 +125,7 @@
 // signedIndex checks the signature of an index of a verified stream.
 func (k *Keyring) signedIndex(signed string, next int, signature string) bool {
 	id := strings.Split(signed, ".")[1]
-	for _, key := range k.keys {
+	for _, key := range k.all() {
 		if key.ID == id {
 			m := newIndexMAC(key.Secret, signed)
 			return hmac.Equal(m.append(nil, next), []byte(signature))
