--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -201,6 +201,7 @@
 		}
 		assert.NilError(t, json.Unmarshal([]byte(expect(t, 0, "{", "status", "--json", "--operators", operators)), &status))
 		assert.NilError(t, first.Stop(ctx))
+		expect(t, 1, " answers: the request's home does not answer", "explain", "--operators", second.Operators.String(), r.RequestID)
 		path := filepath.Join(plan.Dir, first.Name+".trail")
 		output := expect(t, 0, "a whole trail", "check", "--head", status.Audit.Hash, path)
 		expect(t, 1, "truncated", "check", "--head", strings.Repeat("0", 64), path)
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -19,6 +19,7 @@
 	"mangoloft/ident"
 	"mangoloft/kernel"
 	"mangoloft/metrics"
+	"mangoloft/verdict"
 )
 
 const (
@@ -149,7 +150,7 @@
 	}
 	records, err := s.explainer.Explain(c.Request().Context(), id)
 	if err != nil {
-		return echo.NewHTTPError(http.StatusBadGateway, err.Error())
+		return echo.NewHTTPError(http.StatusBadGateway, verdict.Of(err).Detail)
 	}
 	if len(records) == 0 {
 		return echo.NewHTTPError(http.StatusNotFound, "the request's home has no record of it")
