--- a/control/membership.go
+++ b/control/membership.go
@@ -128,6 +128,8 @@
 	if isNew || h.Stopping != before.Stopping || h.ConfigFailed != before.ConfigFailed {
 		s.lookAround, s.dirty = true, true
 	}
+	// Operators see the peers' versions in the snapshot.
+	s.dirty = s.dirty || h.ConfigVersion != before.ConfigVersion
 	for _, mark := range h.Leaving {
 		actions = append(actions, s.markLeaving(now, mark, h.Name)...)
 	}
