status shows each peer with its incarnation, configuration and state

Cause: whether a change was in force everywhere took one question to every instance. Change: peer_states in the JSON and a row for each peer in the table, from the latest heartbeats.

--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -103,6 +103,7 @@
 	OpenRequests int            `json:"open_requests"`
 	Audit        auditWire      `json:"audit"`
 	Peers        []string       `json:"peers"`
+	PeerStates   []peerWire     `json:"peer_states"`
 	Upstreams    []upstreamWire `json:"upstreams"`
 }
 
@@ -112,6 +113,17 @@
 	Dropped uint64 `json:"dropped"`
 }
 
+// peerWire is another instance as its latest heartbeat showed it.
+type peerWire struct {
+	Name          string            `json:"name"`
+	DataCentre    string            `json:"data_centre"`
+	Incarnation   ident.Incarnation `json:"incarnation"`
+	Stopping      bool              `json:"stopping"`
+	ConfigVersion uint64            `json:"config_version"`
+	// ConfigFailed says that it could not reach the configuration service.
+	ConfigFailed bool `json:"config_failed"`
+}
+
 type upstreamWire struct {
 	Name       string `json:"name"`
 	Pool       string `json:"pool"`
@@ -126,7 +138,7 @@
 		Ready: snapshot.Ready, Stopping: snapshot.Stopping, OpenRequests: s.rt.Work.Open(),
 		Lacks: []string{}, Reader: snapshot.Reader, ConfigContactAt: snapshot.ConfigContactAt, ListReadAt: snapshot.ListReadAt,
 		Audit: auditWire{s.rt.Trail.Head(), s.rt.Trail.Dropped()},
-		Peers: []string{}, Upstreams: []upstreamWire{},
+		Peers: []string{}, PeerStates: []peerWire{}, Upstreams: []upstreamWire{},
 	}
 	for _, lack := range snapshot.Lacks {
 		wire.Lacks = append(wire.Lacks, lack.String())
@@ -136,6 +148,7 @@
 	}
 	for _, p := range snapshot.Peers {
 		wire.Peers = append(wire.Peers, p.Name)
+		wire.PeerStates = append(wire.PeerStates, peerWire{p.Name, p.DataCentre, p.Home.Incarnation, p.Stopping, p.ConfigVersion, p.ConfigFailed})
 	}
 	for _, u := range snapshot.Upstreams {
 		wire.Upstreams = append(wire.Upstreams, upstreamWire{u.Name, u.Pool, u.DataCentre, u.Leaving})
--- a/operator/text.go
+++ b/operator/text.go
@@ -32,19 +32,40 @@
 	fmt.Fprintf(table, "platform\t%s\n", platformOf(wire, now))
 	fmt.Fprintf(table, "open requests\t%d\n", wire.OpenRequests)
 	fmt.Fprintf(table, "audit trail\t%d records, %d dropped, last hash %s\n", wire.Audit.Sequence, wire.Audit.Dropped, wire.Audit.Hash)
-	fmt.Fprintf(table, "peers alive\t%d: %s\n", len(wire.Peers), strings.Join(wire.Peers, ", "))
+	fmt.Fprintf(table, "peers alive\t%d\n", len(wire.PeerStates))
 	fmt.Fprintf(table, "upstreams\t%d\n", len(wire.Upstreams))
-	if len(wire.Upstreams) > 0 {
+	writePeers(table, wire.PeerStates)
+	writeUpstreams(table, wire.Upstreams)
+	return table.Flush()
+}
+
+func writePeers(table io.Writer, peers []peerWire) {
+	if len(peers) > 0 {
+		fmt.Fprintln(table, "\nPEER\tDATA CENTRE\tINCARNATION\tCONFIGURATION\tSTATE")
+	}
+	for _, p := range peers {
+		state := "alive"
+		switch {
+		case p.Stopping:
+			state = "stopping"
+		case p.ConfigFailed:
+			state = "alive, can't reach the configuration service"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\tversion %d\t%s\n", p.Name, p.DataCentre, p.Incarnation, p.ConfigVersion, state)
+	}
+}
+
+func writeUpstreams(table io.Writer, upstreams []upstreamWire) {
+	if len(upstreams) > 0 {
 		fmt.Fprintln(table, "\nUPSTREAM\tPOOL\tDATA CENTRE\tSTATE")
 	}
-	for _, u := range wire.Upstreams {
+	for _, u := range upstreams {
 		state := "live"
 		if u.Leaving {
 			state = "leaving"
 		}
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", u.Name, u.Pool, u.DataCentre, state)
 	}
-	return table.Flush()
 }
 
 func stateOf(wire statusWire) string {
