check: hidden files in a configuration's directory are passed over

Cause: a directory kept under version control, or open in an editor, brought a fault for each file that is no value. Seen to fail: with either of the two rules off, the case finds a hidden file.

--- a/check/check_test.go
+++ b/check/check_test.go
@@ -102,11 +102,15 @@
 func TestDirectoryFaultsNameTheirFile(t *testing.T) {
 	dir := t.TempDir()
 	assert.NilError(t, os.MkdirAll(filepath.Join(dir, "classes"), 0o700))
+	assert.NilError(t, os.MkdirAll(filepath.Join(dir, ".git", "x"), 0o700))
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, ".git", "x", "y"), []byte("hidden"), 0o600))
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "classes", ".draft.json.swp"), []byte("hidden"), 0o600))
 	path := filepath.Join(dir, "classes", "draft.json")
 	assert.NilError(t, os.WriteFile(path, []byte("{\n\"kind\": \"batch\"}"), 0o600))
 	good, output := run(t, check.Detect, dir, "")
 	assert.Assert(t, !good)
 	assert.Assert(t, strings.Contains(output, path+":2:9: kind: found \"batch\""), output)
+	assert.Assert(t, !strings.Contains(output, "hidden") && !strings.Contains(output, "/."), output)
 }
 
 func TestUnreadableFilesDoNotHideFaults(t *testing.T) {
