--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -292,6 +292,7 @@
 func serveWithoutReader(ctx context.Context, t *testing.T, fleet *bench.Fleet, p *bench.Process, dir string) {
 	t.Helper()
 	p.Kill()
+	expect(t, 0, "the trail has no end", "check", filepath.Join(dir, p.Name+".trail"))
 	command := exec.CommandContext(ctx, filepath.Join(bin, "mangoloft"), "serve", "--settings", filepath.Join(dir, p.Name+".json"))
 	for _, output := range []*io.Writer{&command.Stdout, &command.Stderr} {
 		reader, writer, err := os.Pipe()
