--- a/check/check.go
+++ b/check/check.go
@@ -130,13 +130,18 @@
 	return c.settings(name, content), nil
 }
 
-// isTrail looks at the first line, which is a whole record in a trail.
+// isTrail looks for a line that is a whole record, wherever it stands: the
+// first ones may be garbled.
 func isTrail(start []byte) bool {
-	line, _, _ := bytes.Cut(start, []byte("\n"))
-	var wire struct {
-		Event uint16 `json:"event"`
+	for line := range bytes.Lines(start) {
+		var wire struct {
+			Event uint16 `json:"event"`
+		}
+		if json.Unmarshal(line, &wire) == nil && wire.Event != 0 {
+			return true
+		}
 	}
-	return json.Unmarshal(line, &wire) == nil && wire.Event != 0
+	return false
 }
 
 func isConfiguration(content []byte) bool {
--- a/check/check_test.go
+++ b/check/check_test.go
@@ -81,6 +81,7 @@
 	}{
 		"trail":                        {check.Detect, trail.String(), true, "standard input: a whole trail\na, incarnation 1: 2 records"},
 		"edited trail":                 {check.Detect, strings.Replace(trail.String(), "101", "102", 1), false, "line 1: edited"},
+		"garbled trail":                {check.Detect, strings.Replace(trail.String(), "{", "", 1), false, "line 1: malformed"},
 		"trail by name":                {check.Trail, "{}\n", false, "line 1: malformed"},
 		"configuration":                {check.Detect, "// why\n{\"pools/p\": {}}", true, "good configuration with 1 values"},
 		"faulty configuration":         {check.Detect, "{\"pools/p\": {},\n\"classes/c\": {\"kind\": 1}}", false, `standard input:2:23: ["classes/c"].kind: found 1`},
