Bench: what a leaving engine still gets

Change: the stand-in engine counts the orders that come to it. mangobench leaving lets engines leave under load, seen first by their own report and refusals or by the instance list, which 1.5 s later shows them live again and goes on doing so; it prints when the last order came, and whether the next incarnation got work.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -73,6 +73,8 @@
 	// Direct is where a stand-in serves behind its proxy.
 	Direct      netip.AddrPort
 	Incarnation ident.Incarnation
+	// leaving is what the instance list says of an upstream.
+	leaving bool
 	// Proxy stands before Addr and PeerProxy before Peers, if the plan has proxies.
 	Proxy, PeerProxy *Proxy
 
@@ -364,7 +366,7 @@
 	for pool, processes := range map[string][]*Process{"drafting": f.Engines, "shop": f.Services} {
 		for _, p := range processes {
 			list.Upstreams = append(list.Upstreams, upstreamWire{
-				Name: p.Name, Pool: pool, DataCentre: p.DataCentre, Addr: p.Addr, Incarnation: p.Incarnation.String(),
+				Name: p.Name, Pool: pool, DataCentre: p.DataCentre, Addr: p.Addr, Incarnation: p.Incarnation.String(), Leaving: p.leaving,
 			})
 		}
 	}
--- /dev/null
+++ b/bench/leaving.go
@@ -0,0 +1,235 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/ident"
+)
+
+// LeavingSign is how it is first seen that an engine is leaving.
+type LeavingSign uint8
+
+const (
+	// ByEngine is the engine's own load report and refusals.
+	ByEngine LeavingSign = iota
+	// ByList is the instance list, which soon shows the engine live again.
+	ByList
+)
+
+// LeavingPlan says how to measure what a leaving engine still gets.
+type LeavingPlan struct {
+	Bin                  string
+	DataCentres, Entries int
+	// Rounds is how many engines leave, one after the other.
+	Rounds int
+	// Watch is how long an engine is watched after it began to leave.
+	Watch time.Duration
+}
+
+// LeavingFigures are what leaving engines still got.
+type LeavingFigures struct {
+	Instances int `json:"instances"`
+	Rounds    int `json:"rounds"`
+	// LastOrderMS holds for each round the time from the first sign to the
+	// last order that the engine got, refused or not; zero when it got none.
+	LastOrderMS []int64 `json:"last_order_ms"`
+	WorstMS     int64   `json:"worst_ms"`
+	// Orders is how many orders leaving engines got in all.
+	Orders int `json:"orders"`
+	// Started is how many streams callers began meanwhile, Failed how many
+	// of them did not come to their end.
+	Started int `json:"started"`
+	Failed  int `json:"failed"`
+	// SuccessorOrders is how many orders the next incarnations got.
+	SuccessorOrders int `json:"successor_orders"`
+}
+
+// orders are an engine's count of orders.
+type orders struct {
+	Count      int   `json:"count"`
+	LastUnixMS int64 `json:"last_unix_ms"`
+}
+
+func (f *Fleet) orders(ctx context.Context, engine *Process) (orders, error) {
+	content, err := f.Get(ctx, "http://"+engine.Direct.String()+"/orders")
+	if err != nil {
+		return orders{}, err
+	}
+	var o orders
+	return o, json.Unmarshal(content, &o)
+}
+
+// Leave makes an engine refuse new work and say so in its load report.
+func (f *Fleet) Leave(ctx context.Context, engine *Process) error {
+	_, err := f.send(ctx, http.MethodPost, engine.Direct, "/leave", nil)
+	return err
+}
+
+// streamLoad begins short streams at all entry instances.
+type streamLoad struct {
+	group sync.WaitGroup
+	stop  context.CancelFunc
+
+	mu              sync.Mutex
+	started, failed int
+}
+
+const (
+	// loadCallers is how many callers each entry instance has.
+	loadCallers = 4
+	// loadPause is a caller's pause between two streams.
+	loadPause = 10 * time.Millisecond
+)
+
+func startLoad(ctx context.Context, fleet *Fleet) *streamLoad {
+	ctx, stop := context.WithCancel(ctx)
+	l := &streamLoad{stop: stop}
+	client := &http.Client{}
+	for _, entry := range fleet.Entries {
+		for range loadCallers {
+			l.group.Go(func() {
+				for sleepUntil(ctx, time.Now().Add(loadPause)) {
+					l.stream(ctx, client, entry.Addr)
+				}
+			})
+		}
+	}
+	return l
+}
+
+func (l *streamLoad) stream(ctx context.Context, client *http.Client, addr netip.AddrPort) {
+	r := &Reader{Credential: Credential}
+	err := r.Begin(ctx, client, addr, DraftClass, "output_tokens=30")
+	if ctx.Err() != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.started++
+	if err != nil || !r.Done {
+		l.failed++
+	}
+}
+
+// end stops the load and returns how many streams were begun and failed.
+func (l *streamLoad) end() (started, failed int) {
+	l.stop()
+	l.group.Wait()
+	return l.started, l.failed
+}
+
+// MeasureLeaving lets engines leave under load, while the instance list goes on
+// showing them live, and looks when each got its last order.
+func MeasureLeaving(ctx context.Context, plan LeavingPlan, sign LeavingSign) (LeavingFigures, error) {
+	dir, err := os.MkdirTemp("", "mangoloft-leaving-")
+	if err != nil {
+		return LeavingFigures{}, err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := Start(ctx, Plan{
+		Bin: plan.Bin, Dir: dir, DataCentres: plan.DataCentres, Entries: plan.Entries, Engines: 2, Services: 1, Step: 2 * time.Millisecond,
+	})
+	defer fleet.Close()
+	if err != nil {
+		return LeavingFigures{}, err
+	}
+	figures := LeavingFigures{Instances: len(fleet.Entries), Rounds: plan.Rounds}
+	load := startLoad(ctx, fleet)
+	for round := range plan.Rounds {
+		engine := fleet.Engines[round%len(fleet.Engines)]
+		if err = figures.round(ctx, fleet, engine, sign, plan.Watch); err != nil {
+			break
+		}
+	}
+	figures.Started, figures.Failed = load.end()
+	if len(figures.LastOrderMS) > 0 {
+		figures.WorstMS = slices.Max(figures.LastOrderMS)
+	}
+	return figures, err
+}
+
+// round lets one engine leave, watches it, and puts its successor in its place.
+func (s *LeavingFigures) round(ctx context.Context, fleet *Fleet, engine *Process, sign LeavingSign, watch time.Duration) error {
+	before, err := fleet.waitOrder(ctx, engine, time.Now().Add(readyLimit))
+	if err != nil {
+		return err
+	}
+	leftAt := time.Now()
+	if err := fleet.sendSign(ctx, engine, sign); err != nil {
+		return err
+	}
+	sleepUntil(ctx, leftAt.Add(watch))
+	after, err := fleet.orders(ctx, engine)
+	if err != nil {
+		return err
+	}
+	s.Orders += after.Count - before.Count
+	s.LastOrderMS = append(s.LastOrderMS, max(0, after.LastUnixMS-leftAt.UnixMilli()))
+	// The incarnation that left gives way to the next one.
+	engine.Kill()
+	if err := fleet.RestartUpstream(engine, ident.NewIncarnation(time.Now())); err != nil {
+		return err
+	}
+	if err := fleet.PublishList(ctx); err != nil {
+		return err
+	}
+	successor, err := fleet.waitOrder(ctx, engine, time.Now().Add(readyLimit))
+	s.SuccessorOrders += successor.Count
+	return err
+}
+
+// listLead is how long the instance list shows an engine leaving before a stale
+// copy of it shows the engine live again.
+const listLead = 1500 * time.Millisecond
+
+func (f *Fleet) sendSign(ctx context.Context, engine *Process, sign LeavingSign) error {
+	if sign == ByEngine {
+		return f.Leave(ctx, engine)
+	}
+	engine.leaving = true
+	if err := f.PublishList(ctx); err != nil {
+		return err
+	}
+	sleepUntil(ctx, time.Now().Add(listLead))
+	engine.leaving = false
+	return f.PublishList(ctx)
+}
+
+func (f *Fleet) waitOrder(ctx context.Context, engine *Process, until time.Time) (orders, error) {
+	for {
+		o, err := f.orders(ctx, engine)
+		if err == nil && o.Count > 0 {
+			return o, nil
+		}
+		if time.Now().After(until) {
+			return o, errorx.TimeoutElapsed.New("%s got no work: %v", engine.Name, err)
+		}
+		if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+			return o, ctx.Err()
+		}
+	}
+}
+
+// PrintLeaving measures both signs and prints one line of JSON for each.
+func PrintLeaving(ctx context.Context, plan LeavingPlan, out io.Writer) error {
+	for _, sign := range []LeavingSign{ByEngine, ByList} {
+		figures, err := MeasureLeaving(ctx, plan, sign)
+		if err != nil {
+			return err
+		}
+		if err := json.NewEncoder(out).Encode(figures); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/mangobench/main.go
+++ b/cmd/mangobench/main.go
@@ -20,10 +20,11 @@
 }
 
 type arguments struct {
-	Demo   *demoCommand   `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
-	Relay  *relayCommand  `arg:"subcommand:relay" help:"measure what relaying a token costs an entry instance"`
-	Soak   *soakCommand   `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
-	Spread *spreadCommand `arg:"subcommand:spread" help:"measure how soon a change of the configuration is in force everywhere"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
+	Leaving *leavingCommand `arg:"subcommand:leaving" help:"measure what a leaving engine still gets"`
+	Relay   *relayCommand   `arg:"subcommand:relay" help:"measure what relaying a token costs an entry instance"`
+	Soak    *soakCommand    `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
+	Spread  *spreadCommand  `arg:"subcommand:spread" help:"measure how soon a change of the configuration is in force everywhere"`
 }
 
 func main() {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -29,8 +29,11 @@
 	incarnation ident.Incarnation
 	step        time.Duration
 
-	mu          sync.Mutex
-	leaving     bool
+	mu      sync.Mutex
+	leaving bool
+	// orders counts the orders to begin a generation, taken or refused.
+	orders      int
+	lastOrderAt time.Time
 	generations map[string]*generation
 	// changed is closed and replaced when any generation has moved on.
 	changed chan struct{}
@@ -125,6 +128,7 @@
 	router.DELETE("/generations/:id", e.cancel)
 	router.GET("/load", e.load)
 	router.POST("/leave", e.leave)
+	router.GET("/orders", e.countOrders)
 	return router
 }
 
@@ -175,6 +179,8 @@
 		length, _ = strconv.Atoi(hint[1])
 	}
 	e.mu.Lock()
+	e.orders++
+	e.lastOrderAt = time.Now()
 	if e.leaving {
 		e.mu.Unlock()
 		return c.JSON(http.StatusServiceUnavailable, refusalWire{Error: "leaving", NotRun: true, Leaving: true})
@@ -290,6 +296,18 @@
 	return c.JSON(http.StatusOK, wire)
 }
 
+// ordersWire tells a test what orders have come.
+type ordersWire struct {
+	Count      int   `json:"count"`
+	LastUnixMS int64 `json:"last_unix_ms"`
+}
+
+func (e *Engine) countOrders(c echo.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.JSON(http.StatusOK, ordersWire{e.orders, e.lastOrderAt.UnixMilli()})
+}
+
 // leave makes the engine refuse new work, as before a planned stop.
 func (e *Engine) leave(c echo.Context) error {
 	e.mu.Lock()
