--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -293,24 +293,39 @@
 }
 
 // A reader that doesn't come back frees the engine, also when the instance
-// that it left makes its planned stop meanwhile.
+// that it left makes its planned stop.
 func TestReaderIsGoneForGood(t *testing.T) {
 	t.Parallel()
-	tests := map[string]func(ctx context.Context, fleet *bench.Fleet) error{
-		"after a hang-up": func(context.Context, *bench.Fleet) error { return nil },
-		"before a planned stop": func(ctx context.Context, fleet *bench.Fleet) error {
-			return fleet.Entries[0].Stop(ctx)
-		},
+	tests := map[string]struct {
+		// stopAt and leaveAt are the tokens after which the planned stop begins,
+		// and the reader hangs up. The stop is past its hand-over after 400.
+		stopAt, leaveAt int
+		thenStop        bool
+	}{
+		"after a hang-up":       {leaveAt: 20},
+		"before a planned stop": {leaveAt: 20, thenStop: true},
+		"in a planned stop":     {stopAt: 20, leaveAt: 600, thenStop: true},
 	}
-	for name, then := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			fleet, ctx := startStreams(t, bench.Plan{DataCentres: 1, Entries: 1, Engines: 1, Step: step})
+			entry := fleet.Entries[0]
 			r := newReader()
-			r.OnToken = at(r, 20, func() error { return errHangUp })
-			assert.ErrorIs(t, r.Begin(ctx, http.DefaultClient, fleet.Entries[0].Addr, bench.DraftClass, prompt(30000)), errHangUp)
+			r.OnToken = func() error {
+				if test.stopAt > 0 && len(r.Texts) == test.stopAt {
+					return entry.Signal(syscall.SIGTERM)
+				}
+				if len(r.Texts) == test.leaveAt {
+					return errHangUp
+				}
+				return nil
+			}
+			assert.ErrorIs(t, r.Begin(ctx, http.DefaultClient, entry.Addr, bench.DraftClass, prompt(30000)), errHangUp)
 			assert.Equal(t, running(ctx, t, fleet), 1, "cancelled without a grace")
-			assert.NilError(t, then(ctx, fleet))
+			if test.thenStop {
+				assert.NilError(t, entry.Stop(ctx))
+			}
 			eventually(t, "the engine is free", func() bool { return running(ctx, t, fleet) == 0 })
 		})
 	}
