Shorter stream references

Cause: a reference stands on every token, and some readers are on satellite airtime. With the names and addresses of a test fleet it had 304 bytes, more than the rest of the event.

Ruled out: a binary form, which needs a codec of its own or one more generated message for some 60 bytes less; a reference on some tokens only, with which a reader could not go on exactly where it stopped.

Seen to fail: a generation named longer than the request's id, with the check of the dot taken out.

--- a/bench/streams.go
+++ b/bench/streams.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		var wire struct {
-			Upstream string `json:"upstream"`
+			Upstream string `json:"u"`
 		}
 		if json.Unmarshal(content, &wire) == nil && wire.Upstream != "" {
 			return wire.Upstream
--- a/ticket/reference.go
+++ b/ticket/reference.go
@@ -31,14 +31,38 @@
 	Class      string
 }
 
-// streamWire is a Stream as readers carry it.
+// streamWire is a Stream as readers carry it. It goes over the line with every
+// token, perhaps by satellite, so its names are short.
 type streamWire struct {
-	Request    string         `json:"request"`
-	Generation string         `json:"generation"`
-	Upstream   string         `json:"upstream"`
-	Addr       netip.AddrPort `json:"addr"`
-	Team       string         `json:"team"`
-	Class      string         `json:"class"`
+	Request string `json:"r"`
+	// Generation lacks the request's id when it begins with that; it then
+	// begins with a dot.
+	Generation string         `json:"g"`
+	Upstream   string         `json:"u"`
+	Addr       netip.AddrPort `json:"a"`
+	Team       string         `json:"t"`
+	Class      string         `json:"c"`
+}
+
+func streamToWire(s Stream) streamWire {
+	request := s.Request.String()
+	generation := s.Generation
+	if rest, found := strings.CutPrefix(generation, request); found && strings.HasPrefix(rest, ".") {
+		generation = rest
+	}
+	return streamWire{request, generation, s.Upstream, s.Addr, s.Team, s.Class}
+}
+
+func streamFromWire(wire streamWire) (Stream, error) {
+	request, err := ident.ParseRequest(wire.Request)
+	if err != nil {
+		return Stream{}, errForged
+	}
+	generation := wire.Generation
+	if strings.HasPrefix(generation, ".") {
+		generation = wire.Request + generation
+	}
+	return Stream{request, generation, wire.Upstream, wire.Addr, wire.Team, wire.Class}, nil
 }
 
 // Referrer makes the references of one stream, for one goroutine. The costly
@@ -52,7 +76,7 @@
 // SignStream returns the maker of references into the stream.
 func (k *Keyring) SignStream(s Stream) *Referrer {
 	key := k.all()[0]
-	signed := key.sign(streamPrefix, streamWire{s.Request.String(), s.Generation, s.Upstream, s.Addr, s.Team, s.Class})
+	signed := key.sign(streamPrefix, streamToWire(s))
 	return &Referrer{signed: signed, index: newIndexMAC(key.Secret, signed)}
 }
 
@@ -115,11 +139,8 @@
 	if !k.signedIndex(body[:dot], next, signature) {
 		return Stream{}, 0, errForged
 	}
-	request, err := ident.ParseRequest(wire.Request)
-	if err != nil {
-		return Stream{}, 0, errForged
-	}
-	return Stream{request, wire.Generation, wire.Upstream, wire.Addr, wire.Team, wire.Class}, next, nil
+	stream, err := streamFromWire(wire)
+	return stream, next, err
 }
 
 // signedIndex checks the signature of an index of a verified stream.
--- a/ticket/reference_test.go
+++ b/ticket/reference_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+func TestGenerationsInReferences(t *testing.T) {
+	request := aStream.Request.String()
+	tests := map[string]string{
+		"the request's first":     request + ".0",
+		"the request's third":     request + ".2",
+		"with a longer name":      request + "x.0",
+		"the request's id itself": request,
+		"another":                 "g.0",
+		"none":                    "",
+	}
+	for name, generation := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := ring(t, oldKey)
+			want := aStream
+			want.Generation = generation
+			got, _, err := k.VerifyStream(k.SignStream(want).At(0))
+			assert.NilError(t, err)
+			assert.Equal(t, got, want)
+		})
+	}
+}
+
 func TestReferenceAcrossRotation(t *testing.T) {
 	text := ring(t, oldKey).SignStream(aStream).At(3)
 	_, next, err := ring(t, newKey, oldKey).VerifyStream(text)
