A stream's record tells of each connection that broke

Cause: a reader's stall that ended well left nothing in the record, so nobody could say afterwards whether the engine, the link or the queue had been slow. A stream that was taken up again here and then lost its engine did not tell the scheduler.

Change: the relay reports a broken connection and the first try in vain to make it anew; the record of the request holds them as steps, at most 32.

Seen to fail: every failure told; the step left out of the record (the cut and the forgotten link); a reader of the measurement that expects other indexes.

--- /dev/null
+++ b/bench/relay_cost_test.go
@@ -0,0 +1,24 @@
+package bench_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/bench"
+)
+
+// The figures of a run this short say nothing of the cost, but all must be
+// there, and no token may be out of order.
+func TestRelayCostIsMeasured(t *testing.T) {
+	t.Parallel()
+	cost, err := bench.MeasureRelayCost(t.Context(), bench.RelayCostPlan{
+		Bin: bin, Streams: 20, Sampled: 5, Step: 10 * time.Millisecond, Length: 2 * time.Second,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, cost.Violations, int64(0))
+	assert.Assert(t, cost.Tokens > 0 && cost.Compared > 0, "%+v", cost)
+	assert.Assert(t, cost.ProcessorSecs > 0 && cost.StreamKiB > 0, "%+v", cost)
+	assert.Assert(t, int64(cost.Compared) < cost.Tokens, "%+v", cost)
+}
--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -201,6 +202,11 @@
 			const tokens = 600
 			assert.NilError(t, r.ReadAll(ctx, impatientClient(t), fleet.Entries, prompt(tokens)))
 			assert.NilError(t, r.CheckWhole(tokens))
+			if test.fault == bench.Cut || test.forgets {
+				explanation, err := fleet.Get(ctx, "http://"+fleet.Entries[0].Operators.String()+"/requests/"+r.RequestID)
+				assert.NilError(t, err)
+				assert.Assert(t, strings.Contains(string(explanation), "the connection to "+fleet.Engines[0].Name+" broke"), "%s", explanation)
+			}
 		})
 	}
 }
--- a/caller/generation.go
+++ b/caller/generation.go
@@ -215,7 +215,11 @@
 // goOn relays a generation that was begun for an earlier request.
 func (g *generation) goOn(stream ticket.Stream, next int) error {
 	g.mayHaveRun = true
-	return g.outcome(g.relay(nil, stream, next, true))
+	err := g.relay(nil, stream, next, true)
+	if err != nil && g.ctx.Err() == nil {
+		g.rt.Send(control.Scheduling{Event: decide.Failed{Upstream: stream.Upstream, Reason: verdict.Of(err).Reason}})
+	}
+	return g.outcome(err)
 }
 
 // relay passes the tokens from index next on until the generation ends.
@@ -224,6 +228,9 @@
 	r := &relay.Stream{
 		Engine: g.engine, Addr: stream.Addr, Next: next, Reader: g, Restartable: feed != nil,
 		Attachment: relay.Attachment{Generation: stream.Generation, Reader: g.x.record.ID},
+		Broken: func(next int, err error) {
+			g.note("the connection to %s broke at token %d: %s", stream.Upstream, next, verdict.Of(err).Detail)
+		},
 	}
 	if err := g.hand(delivery{beginning: &beginning{g.rt.Keyring.SignStream(stream), next}}); err != nil {
 		if feed != nil {
@@ -275,7 +282,13 @@
 	return verdict.NotRun
 }
 
+// maxSteps bounds the steps that a record holds.
+const maxSteps = 32
+
 func (g *generation) note(format string, args ...any) {
+	if len(g.steps) == maxSteps {
+		return
+	}
 	g.steps = append(g.steps, fmt.Sprintf(format, args...))
 }
 
--- a/relay/outage.go
+++ b/relay/outage.go
@@ -27,6 +27,8 @@
 	// maxRefusals is how many connections in a row are refused by a machine
 	// on which the engine's process is gone.
 	maxRefusals = 3
+	// toldFailures is of how many failures of one outage the caller is told.
+	toldFailures = 2
 	// aliveAfter is how long a connection lasts only when it brings
 	// heartbeats; one without is lost sooner.
 	aliveAfter = 5 * time.Second
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,9 @@
 	// Restartable says that another generation may take this one's place as
 	// long as no token was delivered, so that waiting for it is worth little.
 	Restartable bool
+	// Broken, when set, is told of each connection that broke, and of the
+	// first try in vain to make it anew.
+	Broken func(next int, err error)
 }
 
 // ErrReaderGone is returned when the reader did not take a token.
@@ -107,6 +110,9 @@
 			return "", verdict.Fail(verdict.MayHaveRun, verdict.CallerGone, "the request was given up")
 		}
 		o.note(time.Now(), err, s.patience())
+		if s.Broken != nil && o.failures <= toldFailures {
+			s.Broken(s.Next, err)
+		}
 		if lost := o.lost(time.Now(), err); lost != nil {
 			return "", lost
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -174,6 +174,31 @@
 	}
 }
 
+// Whoever explains a stream is told of each break, but not of each try.
+func TestRunTellsOfBreaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []int
+		s := relay.Stream{
+			Engine: &script{connections: []connection{
+				{tokens: from(0, "ab")},
+				{tokens: from(2, "c")},
+				{refusal: errBroken},
+				{refusal: errBroken},
+				{refusal: errBroken},
+				{tokens: from(3, "d.")},
+			}},
+			Reader: &texts{}, Attachment: relay.Attachment{Generation: "g", Reader: "r"},
+			Broken: func(next int, err error) {
+				assert.ErrorIs(t, err, errBroken)
+				told = append(told, next)
+			},
+		}
+		_, err := s.Run(t.Context(), nil)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, told, []int{2, 3, 3})
+	})
+}
+
 // A reader that is given up must not wait for an engine that can't be reached.
 func TestRunEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
