--- /dev/null
+++ b/bench/slopes.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Slope is how one cost grows with one size, fitted to a straight line.
+type Slope struct {
+	// Size is what was varied, Cost what was measured, with its unit.
+	Size string `json:"size"`
+	Cost string `json:"cost"`
+	Unit string `json:"unit"`
+	// Traffic says that the cost belongs to requests and not to control.
+	Traffic bool      `json:"traffic"`
+	Sizes   []float64 `json:"sizes"`
+	Costs   []float64 `json:"costs"`
+	// Fixed and PerUnit are the line, Error the standard error of PerUnit.
+	Fixed   float64 `json:"fixed"`
+	PerUnit float64 `json:"per_unit"`
+	Error   float64 `json:"error"`
+	RSquare float64 `json:"r_squared"`
+	// Target is the size to carry, AtTarget the line's cost there.
+	Target   float64 `json:"target"`
+	AtTarget float64 `json:"at_target"`
+}
+
+// newSlope fits the line. It needs at least three sizes.
+func newSlope(s Slope) Slope {
+	s.Fixed, s.PerUnit = stat.LinearRegression(s.Sizes, s.Costs, nil, false)
+	s.RSquare = stat.RSquared(s.Sizes, s.Costs, nil, s.Fixed, s.PerUnit)
+	mean := stat.Mean(s.Sizes, nil)
+	var residuals, spread float64
+	for i, x := range s.Sizes {
+		off := s.Costs[i] - s.Fixed - s.PerUnit*x
+		residuals += off * off
+		spread += (x - mean) * (x - mean)
+	}
+	s.Error = math.Sqrt(residuals / float64(len(s.Sizes)-2) / spread)
+	s.AtTarget = s.Fixed + s.PerUnit*s.Target
+	return s
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0 // It can't fail for the own process.
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measureFor is the processor time over which a cost is averaged.
+const measureFor = 150 * time.Millisecond
+
+// costOf returns the processor time of one run, averaged over many.
+func costOf(run func()) time.Duration {
+	run()
+	runtime.GC()
+	start, runs := processorTime(), 0
+	for processorTime()-start < measureFor {
+		run()
+		runs++
+	}
+	return (processorTime() - start) / time.Duration(runs)
+}
+
+// heapOf returns the bytes that what build returns keeps alive.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// curve is one cost at several sizes.
+type curve struct {
+	slope Slope
+	at    func(size int) float64
+}
+
+func (c curve) measure(sizes ...int) Slope {
+	s := c.slope
+	for _, size := range sizes {
+		s.Sizes = append(s.Sizes, float64(size))
+		s.Costs = append(s.Costs, c.at(size))
+	}
+	return newSlope(s)
+}
+
+// SlopesPlan says which slopes to measure.
+type SlopesPlan struct {
+	Bin string
+	// Processes also measures fleets of real processes.
+	Processes bool
+}
+
+// MeasureSlopes measures how the cost of control, and apart from it that of
+// requests, grows with the sizes of the fleet.
+func MeasureSlopes(ctx context.Context, plan SlopesPlan) ([]Slope, error) {
+	slopes, err := stepSlopes()
+	if err != nil || !plan.Processes {
+		return slopes, err
+	}
+	processes, err := processSlopes(ctx, plan.Bin)
+	return append(slopes, processes...), err
+}
+
+// PrintSlopes measures and prints the slopes, as a table or one line of JSON
+// for each.
+func PrintSlopes(ctx context.Context, plan SlopesPlan, asJSON bool, out io.Writer) error {
+	slopes, err := MeasureSlopes(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		for _, s := range slopes {
+			if err := encoder.Encode(s); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "kind\tsize\tcost\tunit\tsizes\tcosts\tfixed\tper unit\t± error\tR²\ttarget\tat target")
+	for _, s := range slopes {
+		kind := "control"
+		if s.Traffic {
+			kind = "traffic"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%v\t%.4g\t%.4g\t%.4g\t%.2g\t%.3f\t%g\t%.4g\n",
+			kind, s.Size, s.Cost, s.Unit, s.Sizes, s.Costs, s.Fixed, s.PerUnit, s.Error, s.RSquare, s.Target, s.AtTarget)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/cmd/mangobench/slopes.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"mangoloft/bench"
+)
+
+type slopesCommand struct {
+	JSON      bool `help:"print one line of JSON for each slope in place of a table"`
+	Processes bool `help:"also measure fleets of up to 40 real processes"`
+}
+
+func (c *slopesCommand) run(ctx context.Context, bin string) error {
+	return bench.PrintSlopes(ctx, bench.SlopesPlan{Bin: bin, Processes: c.Processes}, c.JSON, os.Stdout)
+}
