Configuration: a change patches the teams in place of collecting them anew

Change: the older map is copied and only the teams of changed values are touched; where a credential is in two places the order matters, and all are collected as before. The property that parsing from an older view equals parsing afresh now draws teams that share credentials, and was seen to fail with the check for shared ones off and with the removal of old ones off.

--- a/config/register_test.go
+++ b/config/register_test.go
@@ -45,7 +45,7 @@
 		"a value over the limit":           {map[string]string{"pools/p": strings.Repeat(" ", config.MaxValueBytes+1)}, "at most 1048576"},
 		"too many keys":                    {many, "at most 4096"},
 		"too much in all":                  {large, "at most 12582912"},
-		"a credential of two teams at two": {map[string]string{"teams/0": teamValue("a"), "teams/1": teamValue("b")}, "no other team"},
+		"a credential of two teams at two": {map[string]string{"teams/0": teamValue("a", "x"), "teams/1": teamValue("b", "x")}, "no other team"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -59,8 +59,8 @@
 	}
 }
 
-func teamValue(name string) string {
-	return fmt.Sprintf(`{"teams": [{"name": %q, "credential_sha256": %q}]}`, name, config.Hash([]byte("same")))
+func teamValue(name, credential string) string {
+	return fmt.Sprintf(`{"teams": [{"name": %q, "credential_sha256": %q}]}`, name, config.Hash([]byte(credential)))
 }
 
 // anyDocument draws a document with a version and values from small sets, so
@@ -72,6 +72,11 @@
 			values[key] = map[bool]string{true: goodClass, false: `{"teams": []}`}[strings.HasPrefix(key, "classes/")]
 		}
 	}
+	for _, key := range []string{"teams/1", "teams/2"} {
+		if rapid.Bool().Draw(t, key) {
+			values[key] = teamValue(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "credential"))
+		}
+	}
 	return documentAt(uint64(rapid.IntRange(1, 6).Draw(t, "version")), values)
 }
 
@@ -130,6 +135,11 @@
 		quick, quickFaults := config.ParseAfter(doc, older)
 		assert.DeepEqual(t, freshFaults, quickFaults)
 		if fresh != nil {
+			for _, credential := range []string{"x", "y", "z"} {
+				a, _ := fresh.Team(credential)
+				b, _ := quick.Team(credential)
+				assert.Equal(t, a, b)
+			}
 			assert.Assert(t, maps.Equal(fresh.Classes, quick.Classes) && maps.Equal(fresh.Pools, quick.Pools) && fresh.Teams() == quick.Teams())
 		}
 	})
--- a/config/view.go
+++ b/config/view.go
@@ -140,15 +140,15 @@
 	if faults := checkSize(doc); len(faults) > 0 {
 		return nil, faults
 	}
-	p := parser{doc: doc, view: &View{
-		Version: doc.Index.Version, Digest: doc.Index.Digest(),
-		Classes: map[string]Class{}, Pools: map[string]Pool{}, teams: map[[sha256.Size]byte]string{},
-		fragments: make(map[string]fragment, len(doc.Index.Values)),
-	}}
-	// In the order of their keys: where two values clash, every instance blames
-	// the same one.
-	for _, key := range slices.Sorted(maps.Keys(doc.Index.Values)) {
-		p.add(key, p.fragment(key, older))
+	p := newParser(doc)
+	for _, key := range p.keys {
+		p.view.fragments[key] = p.fragment(key, older)
+	}
+	if older == nil || !p.patchTeams(older) {
+		p.collectTeams()
+	}
+	for _, key := range p.keys {
+		p.add(p.view.fragments[key])
 	}
 	for key, f := range p.view.fragments {
 		if _, ok := p.view.Pools[f.class.Pool]; f.wantsPool && !ok {
@@ -178,11 +178,65 @@
 }
 
 type parser struct {
-	doc    Document
+	doc Document
+	// keys are in order: where two values clash, every instance blames the
+	// same one.
+	keys   []string
 	view   *View
 	faults jsonc.Faults
 }
 
+func newParser(doc Document) *parser {
+	return &parser{doc: doc, keys: slices.Sorted(maps.Keys(doc.Index.Values)), view: &View{
+		Version: doc.Index.Version, Digest: doc.Index.Digest(),
+		Classes: map[string]Class{}, Pools: map[string]Pool{},
+		fragments: make(map[string]fragment, len(doc.Index.Values)),
+	}}
+}
+
+// patchTeams takes the older teams over and changes what changed, which costs
+// little when that is one value of many. It reports false, and has changed
+// nothing, when a credential is in two places: then the order matters.
+func (p *parser) patchTeams(older *View) bool {
+	teams := maps.Clone(older.teams)
+	for key, f := range older.fragments {
+		if p.view.fragments[key].sha256 != f.sha256 {
+			for _, t := range f.teams {
+				delete(teams, t.credential)
+			}
+		}
+	}
+	count := 0
+	for key, f := range p.view.fragments {
+		count += len(f.teams)
+		if older.fragments[key].sha256 == f.sha256 {
+			continue
+		}
+		for _, t := range f.teams {
+			teams[t.credential] = t.name
+		}
+	}
+	if len(teams) != count {
+		return false
+	}
+	p.view.teams = teams
+	return true
+}
+
+// collectTeams puts the teams of all values together.
+func (p *parser) collectTeams() {
+	p.view.teams = map[[sha256.Size]byte]string{}
+	for _, key := range p.keys {
+		for _, t := range p.view.fragments[key].teams {
+			if other, taken := p.view.teams[t.credential]; taken && other != t.name {
+				p.clash(key, &teamsWire{}, credentialField(t.index), fmt.Sprintf("the credential of team %q", other), "a credential that no other team has")
+				continue
+			}
+			p.view.teams[t.credential] = t.name
+		}
+	}
+}
+
 func newFault(key, field, found, allowed string) jsonc.Fault {
 	return jsonc.Fault{File: key, Line: 1, Column: 1, Field: field, Found: found, Allowed: allowed}
 }
@@ -232,23 +286,15 @@
 	f.faults = append(f.faults, newFault(key, field, found, allowed))
 }
 
-// add puts a fragment into the view.
-func (p *parser) add(key string, f fragment) {
+// add puts a fragment's class or pool into the view.
+func (p *parser) add(f fragment) {
 	p.faults = append(p.faults, f.faults...)
-	p.view.fragments[key] = f
 	switch {
 	case f.class.Name != "":
 		p.view.Classes[f.class.Name] = f.class
 	case f.pool.Name != "":
 		p.view.Pools[f.pool.Name] = f.pool
 	}
-	for _, t := range f.teams {
-		if other, taken := p.view.teams[t.credential]; taken && other != t.name {
-			p.clash(key, &teamsWire{}, credentialField(t.index), fmt.Sprintf("the credential of team %q", other), "a credential that no other team has")
-			continue
-		}
-		p.view.teams[t.credential] = t.name
-	}
 }
 
 func credentialField(index int) string { return fmt.Sprintf("teams[%d].credential_sha256", index) }
