--- /dev/null
+++ b/control/state_test.go
@@ -0,0 +1,208 @@
+package control_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/config"
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/member"
+	"mangoloft/verdict"
+)
+
+// lone is one control state and a clock.
+type lone struct {
+	now   time.Time
+	state *control.State
+	last  *control.Snapshot
+}
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+func engineAt(incarnation ident.Incarnation) decide.Upstream {
+	return decide.Upstream{Name: "engine", Pool: "p", DataCentre: "dc0", Incarnation: incarnation}
+}
+
+// newLone returns a state with one upstream.
+func newLone() *lone {
+	l := &lone{now: start, state: control.New("a", "dc0"), last: &control.Snapshot{}}
+	l.list(engineAt(1))
+	return l
+}
+
+func (l *lone) step(e control.Event) []control.Action {
+	actions := l.state.Step(l.now, e)
+	for _, action := range actions {
+		if publish, ok := action.(control.Publish); ok {
+			l.last = publish.Snapshot
+		}
+	}
+	return actions
+}
+
+func (l *lone) list(upstreams ...decide.Upstream) {
+	l.step(control.ListRead{Upstreams: upstreams, ReadAt: l.now, AskedAt: l.now})
+}
+
+// pass lets time pass, with a tick at its end.
+func (l *lone) pass(length time.Duration) []control.Action {
+	l.now = l.now.Add(length)
+	return l.step(control.Tick{})
+}
+
+func (l *lone) arrive(sequence uint64) []control.Action {
+	return l.step(control.Scheduling{Event: decide.Arrived{Request: decide.Request{
+		ID: ident.Request{Sequence: sequence}, Class: config.Class{Name: "c", Pool: "p"},
+	}}})
+}
+
+// placed returns the requests that the actions place.
+func placed(actions []control.Action) []uint64 {
+	var sequences []uint64
+	for _, action := range actions {
+		if scheduled, ok := action.(control.Scheduled); ok {
+			if place, ok := scheduled.Action.(decide.Place); ok {
+				sequences = append(sequences, place.ID.Sequence)
+			}
+		}
+	}
+	return sequences
+}
+
+func TestPausedInstanceHoldsNewRequests(t *testing.T) {
+	heard := func(l *lone, askedAt time.Time) []control.Action {
+		return l.step(control.ConfigSeen{Version: 1, AskedAt: askedAt})
+	}
+	tests := map[string]struct {
+		after func(l *lone) []control.Action
+		want  []uint64
+	}{
+		"until an answer to a question asked after it": {func(l *lone) []control.Action {
+			return heard(l, l.now.Add(time.Millisecond))
+		}, []uint64{1, 2}},
+		"and not until one to a question asked before it": {func(l *lone) []control.Action {
+			return heard(l, l.now.Add(-time.Second))
+		}, nil},
+		"and not for a heartbeat that may have waited as long": {func(l *lone) []control.Action {
+			return l.step(control.PeerHeard{Heartbeat: member.Heartbeat{Name: "b", DataCentre: "dc0"}})
+		}, nil},
+		"but not for long when it is cut off": {func(l *lone) []control.Action {
+			return l.pass(3 * time.Second)
+		}, []uint64{1, 2}},
+		"and not those that ended meanwhile": {func(l *lone) []control.Action {
+			l.step(control.Scheduling{Event: decide.Ended{ID: ident.Request{Sequence: 1}}})
+			return heard(l, l.now.Add(time.Millisecond))
+		}, []uint64{2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			l.now = l.now.Add(time.Minute)
+			l.step(control.Paused{Gap: time.Minute})
+			assert.Equal(t, len(l.arrive(1))+len(l.arrive(2)), 0)
+			assert.DeepEqual(t, placed(test.after(l)), test.want)
+		})
+	}
+}
+
+func TestPausedInstanceHoldsSoMany(t *testing.T) {
+	l := newLone()
+	l.step(control.Paused{Gap: time.Minute})
+	refused := 0
+	for i := range uint64(1100) {
+		for _, action := range l.arrive(i + 1) {
+			refuse := action.(control.Scheduled).Action.(decide.Refuse)
+			assert.Equal(t, refuse.Reason, verdict.Overloaded)
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 1100-1024)
+}
+
+func TestRefusalThatSaysLeaving(t *testing.T) {
+	refusal := control.Scheduling{Event: decide.Failed{Upstream: "engine", Reason: verdict.UpstreamLeaving}}
+	tests := map[string]struct {
+		listedFor time.Duration
+		marks     bool
+	}{
+		"of an incarnation listed for long marks it":             {time.Minute, true},
+		"of one listed just now may be its predecessor's: asked": {time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			l.pass(test.listedFor)
+			actions := l.step(refusal)
+			asked := slices.ContainsFunc(actions, func(a control.Action) bool { _, ok := a.(control.PollUpstream); return ok })
+			assert.Equal(t, asked, !test.marks)
+			assert.Equal(t, l.last.Upstreams[0].Leaving, test.marks)
+		})
+	}
+}
+
+func TestMarksAreForgottenWhenTheIncarnationIsGoneForLong(t *testing.T) {
+	l := newLone()
+	mark := member.Mark{Upstream: "engine", Incarnation: 1}
+	l.step(control.UpstreamLeaves{Mark: mark})
+	l.pass(time.Hour)
+	l.list(engineAt(1))
+	assert.Assert(t, l.last.Upstreams[0].Leaving, "forgotten while it was listed")
+	l.list()
+	l.pass(9 * time.Minute)
+	l.list(engineAt(1))
+	assert.Assert(t, l.last.Upstreams[0].Leaving, "forgotten too soon")
+	l.list()
+	l.pass(11 * time.Minute)
+	l.list(engineAt(1))
+	assert.Assert(t, !l.last.Upstreams[0].Leaving, "kept for ever")
+}
+
+// Marks of upstreams that the list doesn't name must not fill the memory.
+func TestMarksOfUnlistedUpstreamsAreBounded(t *testing.T) {
+	l := newLone()
+	for i := range 10_000 {
+		l.step(control.UpstreamLeaves{Mark: member.Mark{Upstream: fmt.Sprint(i), Incarnation: 1}})
+	}
+	var all []decide.Upstream
+	for i := range 10_000 {
+		all = append(all, decide.Upstream{Name: fmt.Sprint(i), DataCentre: "dc0", Incarnation: 1})
+	}
+	l.now = l.now.Add(time.Second)
+	l.list(all...)
+	assert.Equal(t, len(l.last.Leaving), 8192)
+}
+
+func TestOldIncarnationIsIgnoredHoweverLateItWakes(t *testing.T) {
+	l := newLone()
+	hear := func(incarnation ident.Incarnation, marks ...member.Mark) {
+		l.step(control.PeerHeard{Heartbeat: member.Heartbeat{
+			Name: "b", DataCentre: "dc0", Home: ident.Home{Peer: netip.MustParseAddrPort("10.0.0.2:1"), Incarnation: incarnation}, Leaving: marks,
+		}})
+	}
+	l.now = l.now.Add(time.Second)
+	l.step(control.ListRead{Entries: []member.Listed{{Name: "b", DataCentre: "dc0"}}, Upstreams: []decide.Upstream{engineAt(1)}, ReadAt: l.now})
+	hear(2)
+	l.pass(10 * time.Second)
+	assert.Equal(t, len(l.last.Peers), 0)
+	hear(1, member.Mark{Upstream: "engine", Incarnation: 1})
+	assert.Equal(t, len(l.last.Peers), 0)
+	assert.Assert(t, !l.last.Upstreams[0].Leaving)
+	hear(3)
+	assert.Equal(t, len(l.last.Peers), 1)
+}
+
+func TestSlowListDoesNotUndoAQuickOne(t *testing.T) {
+	l := newLone()
+	slow := control.ListRead{Upstreams: []decide.Upstream{engineAt(1)}, ReadAt: l.now.Add(time.Second)}
+	l.now = l.now.Add(5 * time.Second)
+	l.list(engineAt(2))
+	l.step(slow)
+	assert.Equal(t, l.last.Upstreams[0].Incarnation, ident.Incarnation(2))
+}
