Settings: seeds, so that an instance can start while the platform is down

Cause: an instance that starts without an instance list knows no peers, and so could not learn what they know. Change: optional addresses of peers to ask until the list is known.

--- a/settings/load.go
+++ b/settings/load.go
@@ -23,9 +23,11 @@
 	Listen     Listen         `json:"listen"`
 	Advertise  netip.AddrPort `json:"advertise"`
 	Platform   Platform       `json:"platform"`
-	Keys       []keyWire      `json:"keys" jsonc:"hidden"`
-	Limits     Limits         `json:"limits"`
-	TLS        tlsWire        `json:"tls"`
+	// Seeds is optional.
+	Seeds  []netip.AddrPort `json:"seeds"`
+	Keys   []keyWire        `json:"keys" jsonc:"hidden"`
+	Limits Limits           `json:"limits"`
+	TLS    tlsWire          `json:"tls"`
 }
 
 type tlsWire struct {
@@ -97,6 +99,9 @@
 	c.listeners(wire)
 	c.target("platform.configuration", wire.Platform.Configuration)
 	c.target("platform.instance_list", wire.Platform.InstanceList)
+	for i, seed := range wire.Seeds {
+		c.target(fmt.Sprintf("seeds[%d]", i), seed)
+	}
 	c.inRange("limits.body_bytes", wire.Limits.BodyBytes, minBodyBytes, maxBodyBytes)
 	c.inRange("limits.open_requests", int64(wire.Limits.OpenRequests), 1, maxOpenRequests)
 	c.inRange("limits.stop_grace_ms", wire.Limits.StopGraceMS, 0, maxStopGraceMS)
@@ -116,7 +121,7 @@
 		File: path, Instance: wire.Instance, DataCentre: wire.DataCentre, Listen: wire.Listen,
 		// An id holds four bytes for an IPv4 address, however it was written.
 		Advertise: netip.AddrPortFrom(advertise.Addr().Unmap(), advertise.Port()),
-		Platform:  wire.Platform, Keys: keys, Limits: wire.Limits, TLS: secured, Warnings: c.warnings,
+		Platform:  wire.Platform, Seeds: wire.Seeds, Keys: keys, Limits: wire.Limits, TLS: secured, Warnings: c.warnings,
 	}, nil
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,9 +22,12 @@
 	// tickets and request ids name. It is Listen.Peers unless set.
 	Advertise netip.AddrPort
 	Platform  Platform
-	Keys      []ticket.Key
-	Limits    Limits
-	TLS       TLS
+	// Seeds are peers to ask while the instance list is not known, so that an
+	// instance can start while the platform is down.
+	Seeds  []netip.AddrPort
+	Keys   []ticket.Key
+	Limits Limits
+	TLS    TLS
 	// Warnings are what an operator should mend although the instance runs.
 	Warnings []string
 }
