Membership with real processes, and a pause ends by a peer's word

Now only a peer's answer ends it, or 2 s without any, or the platform's for an instance without peers.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -41,6 +41,8 @@
 	Entries, Engines, Services int
 	// Step is an engine's time for one token.
 	Step time.Duration
+	// Seeds tells every entry instance but the first the address of the first.
+	Seeds bool
 	// Proxies puts a proxy before every listener but the operators'.
 	Proxies bool
 	// OpenRequests is an entry instance's limit; zero for its own default.
@@ -195,11 +197,12 @@
 	"listen": {"callers": %q, "peers": %q, "operators": %q},
 	"advertise": %q,
 	"platform": {"configuration": %q, "instance_list": %q},
+	"seeds": [%s],
 	"keys": [{"id": "k1", "secret_file": "key"}],
 	"limits": {%s},
 	"tls": {%s},
 }
-`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr, limits, secured)
+`, name, centre, callers, peers, p.Operators, p.Peers, f.Configuration.Addr, f.Instance.Addr, f.seeds(), limits, secured)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
@@ -208,6 +211,14 @@
 	return p, f.launch(p)
 }
 
+// seeds returns the first entry instance's address, if the plan has seeds.
+func (f *Fleet) seeds() string {
+	if !f.plan.Seeds || len(f.Entries) == 0 {
+		return ""
+	}
+	return strconv.Quote(f.Entries[0].Peers.String())
+}
+
 // launch starts the process, or starts it again.
 func (f *Fleet) launch(p *Process) error {
 	p.command = exec.Command(filepath.Join(f.plan.Bin, p.args[0]), p.args[1:]...)
--- a/bench/leaving.go
+++ b/bench/leaving.go
@@ -54,18 +54,19 @@
 	SuccessorOrders int `json:"successor_orders"`
 }
 
-// orders are an engine's count of orders.
-type orders struct {
+// Orders are an engine's count of the orders that came to it, refused or not.
+type Orders struct {
 	Count      int   `json:"count"`
 	LastUnixMS int64 `json:"last_unix_ms"`
 }
 
-func (f *Fleet) orders(ctx context.Context, engine *Process) (orders, error) {
+// Orders asks a stand-in engine for its orders.
+func (f *Fleet) Orders(ctx context.Context, engine *Process) (Orders, error) {
 	content, err := f.Get(ctx, "http://"+engine.Direct.String()+"/orders")
 	if err != nil {
-		return orders{}, err
+		return Orders{}, err
 	}
-	var o orders
+	var o Orders
 	return o, json.Unmarshal(content, &o)
 }
 
@@ -75,6 +76,26 @@
 	return err
 }
 
+// LeavingAt reports whether the entry instance gives the upstream no new work.
+func (f *Fleet) LeavingAt(ctx context.Context, p *Process, upstream string) bool {
+	var status struct {
+		Upstreams []struct {
+			Name    string `json:"name"`
+			Leaving bool   `json:"leaving"`
+		} `json:"upstreams"`
+	}
+	content, err := f.Get(ctx, "http://"+p.Operators.String()+"/status")
+	if err != nil || json.Unmarshal(content, &status) != nil {
+		return false
+	}
+	for _, u := range status.Upstreams {
+		if u.Name == upstream {
+			return u.Leaving
+		}
+	}
+	return false
+}
+
 // streamLoad begins short streams at all entry instances.
 type streamLoad struct {
 	group sync.WaitGroup
@@ -169,7 +190,7 @@
 		return err
 	}
 	sleepUntil(ctx, leftAt.Add(watch))
-	after, err := fleet.orders(ctx, engine)
+	after, err := fleet.Orders(ctx, engine)
 	if err != nil {
 		return err
 	}
@@ -205,9 +226,9 @@
 	return f.PublishList(ctx)
 }
 
-func (f *Fleet) waitOrder(ctx context.Context, engine *Process, until time.Time) (orders, error) {
+func (f *Fleet) waitOrder(ctx context.Context, engine *Process, until time.Time) (Orders, error) {
 	for {
-		o, err := f.orders(ctx, engine)
+		o, err := f.Orders(ctx, engine)
 		if err == nil && o.Count > 0 {
 			return o, nil
 		}
--- a/control/intake.go
+++ b/control/intake.go
@@ -89,7 +89,7 @@
 }
 
 func (s *State) offerConfig(now time.Time, e ConfigOffered) []Action {
-	s.heardOutside(e.AskedAt)
+	s.heardPlatform(e.AskedAt)
 	s.intake.fetchAt = time.Time{}
 	index, digest := e.Document.Index, e.Document.Index.Digest()
 	s.see(now, index.Version, digest)
@@ -127,7 +127,7 @@
 // seeService takes the service's word about its newest version. A service that
 // is behind, because it is stale or was restored from a backup, changes nothing.
 func (s *State) seeService(now time.Time, e ConfigSeen) []Action {
-	s.heardOutside(e.AskedAt)
+	s.heardPlatform(e.AskedAt)
 	s.intake.contact, s.intake.askedService, s.dirty = now, true, true
 	s.setFailed(false)
 	s.see(now, e.Version, e.Digest)
--- a/control/membership.go
+++ b/control/membership.go
@@ -42,7 +42,7 @@
 }
 
 func (s *State) readList(now time.Time, e ListRead) []Action {
-	s.heardOutside(e.AskedAt)
+	s.heardPlatform(e.AskedAt)
 	s.list.fetchAt = time.Time{}
 	if e.ReadAt.Before(s.list.readAt) {
 		return nil // A slow answer must not undo a quick one that came after it.
@@ -120,7 +120,7 @@
 	if ignored {
 		return nil
 	}
-	s.heardOutside(e.AskedAt)
+	s.heardPeer(e.AskedAt)
 	var actions []Action
 	if isNew {
 		actions = append(actions, Record{event.PeerAlive, peerRecord{h.Name, h.DataCentre, h.Home.Incarnation}})
--- a/control/state.go
+++ b/control/state.go
@@ -120,14 +120,23 @@
 	GapMS int64 `json:"gap_ms"`
 }
 
-// heardOutside ends the stale state if the answer was asked for after the
-// pause: what came earlier may have waited as long as the process did.
-func (s *State) heardOutside(askedAt time.Time) {
+// heardPeer ends the stale state if the answer was asked for after the pause:
+// what came earlier may have waited as long as the process did.
+func (s *State) heardPeer(askedAt time.Time) {
 	if s.stale && askedAt.After(s.staleSince) {
 		s.stale = false
 	}
 }
 
+// heardPlatform ends the stale state of an instance without peers. One that
+// has peers waits for them: they know of upstreams that left while the
+// platform's list still shows them live.
+func (s *State) heardPlatform(askedAt time.Time) {
+	if len(s.partners) == 0 {
+		s.heardPeer(askedAt)
+	}
+}
+
 // hearTraffic takes what traffic goroutines tell the scheduler.
 func (s *State) hearTraffic(now time.Time, e decide.Event) []Action {
 	var actions []Action
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -93,6 +93,14 @@
 		"and not for a heartbeat that may have waited as long": {func(l *lone) []control.Action {
 			return l.step(control.PeerHeard{Heartbeat: member.Heartbeat{Name: "b", DataCentre: "dc0"}})
 		}, nil},
+		"and not until the platform alone answers when it has peers": {func(l *lone) []control.Action {
+			l.step(control.ListRead{Entries: []member.Listed{{Name: "b", DataCentre: "dc0"}}, Upstreams: []decide.Upstream{engineAt(1)}, ReadAt: l.now})
+			l.pass(time.Second)
+			return heard(l, l.now.Add(time.Millisecond))
+		}, nil},
+		"until a peer answers": {func(l *lone) []control.Action {
+			return l.step(control.PeerHeard{Heartbeat: member.Heartbeat{Name: "b", DataCentre: "dc0"}, AskedAt: l.now.Add(time.Millisecond)})
+		}, []uint64{1, 2}},
 		"but not for long when it is cut off": {func(l *lone) []control.Action {
 			return l.pass(3 * time.Second)
 		}, []uint64{1, 2}},
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -179,7 +179,7 @@
 	for {
 		snapshot := l.rt.Snapshot()
 		var round sync.WaitGroup
-		for _, partner := range snapshot.Partners {
+		for _, partner := range l.partners(snapshot) {
 			if isNews || partner.Name > l.rt.Settings.Instance || !l.heardSince(partner.Name, time.Now().Add(-quietLimit)) {
 				round.Go(func() { l.exchange(ctx, partner) })
 			}
@@ -203,6 +203,21 @@
 	}
 }
 
+// partners returns whom to speak to: the seeds, whose names are not known,
+// until anyone has told the instance list.
+func (l *links) partners(snapshot *control.Snapshot) []member.Listed {
+	if !snapshot.ListReadAt.IsZero() {
+		return snapshot.Partners
+	}
+	var seeds []member.Listed
+	for _, addr := range l.rt.Settings.Seeds {
+		if addr != l.rt.Home.Peer {
+			seeds = append(seeds, member.Listed{Peer: addr})
+		}
+	}
+	return seeds
+}
+
 func (l *links) exchange(ctx context.Context, partner member.Listed) {
 	client, err := l.client(partner.Peer)
 	if err != nil {
