Fleet: roles are kept apart, delegates speak in pairs, reads of a start are bounded

Change: a delegate speaks to one delegate of each other data centre, the first to the first and the second to the second, in place of both to both. In a data centre of 12 or more, delegates and readers ask no upstream for its load. Where the asking is shared an upstream is asked once a second, as often as the answer goes out. A load report in a heartbeat names its upstream by a hash and its time by a difference: 45 bytes before, 29 to 30 after by the message's definition. A reader reads 10 values at once and 20 a second after that, another instance 2 and one in 2 s, and a newcomer without any configuration waits up to 8 s before it falls back. The price: a change of more than some 80 values at once is not in force within 4 s.

--- a/bench/config_test.go
+++ b/bench/config_test.go
@@ -222,3 +222,14 @@
 		})
 	}
 }
+
+// A whole fleet that starts at once must not read the service in a rush: the
+// readers read the values, the others learn them from peers.
+func TestWholeFleetStartsWithinTheServiceRate(t *testing.T) {
+	figures, err := bench.MeasureRestart(t.Context(), bench.RestartPlan{Bin: bin, DataCentres: 2, Entries: 5, Teams: 1000})
+	assert.NilError(t, err)
+	// 4 readers: 10 values at once and 20 a second, with an index each time;
+	// 6 others: 2 at once and one in 2 s; 10 first looks; twice that for slack.
+	assert.Assert(t, figures.PeakReads <= 2*(4*(10+20+2)+6*(2+1)+10), "%+v", figures)
+	assert.Assert(t, figures.Reads >= 256, "%+v", figures)
+}
--- /dev/null
+++ b/bench/restart.go
@@ -0,0 +1,111 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+// RestartPlan says how to measure a fleet whose instances all start at once.
+type RestartPlan struct {
+	Bin                  string
+	DataCentres, Entries int
+	// Teams are spread over 256 values.
+	Teams int
+}
+
+// RestartFigures are what the start of a whole fleet took.
+type RestartFigures struct {
+	Instances int `json:"instances"`
+	Teams     int `json:"teams"`
+	// ReadyMS is the time until the last instance was ready.
+	ReadyMS int64 `json:"ready_ms"`
+	// Reads are all calls of the configuration service until then, PeakReads
+	// the most in any second.
+	Reads     int `json:"service_reads"`
+	PeakReads int `json:"peak_reads_in_a_second"`
+}
+
+// samplesPerSecond is how often the reads are counted.
+const samplesPerSecond = 10
+
+// restartLimit bounds the wait for a fleet that has only the service to learn from.
+const restartLimit = 90 * time.Second
+
+// MeasureRestart kills all entry instances and starts them at once, so that none
+// can learn from a peer what nobody knows any more.
+func MeasureRestart(ctx context.Context, plan RestartPlan) (RestartFigures, error) {
+	figures := RestartFigures{Teams: plan.Teams}
+	dir, err := os.MkdirTemp("", "mangoloft-restart-")
+	if err != nil {
+		return figures, err
+	}
+	defer os.RemoveAll(dir)
+	fleet, err := Start(ctx, Plan{Bin: plan.Bin, Dir: dir, DataCentres: plan.DataCentres, Entries: plan.Entries, Step: time.Second})
+	defer fleet.Close()
+	if err != nil {
+		return figures, err
+	}
+	figures.Instances = len(fleet.Entries)
+	if err := fleet.publishTeams(ctx, plan.Teams); err != nil {
+		return figures, err
+	}
+	for _, p := range fleet.Entries {
+		p.Kill()
+	}
+	counter := startReadCounter(ctx, fleet)
+	start := time.Now()
+	for _, p := range fleet.Entries {
+		if err := fleet.Restart(p); err != nil {
+			counter.end()
+			return figures, err
+		}
+	}
+	err = fleet.WaitReady(ctx, start.Add(restartLimit))
+	figures.ReadyMS = time.Since(start).Milliseconds()
+	figures.Reads, figures.PeakReads = counter.end()
+	return figures, err
+}
+
+// readCounter follows the reads of the configuration service.
+type readCounter struct {
+	group   sync.WaitGroup
+	stop    context.CancelFunc
+	samples []int
+}
+
+func startReadCounter(ctx context.Context, fleet *Fleet) *readCounter {
+	ctx, stop := context.WithCancel(ctx)
+	c := &readCounter{stop: stop}
+	c.group.Go(func() {
+		for ctx.Err() == nil {
+			if reads, err := fleet.ConfigReads(ctx); err == nil {
+				c.samples = append(c.samples, reads)
+			}
+			sleepUntil(ctx, time.Now().Add(time.Second/samplesPerSecond))
+		}
+	})
+	return c
+}
+
+// end returns all reads and the most in any second.
+func (c *readCounter) end() (all, peak int) {
+	c.stop()
+	c.group.Wait()
+	for i, reads := range c.samples {
+		peak = max(peak, reads-c.samples[max(0, i-samplesPerSecond)])
+	}
+	return c.samples[len(c.samples)-1] - c.samples[0], peak
+}
+
+// PrintRestart measures and prints the figures as one line of JSON.
+func PrintRestart(ctx context.Context, plan RestartPlan, out io.Writer) error {
+	figures, err := MeasureRestart(ctx, plan)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(out).Encode(figures)
+}
--- a/bench/slopes_processes.go
+++ b/bench/slopes_processes.go
@@ -18,12 +18,13 @@
 	watchFor = 8 * time.Second
 	// clockTicks is the unit of processor time in /proc, a second's share.
 	clockTicks = 100
+	// centreEntries is a data centre's share of the instances to carry.
+	centreEntries = (targetEntries + targetCentres - 1) / targetCentres
 )
 
-// usage is what the entry instances used, the mean over all in a second.
+// usage is what a process used: processor time in microseconds, bytes read and
+// written over all files and connections, resident memory in kilobytes.
 type usage struct {
-	// processor is in microseconds, moved in bytes read and written over all
-	// files and connections, resident in kilobytes.
 	processor, moved, resident float64
 }
 
@@ -67,34 +68,49 @@
 
 // watch measures the entry instances for a while, at which they only do what
 // is asked for meanwhile.
-func (f *Fleet) watch(ctx context.Context, length time.Duration, meanwhile func(ctx context.Context) error) (usage, error) {
+func (f *Fleet) watch(ctx context.Context, length time.Duration, meanwhile func(ctx context.Context) error) (observed, error) {
 	before, err := f.usage()
 	if err != nil {
-		return before, err
+		return observed{}, err
 	}
 	start := time.Now()
 	if err := meanwhile(ctx); err != nil {
-		return usage{}, err
+		return observed{}, err
 	}
 	sleepUntil(ctx, start.Add(length))
 	after, err := f.usage()
+	if err != nil {
+		return observed{}, err
+	}
 	seconds := time.Since(start).Seconds()
-	return usage{(after.processor - before.processor) / seconds, (after.moved - before.moved) / seconds, after.resident}, err
+	var o observed
+	for i := range after {
+		n := float64(len(after))
+		moved := (after[i].moved - before[i].moved) / seconds
+		o.processor += (after[i].processor - before[i].processor) / seconds / n
+		o.moved += moved / n
+		o.resident += after[i].resident / n
+		o.busiest = max(o.busiest, moved)
+	}
+	return o, nil
 }
 
-func (f *Fleet) usage() (usage, error) {
-	var mean usage
-	for _, p := range f.Entries {
-		u, err := processUsage(p)
-		if err != nil {
-			return mean, err
+// observed is the mean over the entry instances in a second, and the most bytes
+// that any of them moved.
+type observed struct {
+	usage
+	busiest float64
+}
+
+func (f *Fleet) usage() ([]usage, error) {
+	all := make([]usage, len(f.Entries))
+	for i, p := range f.Entries {
+		var err error
+		if all[i], err = processUsage(p); err != nil {
+			return nil, err
 		}
-		n := float64(len(f.Entries))
-		mean.processor += u.processor / n
-		mean.moved += u.moved / n
-		mean.resident += u.resident / n
 	}
-	return mean, nil
+	return all, nil
 }
 
 // experiment is a fleet at one size.
@@ -106,10 +122,10 @@
 
 func nothing(context.Context, *Fleet) error { return nil }
 
-func (e experiment) run(ctx context.Context, bin string) (usage, error) {
+func (e experiment) run(ctx context.Context, bin string) (observed, error) {
 	dir, err := os.MkdirTemp("", "mangoloft-slopes-")
 	if err != nil {
-		return usage{}, err
+		return observed{}, err
 	}
 	defer os.RemoveAll(dir)
 	plan := e.plan
@@ -117,10 +133,10 @@
 	fleet, err := Start(ctx, plan)
 	defer fleet.Close()
 	if err != nil {
-		return usage{}, err
+		return observed{}, err
 	}
 	if err := e.prepare(ctx, fleet); err != nil {
-		return usage{}, err
+		return observed{}, err
 	}
 	sleepUntil(ctx, time.Now().Add(settleFor))
 	return fleet.watch(ctx, watchFor, func(ctx context.Context) error { return e.meanwhile(ctx, fleet) })
@@ -136,10 +152,10 @@
 		return experiment{Plan{DataCentres: n, Entries: 2}, nothing, nothing}
 	}
 	upstreams := func(n int) experiment {
-		return experiment{Plan{DataCentres: 1, Entries: 5, Engines: 1}, func(ctx context.Context, f *Fleet) error { return f.publishCopies(ctx, n) }, nothing}
+		return experiment{Plan{DataCentres: 1, Entries: centreEntries, Engines: 1}, func(ctx context.Context, f *Fleet) error { return f.publishCopies(ctx, n) }, nothing}
 	}
 	teams := func(n int) experiment {
-		return experiment{Plan{DataCentres: 1, Entries: 5}, func(ctx context.Context, f *Fleet) error { return f.publishTeams(ctx, n) }, nothing}
+		return experiment{Plan{DataCentres: 1, Entries: 12}, func(ctx context.Context, f *Fleet) error { return f.publishTeams(ctx, n) }, nothing}
 	}
 	changes := func(n int) experiment {
 		e := teams(targetTeams)
@@ -153,11 +169,11 @@
 		of     func(n int) experiment
 		sizes  []int
 	}{
-		{"instances in a data centre", (targetEntries + targetCentres - 1) / targetCentres, neighbours, []int{4, 8, 16, 26}},
+		{"instances in a data centre", centreEntries, neighbours, []int{4, 8, 16, 26}},
 		{"data centres of two delegates", targetCentres, centres, []int{2, 4, 8, 16}},
-		{"upstreams of a data centre, five instances", targetUpstreams / targetCentres, upstreams, []int{16, 32, 64, 125}},
-		{"teams, five instances", targetTeams, teams, []int{2625, 5250, 10_500, 21_000}},
-		{"changes in 8 s, five instances, 21,000 teams", targetChanges * watchFor.Seconds() / (24 * 3600), changes, []int{4, 8, 16, 32}},
+		{"upstreams of a data centre, 26 instances", targetUpstreams / targetCentres, upstreams, []int{16, 32, 64, 125}},
+		{"teams, 12 instances", targetTeams, teams, []int{2625, 5250, 10_500, 21_000}},
+		{"changes in 8 s, 12 instances, 21,000 teams", targetChanges * watchFor.Seconds() / (24 * 3600), changes, []int{4, 8, 16, 32}},
 	} {
 		measured, err := usageSlopes(ctx, bin, x.size, x.target, x.of, x.sizes)
 		if err != nil {
@@ -171,18 +187,19 @@
 func usageSlopes(ctx context.Context, bin, size string, goal float64, of func(n int) experiment, sizes []int) ([]Slope, error) {
 	processor := Slope{Size: size, Cost: "an idle process in a second", Unit: "us", Target: goal}
 	moved := Slope{Size: size, Cost: "read and written by a process in a second", Unit: "bytes", Target: goal}
+	busiest := Slope{Size: size, Cost: "read and written by the busiest process in a second", Unit: "bytes", Target: goal}
 	resident := Slope{Size: size, Cost: "resident memory of a process", Unit: "KB", Target: goal}
 	for _, n := range sizes {
 		u, err := of(n).run(ctx, bin)
 		if err != nil {
 			return nil, errorx.Decorate(err, "%s: %d", size, n)
 		}
-		for slope, cost := range map[*Slope]float64{&processor: u.processor, &moved: u.moved, &resident: u.resident} {
+		for slope, cost := range map[*Slope]float64{&processor: u.processor, &moved: u.moved, &busiest: u.busiest, &resident: u.resident} {
 			slope.Sizes = append(slope.Sizes, float64(n))
 			slope.Costs = append(slope.Costs, cost)
 		}
 	}
-	return []Slope{newSlope(processor), newSlope(moved), newSlope(resident)}, nil
+	return []Slope{newSlope(processor), newSlope(moved), newSlope(busiest), newSlope(resident)}, nil
 }
 
 // publishCopies lists the engine under many names.
--- a/bench/slopes_steps.go
+++ b/bench/slopes_steps.go
@@ -333,8 +333,9 @@
 		ConfigDigest: "0123456789abcdef", LeavingHash: 1, ConfigContactMs: 1500, ListHash: 1, ListAgeMs: 700,
 	}
 	for i := range loads {
+		h.LoadsBaseUnixMs = 1_700_000_000_000
 		h.Loads = append(h.Loads, &peerpb.Load{
-			Upstream: fmt.Sprintf("engine-dc12-%03d", i), TakenUnixMs: 1_700_000_000_000, Running: 30, Waiting: 2,
+			UpstreamHash: 1 << 30, TakenAfterMs: uint32(i * 50), Running: 30, Waiting: 2,
 			UsedTokens: 50_000, CapacityTokens: 100_000, StepUs: 30_000, Preemptions: 1000,
 		})
 	}
--- a/control/event.go
+++ b/control/event.go
@@ -135,6 +135,9 @@
 	Upstreams []decide.Upstream
 	// Polls holds the upstreams whose load this instance asks for.
 	Polls []decide.Upstream
+	// PollsShared says that not every instance asks every upstream, so that
+	// reports are as old as a heartbeat anyway.
+	PollsShared bool
 	// Listed holds the other entry instances that the list names.
 	Listed []member.Listed
 	// Entries and ListedUpstreams are the instance list word for word, to be
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -460,3 +460,31 @@
 	i := slices.IndexFunc(m.snapshot.Upstreams, func(u decide.Upstream) bool { return u.Name == upstream })
 	return m.snapshot.Upstreams[i].Leaving
 }
+
+// Every upstream of a large data centre is asked for its load by somebody, also
+// after deaths, and nobody asks all.
+func TestPollsAreShared(t *testing.T) {
+	f := newFleet(t, 1, 1, 26, 125)
+	f.run(6 * time.Second)
+	check := func() {
+		t.Helper()
+		asked := map[string]int{}
+		for _, m := range f.members {
+			if f.frozen(m) {
+				continue
+			}
+			assert.Assert(t, m.snapshot.PollsShared && len(m.snapshot.Polls) < 30, "%s asks %d", m.name, len(m.snapshot.Polls))
+			assert.Assert(t, !m.snapshot.Reader || len(m.snapshot.Polls) == 0, "%s reads the platform as well", m.name)
+			for _, u := range m.snapshot.Polls {
+				asked[u.Name]++
+			}
+		}
+		assert.Equal(t, len(asked), 125)
+	}
+	check()
+	for _, m := range f.members[:10] {
+		m.frozenUntil = f.now.Add(time.Hour)
+	}
+	f.run(5 * time.Second)
+	check()
+}
--- a/control/intake.go
+++ b/control/intake.go
@@ -31,6 +31,9 @@
 	// before an instance asks the service; up to lateJitter is added.
 	lateAfter  = 1 * time.Second
 	lateJitter = 1 * time.Second
+	// newcomerJitter spreads the reads of instances that have no configuration
+	// at all. They need every value, and may all have started at once.
+	newcomerJitter = 8 * time.Second
 	// fetchRetry is the time after which another peer is asked for the same.
 	fetchRetry = 1 * time.Second
 	// failedFor is how long an instance that failed at the service is no reader
@@ -189,7 +192,11 @@
 		s.intake.fallback.stop()
 		return nil
 	}
-	if s.intake.fallback.due(now, s.jitter(lateJitter), fallbackInterval+s.jitter(fallbackInterval)) {
+	first := s.jitter(lateJitter)
+	if s.register.View() == nil {
+		first = s.jitter(newcomerJitter)
+	}
+	if s.intake.fallback.due(now, first, fallbackInterval+s.jitter(fallbackInterval)) {
 		return []Action{ReadConfig{}}
 	}
 	return nil
--- a/control/state.go
+++ b/control/state.go
@@ -52,6 +52,7 @@
 	reader      bool
 	partners    []member.Listed
 	polls       []decide.Upstream
+	pollsShared bool
 	lookAround  bool
 	lookAgainAt time.Time
 	// dirty says that the snapshot is out of date.
@@ -250,7 +251,7 @@
 	s.list.publishedAt = s.list.readAt
 	return Publish{&Snapshot{
 		Config: s.register.View(), Document: s.register.Document(), Removed: s.register.Removed(),
-		Upstreams: s.upstreams.marked, Polls: s.polls, Listed: s.members.Listed(), Entries: s.list.entries, ListedUpstreams: s.upstreams.listed,
+		Upstreams: s.upstreams.marked, Polls: s.polls, PollsShared: s.pollsShared, Listed: s.members.Listed(), Entries: s.list.entries, ListedUpstreams: s.upstreams.listed,
 		Partners: s.partners, Peers: s.members.Alive(),
 		Leaving: s.upstreams.leaving, LeavingHash: s.upstreams.hash,
 		ListHash: s.list.hash, ListReadAt: s.list.readAt, ConfigContactAt: s.intake.contact, ConfigFailed: s.intake.failed, Reader: s.reader,
--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -159,20 +159,21 @@
 // its data centre while they are few, and else its share by rendezvous
 // hashing. The others learn the reports by heartbeat.
 func (s *State) choosePolls() []decide.Upstream {
-	neighbours := s.members.Neighbours()
+	pollers := s.members.Pollers()
 	var local []decide.Upstream
 	for _, u := range s.upstreams.marked {
 		if u.DataCentre == s.dataCentre {
 			local = append(local, u)
 		}
 	}
-	pollers := max(1, pollBudget*len(neighbours)/max(1, len(local)))
-	if pollers >= len(neighbours) {
+	each := max(1, pollBudget*len(pollers)/max(1, len(local)))
+	s.pollsShared = each < len(pollers)
+	if !s.pollsShared {
 		return local
 	}
-	chooser := member.NewChooser(neighbours)
+	chooser := member.NewChooser(pollers)
 	return slices.DeleteFunc(local, func(u decide.Upstream) bool {
-		return !slices.Contains(chooser.Choose(u.Name, pollers), s.instance)
+		return !slices.Contains(chooser.Choose(u.Name, each), s.instance)
 	})
 }
 
--- a/engine/plugin.go
+++ b/engine/plugin.go
@@ -19,6 +19,9 @@
 const (
 	// reportInterval is the time between two looks at an upstream's load.
 	reportInterval = 500 * time.Millisecond
+	// sharedTurns is how many intervals pass between two looks at an upstream
+	// whose report goes out with the heartbeats, one a second.
+	sharedTurns = 2
 	// freshLimit is the age up to which a report is passed on to peers.
 	freshLimit = 2 * time.Second
 	// pollBacklog is how many upstreams may wait to be asked at once.
@@ -92,10 +95,12 @@
 func (l *loadReports) run(ctx context.Context) error {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		var group sync.WaitGroup
-		for _, u := range l.rt.Snapshot().Polls {
-			group.Go(func() { l.report(ctx, u) })
+		if snapshot := l.rt.Snapshot(); !snapshot.PollsShared || turn%sharedTurns == 0 {
+			for _, u := range snapshot.Polls {
+				group.Go(func() { l.report(ctx, u) })
+			}
 		}
 		group.Wait()
 		select {
--- a/member/table.go
+++ b/member/table.go
@@ -21,6 +21,9 @@
 	avoidFor = 15 * time.Second
 	// delegates is how many instances of a data centre speak to other data centres.
 	delegates = 2
+	// manyNeighbours is from how many instances of a data centre on the roles
+	// are kept apart.
+	manyNeighbours = 12
 	// readers is how many instances of a data centre read the platform.
 	readers = 2
 )
@@ -220,13 +223,13 @@
 	return slices.Contains(NewChooser(names).Choose(readerKey, readers), t.self)
 }
 
-func (t *Table) isDelegate() bool {
-	return slices.Contains(NewChooser(t.Neighbours()).Choose(delegateKey, delegates), t.self)
+func (t *Table) delegates() []string {
+	return NewChooser(t.Neighbours()).Choose(delegateKey, delegates)
 }
 
 // Partners returns whom the instance exchanges heartbeats with: all listed
-// instances of its own data centre, and if it is a delegate also the delegates
-// of the others.
+// instances of its own data centre, and if it is a delegate also one delegate of
+// each other: the first delegates speak to each other, and the second ones.
 func (t *Table) Partners(now time.Time) []Listed {
 	var partners []Listed
 	others := map[string][]Listed{}
@@ -237,20 +240,21 @@
 			others[l.DataCentre] = append(others[l.DataCentre], l)
 		}
 	}
-	if !t.isDelegate() {
+	rank := slices.Index(t.delegates(), t.self)
+	if rank < 0 {
 		clear(t.asked)
 		return partners
 	}
 	for _, centre := range others {
-		partners = append(partners, t.remoteDelegates(now, centre)...)
+		partners = append(partners, t.remoteDelegate(now, centre, rank))
 	}
 	slices.SortFunc(partners, func(a, b Listed) int { return strings.Compare(a.Name, b.Name) })
 	return partners
 }
 
-// remoteDelegates guesses another data centre's delegates from the list, which
+// remoteDelegate guesses another data centre's delegate from the list, which
 // may name dead instances: one that stays silent is passed over for a while.
-func (t *Table) remoteDelegates(now time.Time, centre []Listed) []Listed {
+func (t *Table) remoteDelegate(now time.Time, centre []Listed, rank int) Listed {
 	var names []string
 	for _, l := range centre {
 		since, asked := t.asked[l.Name]
@@ -268,16 +272,23 @@
 		}
 	}
 	chosen := NewChooser(names).Choose(delegateKey, delegates)
-	var partners []Listed
-	for _, l := range centre {
-		if !slices.Contains(chosen, l.Name) {
-			continue
-		}
-		partners = append(partners, l)
-		_, alive := t.peers[l.Name]
-		if _, asked := t.asked[l.Name]; !alive && !asked {
-			t.asked[l.Name] = now
-		}
+	name := chosen[rank%len(chosen)]
+	_, alive := t.peers[name]
+	if _, asked := t.asked[name]; !alive && !asked {
+		t.asked[name] = now
 	}
-	return partners
+	return centre[slices.IndexFunc(centre, func(l Listed) bool { return l.Name == name })]
+}
+
+// Pollers returns the instances of the own data centre that ask upstreams for
+// their load: all, unless they are many; then the ones that have other work
+// for the data centre are left out.
+func (t *Table) Pollers() []string {
+	names := t.Neighbours()
+	if len(names) < manyNeighbours {
+		return names
+	}
+	chooser := NewChooser(names)
+	busy := append(chooser.Choose(delegateKey, delegates), chooser.Choose(readerKey, readers)...)
+	return slices.DeleteFunc(names, func(name string) bool { return slices.Contains(busy, name) })
 }
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -34,7 +34,7 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	h.links.holders.heard(wire)
-	h.links.hear(heartbeat, time.Time{})
+	h.links.hear(heartbeat, wire, time.Time{})
 	return h.links.heartbeat(heartbeat.LeavingHash, heartbeat.DataCentre), nil
 }
 
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -88,6 +88,9 @@
 	holders holders
 	// peers holds what the latest heartbeat of each peer said.
 	peers map[string]contact
+	// names holds the upstreams' names by hash, of the list with the hash namesOf.
+	names   map[uint32]string
+	namesOf uint64
 	// news asks for a heartbeat at once.
 	news chan struct{}
 	// fetches asks for a peer's configuration or instance list. A full channel
@@ -232,18 +235,33 @@
 	}
 	l.holders.heard(answer)
 	if h, err := heartbeatFromWire(answer, time.Now()); err == nil {
-		l.hear(h, askedAt)
+		l.hear(h, answer, askedAt)
 	}
 }
 
-// hear takes a heartbeat; askedAt is zero unless it is an answer.
-func (l *links) hear(h member.Heartbeat, askedAt time.Time) {
+// hear takes a heartbeat, with the load reports as they came; askedAt is zero
+// unless it is an answer.
+func (l *links) hear(h member.Heartbeat, loads *peerpb.Heartbeat, askedAt time.Time) {
+	if len(loads.Loads) > 0 {
+		h.Loads = loadsFromWire(loads, l.upstreamNames())
+	}
 	l.mu.Lock()
 	l.peers[h.Name] = contact{h.LeavingHash, time.Now()}
 	l.mu.Unlock()
 	l.rt.Send(control.PeerHeard{Heartbeat: h, AskedAt: askedAt})
 }
 
+// upstreamNames returns the names by hash, worked out once for each list.
+func (l *links) upstreamNames() map[uint32]string {
+	snapshot := l.rt.Snapshot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.names == nil || l.namesOf != snapshot.ListHash {
+		l.names, l.namesOf = upstreamNames(snapshot.ListedUpstreams, l.rt.Settings.DataCentre), snapshot.ListHash
+	}
+	return l.names
+}
+
 func (l *links) contact(name string) contact {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mangoloft/control"
 	"mangoloft/decide"
 	"mangoloft/ident"
@@ -34,9 +37,7 @@
 		}
 	}
 	if dataCentre == l.rt.Settings.DataCentre && l.loads != nil {
-		for _, load := range l.loads.FreshLoads() {
-			h.Loads = append(h.Loads, loadToWire(load))
-		}
+		addLoads(h, l.loads.FreshLoads())
 	}
 	return h
 }
@@ -71,29 +72,63 @@
 	for _, mark := range wire.Leaving {
 		h.Leaving = append(h.Leaving, member.Mark{Upstream: mark.Upstream, Incarnation: ident.Incarnation(mark.Incarnation)})
 	}
-	for _, load := range wire.Loads {
-		h.Loads = append(h.Loads, loadFromWire(load))
-	}
 	return h, nil
 }
 
-// A report keeps the time that the upstream's own clock gave it, whoever passes
-// it on.
-func loadToWire(load member.Load) *peerpb.Load {
-	r := load.Report
-	return &peerpb.Load{
-		Upstream: load.Upstream, TakenUnixMs: r.TakenAt.UnixMilli(), Running: uint32(r.Running), Waiting: uint32(r.Waiting),
-		UsedTokens: uint32(r.UsedTokens), CapacityTokens: uint32(r.CapacityTokens),
-		StepUs: uint32(r.StepTime.Microseconds()), Preemptions: r.Preemptions,
+// addLoads puts the reports into the heartbeat. Each keeps the time that the
+// upstream's own clock gave it, whoever passes it on.
+func addLoads(h *peerpb.Heartbeat, loads []member.Load) {
+	for i, load := range loads {
+		if taken := load.Report.TakenAt.UnixMilli(); i == 0 || taken < h.LoadsBaseUnixMs {
+			h.LoadsBaseUnixMs = taken
+		}
+	}
+	for _, load := range loads {
+		r := load.Report
+		h.Loads = append(h.Loads, &peerpb.Load{
+			UpstreamHash: nameHash(load.Upstream), TakenAfterMs: uint32(r.TakenAt.UnixMilli() - h.LoadsBaseUnixMs),
+			Running: uint32(r.Running), Waiting: uint32(r.Waiting),
+			UsedTokens: uint32(r.UsedTokens), CapacityTokens: uint32(r.CapacityTokens),
+			StepUs: uint32(r.StepTime.Microseconds()), Preemptions: r.Preemptions,
+		})
 	}
 }
 
-func loadFromWire(wire *peerpb.Load) member.Load {
-	return member.Load{Upstream: wire.Upstream, Report: decide.Report{
-		TakenAt: time.UnixMilli(wire.TakenUnixMs), Running: int(wire.Running), Waiting: int(wire.Waiting),
-		UsedTokens: int(wire.UsedTokens), CapacityTokens: int(wire.CapacityTokens),
-		StepTime: time.Duration(wire.StepUs) * time.Microsecond, Preemptions: wire.Preemptions,
-	}}
+func nameHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// upstreamNames maps the hashes of the names of a data centre's upstreams back
+// to the names.
+func upstreamNames(listed []decide.Upstream, dataCentre string) map[uint32]string {
+	names := map[uint32]string{}
+	shared := map[uint32]bool{}
+	for _, u := range listed {
+		if u.DataCentre != dataCentre {
+			continue
+		}
+		hash := nameHash(u.Name)
+		_, taken := names[hash]
+		shared[hash] = shared[hash] || taken
+		names[hash] = u.Name
+	}
+	maps.DeleteFunc(names, func(hash uint32, _ string) bool { return shared[hash] })
+	return names
+}
+
+// loadsFromWire returns the reports of upstreams that are known here.
+func loadsFromWire(wire *peerpb.Heartbeat, names map[uint32]string) []member.Load {
+	var loads []member.Load
+	for _, load := range wire.Loads {
+		name, ok := names[load.UpstreamHash]
+		if !ok {
+			continue
+		}
+		loads = append(loads, member.Load{Upstream: name, Report: decide.Report{
+			TakenAt: time.UnixMilli(wire.LoadsBaseUnixMs + int64(load.TakenAfterMs)), Running: int(load.Running), Waiting: int(load.Waiting),
+			UsedTokens: int(load.UsedTokens), CapacityTokens: int(load.CapacityTokens),
+			StepTime: time.Duration(load.StepUs) * time.Microsecond, Preemptions: load.Preemptions,
+		}})
+	}
+	return loads
 }
 
 func listToWire(snapshot *control.Snapshot, now time.Time) *peerpb.ListReply {
