Engine stand-in with batching, key-value memory and preemption

Cause: the stand-in made a token of every generation at each step, so that no memory ran out, nothing was preempted and no policy could be told from another. Change: a pure model (standin/model.go) stepped by the clock behind the same HTTP interface. Iterations last longer with batch and prefill, memory is taken in blocks during decode, the running generation of lowest priority (then the latest) is preempted and prefilled again, a prefix cache is bounded and publishes its events late and with gaps, load reports lag, POST /reclaim ends the engine after a notice. Constants are flags of cmd/standin. Simplified: the prefix cache has memory of its own, and a generation's own copy of a cached prefix still counts in key-value memory. Seen to fail: reversing the order of victims breaks TestVictimHasLowestPriority; the counts of iterations break when changed by one. Before: one step time whatever the load.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,9 +27,28 @@
 }
 
 type engineCommand struct {
-	Listen      netip.AddrPort `arg:"required"`
-	Incarnation string         `arg:"required" help:"as the instance list gives it"`
-	Step        time.Duration  `default:"5ms" help:"the time for one token"`
+	Listen          netip.AddrPort `arg:"required"`
+	Incarnation     string         `arg:"required" help:"as the instance list gives it"`
+	Step            time.Duration  `default:"5ms" help:"the time of an iteration without work"`
+	StepPerSequence time.Duration  `arg:"--step-per-sequence" help:"what each running generation adds to it"`
+	PrefillPerToken time.Duration  `arg:"--prefill-per-token" help:"what each prefilled token adds to it"`
+	PrefillTokens   int            `arg:"--prefill-tokens" default:"2048" help:"most tokens prefilled in one iteration"`
+	MaxBatch        int            `arg:"--max-batch" default:"256" help:"most generations that run at once"`
+	Blocks          int            `default:"8192" help:"key-value memory, in blocks"`
+	BlockTokens     int            `arg:"--block-tokens" default:"16" help:"tokens in a block"`
+	CacheBlocks     int            `arg:"--cache-blocks" default:"1024" help:"memory of the prefix cache, in blocks"`
+	ReportLag       time.Duration  `arg:"--report-lag" help:"age of a load report"`
+	EventLag        time.Duration  `arg:"--event-lag" help:"age of a cache event"`
+	EventLoss       float64        `arg:"--event-loss" help:"share of cache events that are lost"`
+	Seed            uint64         `help:"decides which cache events are lost"`
+}
+
+func (c *engineCommand) model() standin.ModelSettings {
+	return standin.ModelSettings{
+		StepTime: c.Step, StepPerSequence: c.StepPerSequence, PrefillPerToken: c.PrefillPerToken,
+		PrefillTokens: c.PrefillTokens, MaxBatch: c.MaxBatch, Blocks: c.Blocks, BlockTokens: c.BlockTokens,
+		CacheBlocks: c.CacheBlocks, ReportLag: c.ReportLag, EventLag: c.EventLag, EventLoss: c.EventLoss, Seed: c.Seed,
+	}
 }
 
 type serviceCommand struct {
@@ -55,7 +74,7 @@
 	var routes http.Handler
 	switch {
 	case args.Engine != nil:
-		engine := standin.NewEngine(incarnation(parser, args.Engine.Incarnation), args.Engine.Step)
+		engine := standin.NewEngine(incarnation(parser, args.Engine.Incarnation), args.Engine.model())
 		listen, routes = args.Engine.Listen, engine.Routes()
 		done := make(chan struct{})
 		group.Add(func() error { engine.Run(done); return nil }, func(error) { close(done) })
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -23,61 +23,31 @@
 	keepFinished = 30 * time.Second
 )
 
-// Engine is a model engine that makes one token of every generation at each
-// step.
+// Engine is a model engine: a Model stepped by the clock, behind HTTP.
 type Engine struct {
 	incarnation ident.Incarnation
-	step        time.Duration
+	blockTokens int
 
-	mu      sync.Mutex
+	mu    sync.Mutex
+	model *Model
+	// readers are those of each generation that the model holds.
+	readers map[string]*readers
 	leaving bool
 	// orders counts the orders to begin a generation, taken or refused.
 	orders      int
 	lastOrderAt time.Time
-	generations map[string]*generation
+	// reclaimed is closed at the end of a reclaimed engine's notice.
+	reclaimed chan struct{}
+	reclaim   sync.Once
 	// changed is closed and replaced when any generation has moved on.
 	changed chan struct{}
 }
 
-type generation struct {
-	length    int
-	made      int
-	finish    string
-	forgetAt  time.Time
-	startedAt time.Time
-	// newest is the reader that attached first most lately; attached counts
-	// the open connections of every reader that ever attached.
-	newest   string
-	attached map[string]int
-}
-
-// attach counts a connection of the reader in.
-func (g *generation) attach(reader string) {
-	if _, ok := g.attached[reader]; !ok {
-		g.newest = reader
-	}
-	g.attached[reader]++
-}
-
-// belongsToOther reports whether a cancel for the reader must be ignored,
-// because another one attached after it or is reading now.
-func (g *generation) belongsToOther(reader string) bool {
-	if reader != g.newest {
-		return true
-	}
-	for other, open := range g.attached {
-		if other != reader && open > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// NewEngine returns an engine that makes a token every step.
-func NewEngine(incarnation ident.Incarnation, step time.Duration) *Engine {
+// NewEngine returns an idle engine.
+func NewEngine(incarnation ident.Incarnation, settings ModelSettings) *Engine {
 	return &Engine{
-		incarnation: incarnation, step: step,
-		generations: map[string]*generation{}, changed: make(chan struct{}),
+		incarnation: incarnation, blockTokens: settings.BlockTokens, model: NewModel(settings), readers: map[string]*readers{},
+		reclaimed: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
 
@@ -127,41 +97,41 @@
 	router.GET("/generations/:id", e.resume)
 	router.DELETE("/generations/:id", e.cancel)
 	router.GET("/load", e.load)
+	router.GET("/cache-events", e.cacheEvents)
 	router.POST("/leave", e.leave)
 	router.GET("/orders", e.countOrders)
+	router.POST("/reclaim", e.reclaimAfter)
 	return router
 }
 
-// Run makes tokens until done is closed.
+// Run makes tokens until done is closed or the engine is reclaimed.
 func (e *Engine) Run(done <-chan struct{}) {
-	ticker := time.NewTicker(e.step)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-done:
 			return
-		case now := <-ticker.C:
-			e.iterate(now)
+		case <-e.reclaimed:
+			return
+		case now := <-timer.C:
+			timer.Reset(e.iterate(now))
 		}
 	}
 }
 
-func (e *Engine) iterate(now time.Time) {
+func (e *Engine) iterate(now time.Time) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, g := range e.generations {
-		switch {
-		case g.finish != "" && now.After(g.forgetAt):
-			delete(e.generations, id)
-		case g.finish == "":
-			g.made++
-			if g.made == g.length {
-				g.finish, g.forgetAt = "stop", now.Add(keepFinished)
-			}
+	duration := e.model.Step(now)
+	for id := range e.readers {
+		if _, _, ok := e.model.Progress(id); !ok {
+			delete(e.readers, id)
 		}
 	}
 	close(e.changed)
 	e.changed = make(chan struct{})
+	return duration
 }
 
 // lengthHint lets a caller of the stand-in choose an output's length.
@@ -185,11 +155,11 @@
 		e.mu.Unlock()
 		return c.JSON(http.StatusServiceUnavailable, refusalWire{Error: "leaving", NotRun: true, Leaving: true})
 	}
-	if _, ok := e.generations[wire.Generation]; !ok {
-		e.generations[wire.Generation] = &generation{
-			length: max(1, min(length, wire.MaxTokens)), startedAt: time.Now(), attached: map[string]int{},
-		}
-	}
+	e.model.Start(Order{
+		Generation: wire.Generation, PromptTokens: len(wire.Prompt)/bytesPerToken + 1,
+		Prefix: prefixHashes(wire.Prompt, e.blockTokens),
+		Length: max(1, min(length, wire.MaxTokens)), Priority: wire.Priority,
+	})
 	e.mu.Unlock()
 	return e.stream(c, wire.Generation, wire.Reader, 0)
 }
@@ -206,20 +176,18 @@
 func (e *Engine) stream(c echo.Context, id, reader string, next int) error {
 	for begun := false; ; begun = true {
 		e.mu.Lock()
-		g, ok := e.generations[id]
+		made, finish, ok := e.model.Progress(id)
+		changed := e.changed
+		if ok && !begun {
+			defer e.detach(e.attach(id, reader), reader)
+		}
+		e.mu.Unlock()
 		if !ok {
-			e.mu.Unlock()
 			if begun {
 				return nil
 			}
 			return c.JSON(http.StatusNotFound, refusalWire{Error: "no such generation"})
 		}
-		if !begun {
-			g.attach(reader)
-			defer e.detach(g, reader)
-		}
-		made, finish, changed := g.made, g.finish, e.changed
-		e.mu.Unlock()
 		if !begun {
 			c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
 			c.Response().WriteHeader(http.StatusOK)
@@ -246,10 +214,20 @@
 	}
 }
 
-func (e *Engine) detach(g *generation, reader string) {
+func (e *Engine) attach(id, reader string) *readers {
+	r, ok := e.readers[id]
+	if !ok {
+		r = &readers{attached: map[string]int{}}
+		e.readers[id] = r
+	}
+	r.attach(reader)
+	return r
+}
+
+func (e *Engine) detach(r *readers, reader string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	g.attached[reader]--
+	r.attached[reader]--
 }
 
 // TokenText is the text of a token, from which a test can tell whose it is.
@@ -275,23 +253,39 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id, reader := c.Param("id"), c.QueryParam("reader")
-	if g, ok := e.generations[id]; ok && reader != "" && g.belongsToOther(reader) {
+	if r, ok := e.readers[id]; ok && reader != "" && r.belongsToOther(reader) {
 		return c.JSON(http.StatusConflict, refusalWire{Error: "another reader has attached", NotRun: true})
 	}
-	delete(e.generations, id)
+	e.model.Cancel(id)
 	return c.NoContent(http.StatusNoContent)
 }
 
 func (e *Engine) load(c echo.Context) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	wire := loadWire{
-		Incarnation: e.incarnation.String(), Leaving: e.leaving, TakenUnixMS: time.Now().UnixMilli(), StepMicros: e.step.Microseconds(),
-	}
-	for _, g := range e.generations {
-		if g.finish == "" {
-			wire.Running++
-		}
+	load := e.model.Load(time.Now())
+	return c.JSON(http.StatusOK, loadWire{
+		Incarnation: e.incarnation.String(), Leaving: e.leaving, TakenUnixMS: load.TakenAt.UnixMilli(),
+		Running: load.Running, Waiting: load.Waiting, UsedTokens: load.UsedTokens, CapacityTokens: load.CapacityTokens,
+		StepMicros: load.StepTime.Microseconds(), Preemptions: load.Preemptions,
+	})
+}
+
+// cacheEventWire is one event of the prefix cache.
+type cacheEventWire struct {
+	Sequence uint64 `json:"sequence"`
+	Hash     uint64 `json:"hash,string"`
+	Stored   bool   `json:"stored"`
+}
+
+func (e *Engine) cacheEvents(c echo.Context) error {
+	after, _ := strconv.ParseUint(c.QueryParam("after"), 10, 64) // None given asks for all.
+	e.mu.Lock()
+	events := e.model.CacheEvents(time.Now(), after)
+	e.mu.Unlock()
+	wire := make([]cacheEventWire, len(events))
+	for i, event := range events {
+		wire[i] = cacheEventWire{event.Sequence, event.Hash, event.Stored}
 	}
 	return c.JSON(http.StatusOK, wire)
 }
@@ -315,3 +309,15 @@
 	e.leaving = true
 	return c.NoContent(http.StatusNoContent)
 }
+
+// reclaimAfter makes the engine leave, and end after the notice in_ms.
+func (e *Engine) reclaimAfter(c echo.Context) error {
+	notice, err := strconv.Atoi(c.QueryParam("in_ms"))
+	if err != nil || notice < 0 {
+		return c.JSON(http.StatusBadRequest, refusalWire{Error: "in_ms is no notice", NotRun: true})
+	}
+	time.AfterFunc(time.Duration(notice)*time.Millisecond, func() {
+		e.reclaim.Do(func() { close(e.reclaimed) })
+	})
+	return e.leave(c)
+}
--- /dev/null
+++ b/standin/model_test.go
@@ -0,0 +1,144 @@
+package standin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mangoloft/standin"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// small is an engine of 8 blocks of 4 tokens.
+var small = standin.ModelSettings{
+	StepTime: 10 * time.Millisecond, StepPerSequence: time.Millisecond, PrefillPerToken: 100 * time.Microsecond,
+	PrefillTokens: 64, MaxBatch: 8, Blocks: 8, BlockTokens: 4, CacheBlocks: 4, ReportLag: 30 * time.Millisecond,
+}
+
+// run steps the model until no generation runs, and returns the iterations.
+func run(t *testing.T, m *standin.Model, orders []standin.Order) []standin.Load {
+	t.Helper()
+	for _, o := range orders {
+		m.Start(o)
+	}
+	now := epoch
+	var loads []standin.Load
+	for range 10_000 {
+		now = now.Add(m.Step(now))
+		loads = append(loads, m.Load(now.Add(time.Hour)))
+		if last := loads[len(loads)-1]; last.Running+last.Waiting == 0 {
+			return loads
+		}
+	}
+	t.Fatal("the engine never came to rest")
+	return nil
+}
+
+func TestIterations(t *testing.T) {
+	for name, c := range map[string]struct {
+		orders      []standin.Order
+		steps       int
+		firstStep   time.Duration
+		preemptions uint64
+	}{
+		"one generation": {[]standin.Order{{Generation: "a", PromptTokens: 4, Length: 3}}, 4, 11*time.Millisecond + 400*time.Microsecond, 0},
+		"two share a batch": {[]standin.Order{
+			{Generation: "a", PromptTokens: 4, Length: 3}, {Generation: "b", PromptTokens: 4, Length: 3},
+		}, 4, 12*time.Millisecond + 800*time.Microsecond, 0},
+		"memory for one at a time": {[]standin.Order{
+			{Generation: "a", PromptTokens: 27, Length: 3}, {Generation: "b", PromptTokens: 27, Length: 3},
+		}, 7, 11*time.Millisecond + 2700*time.Microsecond, 0},
+		"growth preempts one": {[]standin.Order{
+			{Generation: "a", PromptTokens: 12, Length: 12}, {Generation: "b", PromptTokens: 12, Length: 12},
+		}, 21, 12*time.Millisecond + 2400*time.Microsecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			loads := run(t, standin.NewModel(small), c.orders)
+			assert.Equal(t, loads[0].StepTime, c.firstStep)
+			assert.Equal(t, loads[len(loads)-1].Preemptions, c.preemptions)
+			assert.Equal(t, len(loads), c.steps)
+			assert.Equal(t, loads[len(loads)-1].UsedTokens, 0)
+		})
+	}
+}
+
+func TestVictimHasLowestPriority(t *testing.T) {
+	m := standin.NewModel(small)
+	run(t, m, nil)
+	m.Start(standin.Order{Generation: "low", PromptTokens: 12, Length: 12, Priority: 1})
+	m.Start(standin.Order{Generation: "high", PromptTokens: 12, Length: 12, Priority: 2})
+	now := epoch
+	for m.Load(now.Add(time.Hour)).Preemptions == 0 {
+		now = now.Add(m.Step(now))
+	}
+	before, _, _ := m.Progress("low")
+	m.Step(now)
+	after, _, _ := m.Progress("low")
+	assert.Equal(t, after, before, "the generation of low priority was not preempted")
+}
+
+func TestGenerationBeyondTheWholeMemoryEnds(t *testing.T) {
+	m := standin.NewModel(small)
+	run(t, m, []standin.Order{{Generation: "a", PromptTokens: 12, Length: 100}, {Generation: "b", PromptTokens: 100, Length: 1}})
+	made, finish, _ := m.Progress("a")
+	assert.Equal(t, fmt.Sprint(made, finish), "20length")
+	_, finish, _ = m.Progress("b")
+	assert.Equal(t, finish, "length")
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	m := standin.NewModel(small)
+	order := standin.Order{Generation: "a", PromptTokens: 10, Prefix: []uint64{1, 2}, Length: 1}
+	first := run(t, m, []standin.Order{order})[0].StepTime
+	order.Generation = "b"
+	second := run(t, m, []standin.Order{order})[0].StepTime
+	assert.Equal(t, first-second, 8*small.PrefillPerToken)
+	order = standin.Order{Generation: "c", PromptTokens: 20, Prefix: []uint64{3, 4, 5, 6}, Length: 1}
+	run(t, m, []standin.Order{order})
+	events := m.CacheEvents(epoch.Add(time.Hour), 0)
+	assert.Equal(t, len(events), 8, "2 stored, 4 stored, 2 removed")
+	assert.Equal(t, len(m.CacheEvents(epoch.Add(-time.Hour), 0)), 0, "an event was published early")
+}
+
+func TestReportLags(t *testing.T) {
+	m := standin.NewModel(small)
+	m.Start(standin.Order{Generation: "a", PromptTokens: 4, Length: 50})
+	now := epoch
+	for range 20 {
+		now = now.Add(m.Step(now))
+		taken := m.Load(now).TakenAt
+		assert.Assert(t, taken.Equal(epoch) || now.Sub(taken) >= small.ReportLag, "a report is %v old", now.Sub(taken))
+	}
+}
+
+// Whatever the orders, memory is never overdrawn, all of it comes back, and
+// every generation ends with its whole length.
+func TestEveryGenerationEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := standin.NewModel(small)
+		lengths := rapid.SliceOfN(rapid.IntRange(1, 15), 1, 12).Draw(t, "lengths")
+		for i, length := range lengths {
+			m.Start(standin.Order{
+				Generation: fmt.Sprint(i), PromptTokens: rapid.IntRange(1, 16).Draw(t, "prompt"),
+				Length: length, Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			})
+		}
+		now := epoch
+		for range 5000 {
+			now = now.Add(m.Step(now))
+			load := m.Load(now.Add(time.Hour))
+			assert.Assert(t, load.UsedTokens >= 0 && load.UsedTokens <= load.CapacityTokens, "%d tokens used", load.UsedTokens)
+			if load.Running+load.Waiting == 0 {
+				break
+			}
+		}
+		for i, length := range lengths {
+			made, finish, _ := m.Progress(fmt.Sprint(i))
+			assert.Equal(t, fmt.Sprint(made, finish), fmt.Sprint(length, "stop"))
+		}
+	})
+}
