Load generator, scenario file, baselines and mangobench compare

Cause: nothing showed what a simple rule does on crowded engines. Change: mangobench run and compare start the fleet of a scenario file as real processes, draw arrivals, teams, classes and lengths from the seed alone, put them on it in open loop and print a line of JSON or a table for each policy. The entry instance of measurements, cmd/mangobench-entry, is the product with another scheduler behind control.Scheduler; round_robin, least_requests and two_choices register themselves in package baseline, which the product doesn't import. Stall is the wait for the first token beyond the class's target plus what each gap between tokens is beyond the target for pace.

--- /dev/null
+++ b/baseline/rules.go
@@ -0,0 +1,47 @@
+package baseline
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"mangoloft/control"
+)
+
+func init() {
+	register("round_robin", func(o Options) (control.Scheduler, error) {
+		next := rand.New(rand.NewPCG(o.Seed, 0)).IntN(1 << 16) // Instances don't all begin at the same upstream.
+		return newRule(func(of []*candidate) *candidate {
+			next++
+			return of[next%len(of)]
+		}), nil
+	})
+	register("least_requests", func(o Options) (control.Scheduler, error) {
+		lots := rand.New(rand.NewPCG(o.Seed, 0))
+		return newRule(func(of []*candidate) *candidate {
+			lots.Shuffle(len(of), func(i, j int) { of[i], of[j] = of[j], of[i] })
+			return slices.MinFunc(of, func(a, b *candidate) int { return a.outstanding - b.outstanding })
+		}), nil
+	})
+	register("two_choices", func(o Options) (control.Scheduler, error) {
+		lots := rand.New(rand.NewPCG(o.Seed, 0))
+		return newRule(func(of []*candidate) *candidate {
+			a, b := of[lots.IntN(len(of))], of[lots.IntN(len(of))]
+			if moreLoaded(a, b) > 0 {
+				return b
+			}
+			return a
+		}), nil
+	})
+}
+
+// moreLoaded compares by reported load: first what waits, then the memory.
+func moreLoaded(a, b *candidate) int {
+	if a.report.Waiting != b.report.Waiting {
+		return a.report.Waiting - b.report.Waiting
+	}
+	if a.report.UsedTokens != b.report.UsedTokens {
+		return cmp.Compare(a.report.UsedTokens, b.report.UsedTokens)
+	}
+	return a.outstanding - b.outstanding
+}
--- /dev/null
+++ b/bench/compare.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Comparison says what to compare.
+type Comparison struct {
+	// Bin is the directory with the programs.
+	Bin      string
+	Scenario string
+	Seeds    []uint64
+	Policies []string
+	// JSON prints one line for each policy and seed in place of a table.
+	JSON bool
+	// Keep names a directory for the fleets' logs; none is kept when empty.
+	Keep string
+}
+
+// Compare runs every policy on the same load, one after the other.
+func Compare(ctx context.Context, c Comparison, out io.Writer) error {
+	scenario, err := LoadScenario(c.Scenario)
+	if err != nil {
+		return err
+	}
+	var results []Result
+	for _, seed := range c.Seeds {
+		for _, policy := range c.Policies {
+			keep := c.Keep
+			if keep != "" {
+				keep = fmt.Sprintf("%s/%s-%d", keep, policy, seed)
+			}
+			result, err := Run(ctx, c.Bin, scenario, policy, seed, keep)
+			if err != nil {
+				return err
+			}
+			results = append(results, result)
+			if c.JSON {
+				line, err := json.Marshal(result)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(out, string(line))
+			}
+		}
+	}
+	if c.JSON {
+		return nil
+	}
+	return table(out, results)
+}
+
+func table(out io.Writer, results []Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "policy\tseed\tstall p50\tp99 ms\tpreempted\tlost\tgap p95\tp99 ms\tfirst p95 ms\ttarget met\trefused\tcompleted\ttokens in time\tretries\tfairness\t")
+	for _, r := range results {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\t%.0f\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%d\t%d\t%d\t%d\t%.2f\t\n",
+			r.Policy, r.Seed, r.StallP50MS, r.StallP99MS, r.Preemptions, r.StreamsLost, r.GapP95MS, r.GapP99MS,
+			r.FirstTokenP95MS, r.TargetMetShare, r.Refused, r.Completed, r.TokensInTime, r.Retries, r.Fairness)
+	}
+	return w.Flush()
+}
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -4,12 +4,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,10 +41,21 @@
 	DataCentres int
 	// Entries, Engines and Services are counts in each data centre.
 	Entries, Engines, Services int
+	// MoreEntries and MoreEngines are how many data centres, from the first
+	// on, have one more of them.
+	MoreEntries, MoreEngines int
 	// Step is an engine's time for one token.
 	Step time.Duration
 	// Seeds tells every entry instance but the first the address of the first.
 	Seeds bool
+	// EngineArgs are further arguments of the engines.
+	EngineArgs []string
+	// EntryProgram is the entry instances' program, mangoloft when empty, and
+	// EntryArgs are further arguments of it.
+	EntryProgram string
+	EntryArgs    []string
+	// Config holds values to publish beside those that every fleet has.
+	Config map[string]string
 	// Proxies puts a proxy before every listener but the operators'.
 	Proxies bool
 	// OpenRequests is an entry instance's limit; zero for its own default.
@@ -117,7 +130,7 @@
 	}
 	for dc := range plan.DataCentres {
 		centre := fmt.Sprintf("dc%d", dc+1)
-		if err := f.startCentre(centre); err != nil {
+		if err := f.startCentre(centre, dc); err != nil {
 			return f, err
 		}
 	}
@@ -127,9 +140,18 @@
 	return f, f.WaitReady(ctx, time.Now().Add(readyLimit))
 }
 
-func (f *Fleet) startCentre(centre string) error {
-	for i := range f.plan.Engines {
-		p, err := f.startStandin(fmt.Sprintf("engine-%s-%d", centre, i+1), centre, "engine", "--step", f.plan.Step.String())
+// countIn adds one to the count in the data centres that have more.
+func countIn(dc, count, more int) int {
+	if dc < more {
+		return count + 1
+	}
+	return count
+}
+
+func (f *Fleet) startCentre(centre string, dc int) error {
+	engineArgs := append([]string{"--step", f.plan.Step.String()}, f.plan.EngineArgs...)
+	for i := range countIn(dc, f.plan.Engines, f.plan.MoreEngines) {
+		p, err := f.startStandin(fmt.Sprintf("engine-%s-%d", centre, i+1), centre, "engine", engineArgs...)
 		if err != nil {
 			return err
 		}
@@ -142,7 +164,7 @@
 		}
 		f.Services = append(f.Services, p)
 	}
-	for i := range f.plan.Entries {
+	for i := range countIn(dc, f.plan.Entries, f.plan.MoreEntries) {
 		if _, err := f.StartEntry(fmt.Sprintf("entry-%s-%d", centre, i+1), centre); err != nil {
 			return err
 		}
@@ -206,7 +228,8 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	p.args = []string{"mangoloft", "serve", "--settings", path}
+	program := cmp.Or(f.plan.EntryProgram, "mangoloft")
+	p.args = append([]string{program, "serve", "--settings", path}, f.plan.EntryArgs...)
 	f.Entries = append(f.Entries, p)
 	return p, f.launch(p)
 }
@@ -397,6 +420,7 @@
 		"classes/" + PurchaseClass: `{"kind": "charge", "pool": "shop", "target": {"wait_ms": 1000}}`,
 		"teams/00":                 fmt.Sprintf(`{"teams": [{"name": %q, "credential_sha256": %q}]}`, Team, config.Hash([]byte(Credential))),
 	}
+	maps.Copy(values, f.plan.Config)
 	for key, value := range values {
 		if err := f.PutConfig(ctx, key, value); err != nil {
 			return err
--- a/bench/reader.go
+++ b/bench/reader.go
@@ -8,7 +8,9 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/tmaxmax/go-sse"
@@ -33,6 +35,8 @@
 	// OnBegin, when set, is called when a reference comes without a token; an
 	// error hangs up.
 	OnBegin func() error
+	// RetryAfter is what an answer that refuses asks to wait.
+	RetryAfter time.Duration
 	// OnToken, when set, is called after each token; an error hangs up.
 	OnToken func() error
 }
@@ -73,6 +77,8 @@
 	}
 	r.refused = response.StatusCode != http.StatusOK
 	if r.refused {
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After")) // None is no wait.
+		r.RetryAfter = time.Duration(seconds) * time.Second
 		content, err := io.ReadAll(response.Body)
 		r.Failure = response.Status + " " + string(content)
 		return err
--- a/cmd/mangobench/main.go
+++ b/cmd/mangobench/main.go
@@ -20,11 +20,13 @@
 }
 
 type arguments struct {
+	Compare *compareCommand `arg:"subcommand:compare" help:"run several policies on the same load"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
 	Leaving *leavingCommand `arg:"subcommand:leaving" help:"measure what a leaving engine still gets"`
 	Relay   *relayCommand   `arg:"subcommand:relay" help:"measure what relaying a token costs an entry instance"`
 	Restart *restartCommand `arg:"subcommand:restart" help:"measure what it takes when a whole fleet starts at once"`
 	Slopes  *slopesCommand  `arg:"subcommand:slopes" help:"measure how the cost of control grows with the sizes of the fleet"`
+	Run     *runCommand     `arg:"subcommand:run" help:"run one policy under a scenario"`
 	Soak    *soakCommand    `arg:"subcommand:soak" help:"put load and random faults on a fleet and check every promise"`
 	Spread  *spreadCommand  `arg:"subcommand:spread" help:"measure how soon a change of the configuration is in force everywhere"`
 }
--- a/control/state.go
+++ b/control/state.go
@@ -34,7 +34,7 @@
 	members   *member.Table
 	list      list
 	upstreams upstreams
-	scheduler *decide.Scheduler
+	scheduler Scheduler
 	stopping  bool
 	ready     bool
 	lacks     []Lack
@@ -61,11 +61,22 @@
 	draws uint64
 }
 
+// Scheduler decides where requests go, when, and which are refused.
+type Scheduler interface {
+	// Step takes one event at a time that never falls, and returns what to do.
+	Step(now time.Time, e decide.Event) []decide.Action
+}
+
 // New returns the state of an instance that knows nothing yet.
 func New(instance, dataCentre string) *State {
+	return NewWith(instance, dataCentre, decide.New(dataCentre))
+}
+
+// NewWith is New with a scheduler of the caller's choice.
+func NewWith(instance, dataCentre string, scheduler Scheduler) *State {
 	return &State{
 		instance: instance, dataCentre: dataCentre,
-		members: member.New(instance, dataCentre), scheduler: decide.New(dataCentre), upstreams: newUpstreams(),
+		members: member.New(instance, dataCentre), scheduler: scheduler, upstreams: newUpstreams(),
 	}
 }
 
