Scheduler by forecasts of length, memory and pace, with queue, retry budget and ejection

Cause: the scheduler counted requests alone; the measured rules lose to memory that runs out in the middle of decodes. Ruled out: a bound on the sum of worst cases, which admits almost nothing at these tails.

--- /dev/null
+++ b/decide/length_test.go
@@ -0,0 +1,108 @@
+package decide_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gonum.org/v1/gonum/stat/distuv"
+	"gotest.tools/v3/assert"
+
+	"mangoloft/decide"
+)
+
+func TestCurveOfKnownLengths(t *testing.T) {
+	lengths := make([]int, 100)
+	for i := range lengths {
+		lengths[i] = 10 * (i + 1)
+	}
+	curve := decide.CurveOf(lengths)
+	for name, c := range map[string]struct{ got, want, within float64 }{
+		"none is empty":   {curve.Beyond(0), 1, 0},
+		"half":            {curve.Beyond(500), 0.5, 0.05},
+		"a tenth":         {curve.Beyond(900), 0.1, 0.05},
+		"none beyond":     {curve.Beyond(1200), 0, 0.01},
+		"mean":            {curve.Mean(), 505, 20},
+		"met at the run":  {curve.Lasts(0), 1, 0.01},
+		"lasts to a half": {curve.Lasts(500), 0.25, 0.03},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, math.Abs(c.got-c.want) <= c.within, "%v is not near %v", c.got, c.want)
+		})
+	}
+}
+
+// A 95% bound on what remains must hold in 93% to 97% of fresh cases, also for
+// outputs that have run for a while.
+func TestForecastIsCalibrated(t *testing.T) {
+	for name, made := range map[string]int{"at the start": 0, "after 50 tokens": 50, "after 200 tokens": 200} {
+		t.Run(name, func(t *testing.T) {
+			var held, all int
+			for seed := range uint64(16) {
+				seedHeld, seedAll := boundHolds(seed, made)
+				held, all = held+seedHeld, all+seedAll
+			}
+			share := float64(held) / float64(all)
+			assert.Assert(t, share >= 0.93 && share <= 0.97, "the bound held in %.3f of %d cases", share, all)
+		})
+	}
+}
+
+func boundHolds(seed uint64, made int) (held, all int) {
+	draw := distuv.LogNormal{Mu: math.Log(80), Sigma: 0.9, Src: rand.NewPCG(seed, 2)}
+	length := func() int { return max(1, int(draw.Rand())) }
+	lengths := decide.NewLengths()
+	r := draft("reef")
+	// Enough that the history itself is no cause of error.
+	for range 3000 {
+		tokens := length()
+		lengths.Passed(r, 0, tokens)
+		lengths.Ended(r, tokens)
+	}
+	curve := lengths.Of(r)
+	bound := float64(made)
+	for curve.Beyond(bound) > 0.05*curve.Beyond(float64(made)) {
+		bound++
+	}
+	for all < 1000 {
+		tokens := length()
+		if tokens <= made {
+			continue
+		}
+		all++
+		if float64(tokens) <= bound {
+			held++
+		}
+	}
+	return held, all
+}
+
+// Outputs that still run must count: without them a young history holds only
+// the short ones.
+func TestYoungHistoryIsNotBiased(t *testing.T) {
+	lengths := decide.NewLengths()
+	r := draft("reef")
+	for range 50 {
+		lengths.Passed(r, 0, 20)
+		lengths.Ended(r, 20)
+		lengths.Passed(r, 0, 200)
+	}
+	beyond := lengths.Of(r).Beyond(150)
+	assert.Assert(t, beyond > 0.4, "%.2f are forecast to be longer than 150 tokens", beyond)
+}
+
+func TestTeamIsShrunkTowardsItsClass(t *testing.T) {
+	lengths := decide.NewLengths()
+	for range 200 {
+		lengths.Passed(draft("reef"), 0, 100)
+		lengths.Ended(draft("reef"), 100)
+	}
+	unknown := lengths.Of(draft("fresh")).Mean()
+	assert.Assert(t, math.Abs(unknown-100) < 15, "a new team's outputs are forecast at %.0f tokens", unknown)
+	for range 200 {
+		lengths.Passed(draft("fresh"), 0, 20)
+		lengths.Ended(draft("fresh"), 20)
+	}
+	known := lengths.Of(draft("fresh")).Mean()
+	assert.Assert(t, known < 30, "a known team's outputs are forecast at %.0f tokens", known)
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -2,34 +2,44 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"mangoloft/config"
 	"mangoloft/ident"
 	"mangoloft/verdict"
 )
 
-// refusalBackoff is when a refused request may come back, until a forecast
-// knows better.
-const refusalBackoff = time.Second
-
 // Scheduler places requests. It belongs to one goroutine.
+//
+// A stream goes to an engine only if the forecast of the engine's memory with
+// it stays under capacity at every horizon, and the forecast of its pace
+// meets the targets. Of the engines that it may go to, one is drawn with a
+// chance in proportion to the memory that stays free: many instances that see
+// the same reports then don't all choose the same engine. A stream that may
+// go to none waits in the queue. Calls to plain services go to the one with
+// the fewest, the own data centre first.
 type Scheduler struct {
 	dataCentre string
-	upstreams  []upstream
+	lengths    Lengths
+	upstreams  map[string]*upstream
+	order      []string
+	pools      map[string]*pool
 	placed     map[ident.Request]string
-}
-
-type upstream struct {
-	Upstream
-	report Report
-	// outstanding counts what this instance placed there and that isn't over.
-	outstanding int
+	queue      queue
+	retries    retryBudget
 }
 
 // New returns a scheduler for an instance in the data centre.
-func New(dataCentre string) *Scheduler {
-	return &Scheduler{dataCentre: dataCentre, placed: map[ident.Request]string{}}
+func New(dataCentre string) *Scheduler { return NewWith(dataCentre, newLearned()) }
+
+// NewWith is New with another forecast of lengths.
+func NewWith(dataCentre string, lengths Lengths) *Scheduler {
+	return &Scheduler{
+		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
+		placed: map[ident.Request]string{}, retries: newRetryBudget(),
+	}
 }
 
 // Step takes one event at a time that never falls, and returns what to do.
@@ -38,79 +48,296 @@
 	case UpstreamsChanged:
 		s.replaceUpstreams(e.Upstreams)
 	case Reported:
-		if u := s.find(e.Upstream); u != nil && e.Report.TakenAt.After(u.report.TakenAt) {
-			u.report = e.Report
-		}
+		s.takeReport(now, e)
 	case Arrived:
-		return []Action{s.place(now, e.Request)}
+		return s.arrive(now, e.Request)
+	case Progressed:
+		s.progress(now, e)
+		return nil
 	case Ended:
-		s.release(e.ID)
-	case Progressed, Failed, Tick:
+		s.end(now, e)
+	case Failed:
+		s.fail(now, e.Upstream)
+		return nil
+	case Tick:
 	}
-	return nil
+	return s.serveQueue(now)
 }
 
 func (s *Scheduler) replaceUpstreams(list []Upstream) {
 	old := s.upstreams
-	s.upstreams = make([]upstream, len(list))
-	for i, next := range list {
-		s.upstreams[i] = upstream{Upstream: next}
-		for _, previous := range old {
-			if previous.Name == next.Name {
-				s.upstreams[i].report, s.upstreams[i].outstanding = previous.report, previous.outstanding
-			}
+	s.upstreams, s.order = make(map[string]*upstream, len(list)), nil
+	for _, next := range list {
+		u, ok := old[next.Name]
+		if !ok || u.Incarnation != next.Incarnation {
+			u = newUpstream(next)
+		}
+		u.Upstream = next
+		s.upstreams[next.Name] = u
+		s.order = append(s.order, next.Name)
+	}
+	slices.Sort(s.order)
+}
+
+func (s *Scheduler) takeReport(now time.Time, e Reported) {
+	u := s.upstreams[e.Upstream]
+	if u == nil || !e.Report.TakenAt.After(u.report.TakenAt) {
+		return
+	}
+	u.take(now, e.Report)
+	own, _ := u.ownAt(e.Report.TakenAt)
+	s.pool(u.Pool).observe(e.Report.Running+e.Report.Waiting, own)
+}
+
+func (s *Scheduler) pool(name string) *pool {
+	p, ok := s.pools[name]
+	if !ok {
+		p = &pool{}
+		s.pools[name] = p
+	}
+	return p
+}
+
+func (s *Scheduler) progress(now time.Time, e Progressed) {
+	u := s.upstreams[s.placed[e.ID]]
+	if u == nil {
+		return
+	}
+	for _, f := range u.flights {
+		if f.ID == e.ID && e.Tokens > f.tokens {
+			s.lengths.Passed(f.Request, f.tokens, e.Tokens)
+			f.tokens, f.tokensAt = e.Tokens, now
+			u.stale = true
+		}
+	}
+}
+
+func (s *Scheduler) end(now time.Time, e Ended) {
+	s.queue.remove(e.ID)
+	f := s.release(now, e.ID)
+	if f == nil {
+		return
+	}
+	if e.Tokens > f.tokens {
+		s.lengths.Passed(f.Request, f.tokens, e.Tokens)
+	}
+	if e.Outcome.Reason != verdict.Completed {
+		return
+	}
+	if e.Tokens > 0 {
+		s.lengths.Ended(f.Request, e.Tokens)
+	}
+	if u := s.upstreams[f.upstream]; u != nil {
+		u.health.succeed(now)
+	}
+}
+
+// release forgets where the request was placed.
+func (s *Scheduler) release(now time.Time, id ident.Request) *flight {
+	name, ok := s.placed[id]
+	if !ok {
+		return nil
+	}
+	delete(s.placed, id)
+	if u := s.upstreams[name]; u != nil {
+		return u.release(now, id)
+	}
+	return nil
+}
+
+func (s *Scheduler) fail(now time.Time, name string) {
+	u := s.upstreams[name]
+	if u == nil || !u.health.fail(now) {
+		return
+	}
+	ejected, all := 1, 0
+	for _, other := range s.upstreams {
+		if other.Pool != u.Pool {
+			continue
+		}
+		all++
+		if other.health.share(now) == 0 {
+			ejected++
 		}
 	}
+	if float64(ejected) <= maxEjectedShare*float64(all) {
+		u.health.eject(now)
+	}
 }
 
-func (s *Scheduler) find(name string) *upstream {
-	for i := range s.upstreams {
-		if s.upstreams[i].Name == name {
-			return &s.upstreams[i]
+func (s *Scheduler) arrive(now time.Time, r Request) []Action {
+	s.release(now, r.ID)
+	if len(r.Avoid) == 0 {
+		s.retries.firstTry()
+	} else if !s.retries.retry() {
+		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is spent")}
+	}
+	candidates := s.candidates(now, r)
+	if len(candidates) == 0 {
+		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool)}
+	}
+	w := newWaiting(now, r)
+	ahead := s.queue.ahead(w)
+	if ahead == 0 {
+		if place, ok := s.place(now, w, candidates); ok {
+			return []Action{place}
 		}
 	}
+	start := earliest(now, ahead, s.pool(r.Class.Pool).rate(now))
+	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
+		why := fmt.Sprintf("%d are ahead and the earliest start is %v after the target", ahead, start.Sub(w.deadline).Round(time.Millisecond))
+		return []Action{s.refuse(now, r, verdict.Overloaded, why)}
+	}
+	s.queue.add(w)
 	return nil
 }
 
-func (s *Scheduler) place(now time.Time, r Request) Action {
-	s.release(r.ID)
-	var best *upstream
-	for i := range s.upstreams {
-		u := &s.upstreams[i]
-		if u.Pool != r.Class.Pool || u.Leaving || slices.Contains(r.Avoid, u.Name) {
+// candidates returns the live upstreams of the request's pool.
+func (s *Scheduler) candidates(now time.Time, r Request) []*upstream {
+	var live []*upstream
+	for _, name := range s.order {
+		u := s.upstreams[name]
+		if u.Pool == r.Class.Pool && !u.Leaving && !slices.Contains(r.Avoid, name) && u.health.share(now) > 0 {
+			live = append(live, u)
+		}
+	}
+	return live
+}
+
+// place draws an upstream with room, if there is one.
+func (s *Scheduler) place(now time.Time, w *waiting, candidates []*upstream) (Place, bool) {
+	lengths := s.lengths.Of(w.Request)
+	anyFresh := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.fresh(now) })
+	if w.Class.Kind != config.Stream || !anyFresh {
+		u := s.fewest(candidates)
+		why := fmt.Sprintf("fewest requests: %d here, %d waiting by report", len(u.flights), u.report.Waiting)
+		return s.send(now, w, u, lengths, why), true
+	}
+	var own forecast
+	own.addFlight(w.PromptTokens, 0, lengths)
+	traffic, curve := s.pool(w.Class.Pool), s.lengths.Pool(w.Class.Pool)
+	unseen := crowd{size: max(1, traffic.promptTokens)}
+	unseenRate := traffic.unseenRate(now, len(candidates))
+	draw := lots{id: w.ID}
+	room := 0
+	for _, u := range candidates {
+		if !u.fresh(now) {
 			continue
 		}
-		if best == nil || s.before(u, best) {
-			best = u
+		unseen.count = unseenRate * now.Sub(u.report.TakenAt).Seconds()
+		u.refresh(now, unseen, curve)
+		free := float64(u.report.CapacityTokens) - u.with(&own)
+		if free < 0 || !u.holdsPace(w.Request) {
+			continue
 		}
+		room++
+		draw.offer(u, free*u.health.share(now))
 	}
-	if best == nil {
-		return Refuse{r.ID, verdict.NoUpstream, now.Add(refusalBackoff), fmt.Sprintf("no live upstream in pool %s", r.Class.Pool)}
+	if draw.best == nil {
+		return Place{}, false
 	}
-	best.outstanding++
-	s.placed[r.ID] = best.Name
-	return Place{
-		ID: r.ID, Upstream: best.Upstream,
-		Why: fmt.Sprintf("least outstanding: %d here, %d running by report", best.outstanding, best.report.Running),
+	u := draw.best
+	why := fmt.Sprintf(
+		"room at %d of %d; here %d tokens stay free of %d at the peak, with %d own, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
+		room, len(candidates), int(float64(u.report.CapacityTokens)-u.with(&own)), u.report.CapacityTokens,
+		u.baseLoad.own, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
+	return s.send(now, w, u, lengths, why), true
+}
+
+func (s *Scheduler) send(now time.Time, w *waiting, u *upstream, lengths Distribution, why string) Place {
+	s.pool(u.Pool).placed(now, w.PromptTokens)
+	u.place(&flight{Request: w.Request, upstream: u.Name, lengths: lengths, sentAt: now, tokensAt: now})
+	s.placed[w.ID] = u.Name
+	return Place{ID: w.ID, Upstream: u.Upstream, Priority: priorityOf(w.Request, lengths.Mean()), Why: why}
+}
+
+// fewest returns the upstream with the fewest requests, the own data centre
+// first.
+func (s *Scheduler) fewest(candidates []*upstream) *upstream {
+	return slices.MinFunc(candidates, func(a, b *upstream) int {
+		if localA, localB := a.DataCentre == s.dataCentre, b.DataCentre == s.dataCentre; localA != localB {
+			if localA {
+				return -1
+			}
+			return 1
+		}
+		return len(a.flights) + a.report.Waiting - len(b.flights) - b.report.Waiting
+	})
+}
+
+// serveQueue places what there is room for now, and gives up what has waited
+// too long. A request whose target has passed lets nobody go before it.
+func (s *Scheduler) serveQueue(now time.Time) []Action {
+	var actions []Action
+	blocked := map[string]bool{}
+	for _, w := range slices.Clone(s.queue.list) {
+		if !now.Before(w.expiresAt) {
+			s.queue.remove(w.ID)
+			why := fmt.Sprintf("no upstream had room in %v", now.Sub(w.arrivedAt).Round(time.Millisecond))
+			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, why))
+			continue
+		}
+		if blocked[w.Class.Pool] {
+			continue
+		}
+		candidates := s.candidates(now, w.Request)
+		if len(candidates) > 0 {
+			if place, ok := s.place(now, w, candidates); ok {
+				s.queue.remove(w.ID)
+				actions = append(actions, place)
+				continue
+			}
+		}
+		blocked[w.Class.Pool] = now.After(w.deadline)
+	}
+	if len(actions) > 0 {
+		s.queue.sort()
 	}
+	return actions
 }
 
-// before reports whether a is the better choice: the own data centre first,
-// then the fewest requests.
-func (s *Scheduler) before(a, b *upstream) bool {
-	if localA, localB := a.DataCentre == s.dataCentre, b.DataCentre == s.dataCentre; localA != localB {
-		return localA
+const (
+	shortestRetry = 250 * time.Millisecond
+	longestRetry  = 30 * time.Second
+)
+
+// refuse tells when the queue should be empty, spread so that those who are
+// refused together don't come back together.
+func (s *Scheduler) refuse(now time.Time, r Request, reason verdict.Reason, why string) Refuse {
+	after := shortestRetry
+	if rate := s.pool(r.Class.Pool).rate(now); rate > 0 {
+		after += time.Duration(float64(len(s.queue.list)) / rate * float64(time.Second))
 	}
-	return a.outstanding+a.report.Waiting < b.outstanding+b.report.Waiting
+	spread := 0.75 + lot(r.ID, 0)/2
+	after = time.Duration(float64(min(after, longestRetry)) * spread)
+	return Refuse{ID: r.ID, Reason: reason, RetryAt: now.Add(after), Why: why}
 }
 
-func (s *Scheduler) release(id ident.Request) {
-	name, ok := s.placed[id]
-	if !ok {
-		return
+// lots draws one of several upstreams, each with a chance in proportion to
+// its weight, and the same one each time for the same request.
+type lots struct {
+	id    ident.Request
+	best  *upstream
+	first float64
+}
+
+func (l *lots) offer(u *upstream, weight float64) {
+	if weight <= 0 {
+		weight = math.SmallestNonzeroFloat32
 	}
-	delete(s.placed, id)
-	if u := s.find(name); u != nil {
-		u.outstanding--
+	// The least of exponential times with these rates is drawn so.
+	if at := -math.Log(lot(l.id, u.hash)) / weight; l.best == nil || at < l.first {
+		l.best, l.first = u, at
 	}
 }
+
+// lot returns a number in (0, 1) that hangs on the request and a salt alone.
+func lot(id ident.Request, salt uint64) float64 {
+	x := uint64(id.Home.Incarnation) ^ id.Sequence*0x9e3779b97f4a7c15 ^ salt
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return (float64(x>>11) + 0.5) / (1 << 53)
+}
--- /dev/null
+++ b/decide/scheduler_test.go
@@ -0,0 +1,326 @@
+package decide_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"mangoloft/config"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/verdict"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	engineTokens = 2000
+	draftTokens  = 100
+)
+
+var draftClass = config.Class{
+	Name: "draft", Kind: config.Stream, Pool: "drafting", Wait: time.Second, Pace: 50 * time.Millisecond, MaxOutputTokens: 1000,
+}
+
+func draft(team string) decide.Request {
+	return decide.Request{Team: team, Class: draftClass, PromptTokens: 100}
+}
+
+// rig drives a scheduler on a clock of its own.
+type rig struct {
+	*decide.Scheduler
+	now     time.Time
+	engines int
+	last    uint64
+}
+
+func newRig(engines int) *rig {
+	r := &rig{Scheduler: decide.New("dc1"), now: epoch, engines: engines}
+	r.list(func(*decide.Upstream) {})
+	for range 300 { // Every draft has had so many tokens.
+		id := r.id()
+		r.step(decide.Arrived{Request: decide.Request{ID: id, Team: "reef", Class: draftClass, PromptTokens: 100}})
+		r.step(decide.Ended{ID: id, Tokens: draftTokens, Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed}})
+		r.now = r.now.Add(20 * time.Millisecond)
+	}
+	r.report(func(int) decide.Report { return decide.Report{} })
+	return r
+}
+
+func (r *rig) list(change func(*decide.Upstream)) {
+	var all []decide.Upstream
+	for i := range r.engines {
+		u := decide.Upstream{Name: fmt.Sprint("engine", i), Pool: "drafting", DataCentre: "dc1", Incarnation: 1}
+		change(&u)
+		all = append(all, u)
+	}
+	r.step(decide.UpstreamsChanged{Upstreams: all})
+}
+
+func (r *rig) id() ident.Request {
+	r.last++
+	return ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: r.last}
+}
+
+func (r *rig) step(e decide.Event) []decide.Action { return r.Step(r.now, e) }
+
+// report gives every engine a report of now.
+func (r *rig) report(of func(engine int) decide.Report) []decide.Action {
+	var actions []decide.Action
+	for i := range r.engines {
+		report := of(i)
+		report.TakenAt, report.CapacityTokens, report.StepTime = r.now, engineTokens, 30*time.Millisecond
+		actions = append(actions, r.step(decide.Reported{Upstream: fmt.Sprint("engine", i), Report: report})...)
+	}
+	return actions
+}
+
+// arrive asks for a place for a draft of the team.
+func (r *rig) arrive(team string, change func(*decide.Request)) (ident.Request, []decide.Action) {
+	request := draft(team)
+	request.ID, request.StartBy = r.id(), r.now.Add(draftClass.Wait)
+	if change != nil {
+		change(&request)
+	}
+	return request.ID, r.step(decide.Arrived{Request: request})
+}
+
+// describe names the actions, without their figures.
+func describe(actions []decide.Action) string {
+	var words []string
+	for _, action := range actions {
+		switch a := action.(type) {
+		case decide.Place:
+			words = append(words, "place at "+a.Upstream.Name)
+		case decide.Refuse:
+			words = append(words, "refuse as "+a.Reason.String())
+		}
+	}
+	return strings.Join(words, ", ")
+}
+
+// full is the report of an engine that others have filled.
+var full = decide.Report{Running: 12, UsedTokens: engineTokens - 20}
+
+func TestArrival(t *testing.T) {
+	for name, c := range map[string]struct {
+		reports func(engine int) decide.Report
+		change  func(*decide.Request)
+		want    string
+	}{
+		"the only engine with room": {func(i int) decide.Report {
+			if i == 1 {
+				return decide.Report{}
+			}
+			return full
+		}, nil, "place at engine1"},
+		"no engine with room": {func(int) decide.Report { return full }, nil, ""},
+		"all avoided": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
+			r.Avoid = []string{"engine0", "engine1", "engine2"}
+		}, "refuse as no_upstream"},
+		"a prompt beyond the memory waits": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
+			r.PromptTokens = 2 * engineTokens
+		}, ""},
+		"an impossible target for pace doesn't count": {func(i int) decide.Report {
+			if i == 1 {
+				return decide.Report{}
+			}
+			return full
+		}, func(r *decide.Request) { r.Class.Pace = time.Millisecond }, "place at engine1"},
+		"a pool without upstreams": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
+			r.Class.Pool = "none"
+		}, "refuse as no_upstream"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(3)
+			r.now = r.now.Add(time.Second)
+			r.report(c.reports)
+			_, actions := r.arrive("reef", c.change)
+			assert.Equal(t, describe(actions), c.want)
+		})
+	}
+}
+
+func TestWaitingRequestIsPlacedWhenRoomIsReported(t *testing.T) {
+	r := newRig(1)
+	r.report(func(int) decide.Report { return full })
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.report(func(int) decide.Report { return full })
+	id, actions := r.arrive("reef", nil)
+	assert.Equal(t, len(actions), 0)
+	r.now = r.now.Add(100 * time.Millisecond)
+	actions = r.report(func(int) decide.Report { return decide.Report{} })
+	assert.Equal(t, describe(actions), "place at engine0")
+	place := actions[0].(decide.Place)
+	assert.Equal(t, place.ID, id)
+	assert.Assert(t, strings.Contains(place.Why, "waited 100ms"), place.Why)
+}
+
+func TestWaitingRequestIsGivenUpAtItsLimit(t *testing.T) {
+	r := newRig(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.report(func(int) decide.Report { return full })
+	r.arrive("reef", nil)
+	for range 19 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.report(func(int) decide.Report { return full })
+		assert.Equal(t, describe(r.step(decide.Tick{})), "")
+	}
+	r.now = r.now.Add(100 * time.Millisecond)
+	actions := r.step(decide.Tick{})
+	assert.Equal(t, describe(actions), "refuse as wait_expired")
+	assert.Assert(t, actions[0].(decide.Refuse).RetryAt.After(r.now))
+}
+
+func TestLargeTeamWaitsBehindItself(t *testing.T) {
+	r := newRig(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.report(func(int) decide.Report { return full })
+	for range 6 {
+		r.arrive("large", nil)
+	}
+	r.now = r.now.Add(10 * time.Millisecond)
+	small, actions := r.arrive("small", nil)
+	assert.Equal(t, len(actions), 0)
+	r.now = r.now.Add(100 * time.Millisecond)
+	actions = r.report(func(int) decide.Report { return decide.Report{} })
+	position := -1
+	for i, action := range actions {
+		if action.(decide.Place).ID == small {
+			position = i
+		}
+	}
+	assert.Equal(t, position, 1, "the small team's request was placed after %d of %d", position, len(actions))
+}
+
+func TestRefusalOnlyWhenTheForecastMissesTheTarget(t *testing.T) {
+	r := newRig(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.report(func(int) decide.Report { return full })
+	refused := 0
+	for range 300 {
+		_, actions := r.arrive("reef", nil)
+		for _, action := range actions {
+			refusal := action.(decide.Refuse)
+			assert.Equal(t, refusal.Reason, verdict.Overloaded)
+			assert.Assert(t, strings.Contains(refusal.Why, "earliest start"), refusal.Why)
+			refused++
+		}
+		assert.Assert(t, refused == 0 || len(actions) == 1, "a request was taken after a like one was refused")
+	}
+	assert.Assert(t, refused > 100 && refused < 295, "%d of 300 were refused", refused)
+}
+
+func TestRetriesKeepToTheirBudget(t *testing.T) {
+	r := newRig(2)
+	r.now = r.now.Add(10 * time.Millisecond)
+	granted := 0
+	for range 100 {
+		r.report(func(int) decide.Report { return decide.Report{} })
+		id, actions := r.arrive("reef", func(q *decide.Request) { q.Avoid = []string{"engine0"} })
+		if describe(actions) == "place at engine1" {
+			granted++
+		}
+		r.step(decide.Ended{ID: id})
+		r.now = r.now.Add(10 * time.Millisecond)
+	}
+	assert.Equal(t, granted, 20, "300 first tries allow at most what may be saved")
+}
+
+func TestFailingUpstreamIsLeftOutAndComesBackSlowly(t *testing.T) {
+	r := newRig(2)
+	share := func() int {
+		count := 0
+		for range 200 {
+			r.now = r.now.Add(time.Millisecond)
+			r.report(func(int) decide.Report { return decide.Report{} })
+			id, actions := r.arrive("reef", nil)
+			if describe(actions) == "place at engine0" {
+				count++
+			}
+			r.step(decide.Ended{ID: id})
+		}
+		return count
+	}
+	before := share()
+	assert.Assert(t, before > 60 && before < 140, "%d of 200", before)
+	for range 3 {
+		r.step(decide.Failed{Upstream: "engine0"})
+		r.step(decide.Failed{Upstream: "engine1"})
+	}
+	assert.Equal(t, share(), 0)
+	r.now = r.now.Add(900 * time.Millisecond)
+	back := share()
+	assert.Assert(t, back > 0 && back < before/2, "%d of 200 just after its return", back)
+	r.now = r.now.Add(6 * time.Second)
+	later := share()
+	assert.Assert(t, later > 60, "%d of 200 long after", later)
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	r := newRig(2)
+	r.list(func(u *decide.Upstream) { u.Leaving = u.Name == "engine0" })
+	for range 20 {
+		_, actions := r.arrive("reef", nil)
+		assert.Assert(t, !strings.Contains(describe(actions), "engine0"))
+	}
+}
+
+// However requests come and go, each gets one answer at most, none is placed
+// beyond the memory that is known to be left, and all that waits is answered
+// by its limit.
+func TestAnswersAndLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(2)
+		open, prompts := map[ident.Request]bool{}, map[ident.Request]int{}
+		held := map[string]int{}
+		take := func(actions []decide.Action) {
+			for _, action := range actions {
+				switch a := action.(type) {
+				case decide.Place:
+					assert.Assert(t, open[a.ID], "an answer to a request that isn't waiting")
+					delete(open, a.ID)
+					held[a.Upstream.Name] += prompts[a.ID]
+					assert.Assert(t, held[a.Upstream.Name] <= engineTokens, "%d tokens of prompts at %s", held[a.Upstream.Name], a.Upstream.Name)
+				case decide.Refuse:
+					assert.Assert(t, open[a.ID], "an answer to a request that isn't waiting")
+					delete(open, a.ID)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			r.now = r.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "gap")) * time.Millisecond)
+			request := draft(rapid.SampledFrom([]string{"reef", "large", "small"}).Draw(t, "team"))
+			request.ID, request.StartBy = r.id(), r.now.Add(draftClass.Wait)
+			request.PromptTokens = rapid.IntRange(1, 600).Draw(t, "prompt")
+			open[request.ID], prompts[request.ID] = true, request.PromptTokens
+			take(r.step(decide.Arrived{Request: request}))
+			take(r.step(decide.Tick{}))
+		}
+		r.now = r.now.Add(2 * draftClass.Wait)
+		take(r.step(decide.Tick{}))
+		assert.Equal(t, len(open), 0, "requests were left without an answer")
+	})
+}
+
+// BenchmarkDecision decides on one request at the size of the target, with
+// reports that are new for each.
+func BenchmarkDecision(b *testing.B) {
+	const engines, teams = 125, 21_000
+	r := newRig(engines)
+	for i := 0; b.Loop(); i++ {
+		b.StopTimer()
+		r.now = r.now.Add(250 * time.Millisecond)
+		r.report(func(int) decide.Report { return decide.Report{Running: 8, UsedTokens: 800} })
+		r.now = r.now.Add(100 * time.Millisecond)
+		b.StartTimer()
+		id, _ := r.arrive(fmt.Sprint("team", i%teams), nil)
+		b.StopTimer()
+		r.step(decide.Ended{ID: id})
+		b.StartTimer()
+	}
+}
--- /dev/null
+++ b/decide/upstream.go
@@ -0,0 +1,165 @@
+package decide
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"mangoloft/ident"
+)
+
+// upstream is what the scheduler knows of one upstream.
+type upstream struct {
+	Upstream
+	hash   uint64
+	report Report
+	// flights are the requests this instance placed, and departed those that
+	// are over but may still count in the latest report.
+	flights  []*flight
+	departed []*flight
+	goneAt   []time.Time
+	pace     paceModel
+	health   health
+
+	// base is the forecast without the request in question, as of baseAt.
+	base     forecast
+	baseLoad batch
+	baseAt   time.Time
+	stale    bool
+}
+
+// batch counts the generations that may be at an upstream.
+type batch struct {
+	own    int
+	others crowd
+	unseen crowd
+}
+
+func (b batch) count() float64 { return float64(b.own) + b.others.count + b.unseen.count }
+
+// forecastAge is how long a forecast is kept while nothing else changes.
+const forecastAge = 20 * time.Millisecond
+
+// reportAge is how old a report may be and still speak for its upstream.
+const reportAge = 3 * time.Second
+
+func newUpstream(u Upstream) *upstream {
+	name := fnv.New64a()
+	name.Write([]byte(u.Name))
+	return &upstream{Upstream: u, hash: name.Sum64(), stale: true}
+}
+
+// fresh says that the memory of the upstream can be forecast.
+func (u *upstream) fresh(now time.Time) bool {
+	return u.report.CapacityTokens > 0 && now.Sub(u.report.TakenAt) < reportAge
+}
+
+func (u *upstream) take(now time.Time, r Report) {
+	if !r.TakenAt.After(u.report.TakenAt) {
+		return
+	}
+	u.report, u.stale = r, true
+	u.health.succeed(now)
+	if r.StepTime > 0 && r.Running > 0 {
+		u.pace.observe(r.Running, r.StepTime)
+	}
+	for len(u.departed) > 0 && u.goneAt[0].Before(r.TakenAt) {
+		u.departed, u.goneAt = u.departed[1:], u.goneAt[1:]
+	}
+}
+
+func (u *upstream) place(f *flight) {
+	u.flights = append(u.flights, f)
+	u.stale = true
+}
+
+// release returns the flight that ended, or nil.
+func (u *upstream) release(now time.Time, id ident.Request) *flight {
+	i := slices.IndexFunc(u.flights, func(f *flight) bool { return f.ID == id })
+	if i < 0 {
+		return nil
+	}
+	f := u.flights[i]
+	u.flights = slices.Delete(u.flights, i, i+1)
+	u.departed, u.goneAt = append(u.departed, f), append(u.goneAt, now)
+	u.stale = true
+	return f
+}
+
+// step returns the time of an iteration as last known.
+func (u *upstream) step() time.Duration {
+	if learned := u.pace.step(float64(u.report.Running)); learned > 0 {
+		return learned
+	}
+	return u.report.StepTime
+}
+
+// ownAt returns the count and memory of this instance's part of the report.
+func (u *upstream) ownAt(taken time.Time) (count int, memory float64) {
+	step := u.step()
+	for _, list := range [][]*flight{u.flights, u.departed} {
+		for _, f := range list {
+			if f.sentAt.Before(taken) {
+				count++
+				memory += float64(f.PromptTokens) + f.made(taken, step)
+			}
+		}
+	}
+	return count, memory
+}
+
+// others returns what other instances had there at the time of the report.
+func (u *upstream) others(meanPrompt float64) crowd {
+	ownCount, ownMemory := u.ownAt(u.report.TakenAt)
+	count := float64(max(0, u.report.Running+u.report.Waiting-ownCount))
+	if count == 0 {
+		return crowd{}
+	}
+	// What waits takes its prompt's memory once it runs.
+	memory := max(0, float64(u.report.UsedTokens)-ownMemory) + float64(u.report.Waiting)*meanPrompt
+	return crowd{count, max(meanPrompt/2, memory/count)}
+}
+
+// refresh computes the forecast of what is there already.
+func (u *upstream) refresh(now time.Time, unseen crowd, pool *Curve) {
+	if !u.stale && now.Sub(u.baseAt) < forecastAge {
+		return
+	}
+	u.base, u.baseAt, u.stale = forecast{}, now, false
+	step := u.step()
+	for _, f := range u.flights {
+		u.base.addFlight(f.PromptTokens, f.made(now, step), f.lengths)
+	}
+	u.baseLoad = batch{len(u.flights), u.others(unseen.size), unseen}
+	ago := 0.0
+	if step > 0 {
+		ago = float64(now.Sub(u.report.TakenAt)) / float64(step)
+	}
+	u.base.addOthers(u.baseLoad.others, ago, pool)
+	u.base.addUnseen(unseen, pool)
+}
+
+// with returns the peak of memory if a request with such a forecast came too.
+func (u *upstream) with(request *forecast) float64 {
+	f := u.base
+	for i := range f {
+		f[i].add(request[i])
+	}
+	return f.peak()
+}
+
+// holdsPace says that the tightest target for pace there would still hold. A
+// target that not even a single generation can have holds nobody back.
+func (u *upstream) holdsPace(r Request) bool {
+	step, alone := u.pace.step(u.baseLoad.count()+1), u.pace.step(1)
+	reachable := func(pace time.Duration) bool { return pace > 0 && alone <= pace }
+	if reachable(r.Class.Pace) && step > r.Class.Pace {
+		return false
+	}
+	for _, f := range u.flights {
+		if reachable(f.Class.Pace) && step > f.Class.Pace {
+			return false
+		}
+	}
+	return true
+}
