Instances tell each other of streams they queue, place and end

Ruled out: a home for each engine that admits, which adds a round trip to every request and a failover; asking for reports more often, which costs 18 times 9 calls each time and still shows sums alone. Change: notices over the peers' link, batched for 5 ms, sent to all listed instances and never answered for. Known flights are forecast one by one and learned from; waiting requests stand in one order at all instances, and a place that is due to another instance's request is kept for it for 50 ms, twice at most. Lost notices leave a difference to the load report, which is forecast as before.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -16,8 +16,10 @@
 type flight struct {
 	Request
 	upstream string
-	lengths  Distribution
-	sentAt   time.Time
+	// foreign flights were placed by another instance.
+	foreign bool
+	lengths Distribution
+	sentAt  time.Time
 	// tokens is how many it had at tokensAt.
 	tokens   int
 	tokensAt time.Time
--- /dev/null
+++ b/decide/notice.go
@@ -0,0 +1,78 @@
+package decide
+
+import (
+	"time"
+
+	"mangoloft/ident"
+)
+
+// noticeSilence is how long another instance's flight counts without news of
+// it. Its end may have been lost, or the instance itself.
+const noticeSilence = 10 * time.Second
+
+func (s *Scheduler) tell(n Notice) { s.notices = append(s.notices, Notify{n}) }
+
+// takeNotice counts what another instance placed as if it had been placed
+// here, so that its memory and its end are forecast one by one and its length
+// is learned from.
+func (s *Scheduler) takeNotice(now time.Time, n Notice) {
+	id := n.Request.ID
+	switch n.Kind {
+	case NoticeWaiting:
+		s.queue.remove(id)
+		if len(s.queue.list) < maxQueue {
+			w := newWaiting(now, n.Request)
+			w.foreign = true
+			s.queue.add(w)
+		}
+	case NoticePlaced:
+		s.queue.remove(id)
+		s.withdraw(id)
+		if u := s.upstreams[n.Upstream]; u != nil {
+			s.board(now, u, n.Request, s.lengths.Of(n.Request), true)
+		}
+	case NoticeProgressed:
+		s.advance(now, id, n.Tokens)
+	case NoticeEnded:
+		if s.queue.remove(id) {
+			s.withdraw(id)
+			return
+		}
+		s.finish(now, id, n.Tokens, n.Completed)
+	}
+}
+
+// board counts a request at an upstream.
+func (s *Scheduler) board(now time.Time, u *upstream, r Request, lengths Distribution, foreign bool) {
+	s.pool(u.Pool).placed(now, r.PromptTokens)
+	u.place(&flight{Request: r, upstream: u.Name, foreign: foreign, lengths: lengths, sentAt: now, tokensAt: now})
+	s.placed[r.ID] = u.Name
+}
+
+// keep holds a place for a request that waits at another instance, until that
+// should have placed it.
+func (s *Scheduler) keep(now time.Time, w *waiting, u *upstream, lengths Distribution) {
+	w.kept++
+	w.keptUntil = now.Add(keepPlace)
+	u.place(&flight{Request: w.Request, upstream: u.Name, foreign: true, lengths: lengths, sentAt: now, tokensAt: now})
+	s.placed[w.ID] = u.Name
+}
+
+// withdraw gives back a place that was kept.
+func (s *Scheduler) withdraw(id ident.Request) {
+	if u := s.upstreams[s.placed[id]]; u != nil {
+		u.remove(id)
+	}
+	delete(s.placed, id)
+}
+
+// forgetSilent drops other instances' flights that there is no news of.
+func (s *Scheduler) forgetSilent(now time.Time) {
+	for _, u := range s.upstreams {
+		for i := len(u.flights) - 1; i >= 0; i-- {
+			if f := u.flights[i]; f.foreign && now.Sub(f.tokensAt) > noticeSilence {
+				s.finish(now, f.ID, f.tokens, false)
+			}
+		}
+	}
+}
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -7,61 +7,70 @@
 
 // pool is what is learned about the traffic to one pool.
 type pool struct {
-	// placements counts those of this instance, the older the lighter.
-	placements   float64
-	placedAt     time.Time
-	firstAt      time.Time
+	// placements counts those of all instances, as far as they are known.
+	placements   rate
 	promptTokens float64
-	// reported and own count, over the reports, all generations and this
-	// instance's: their ratio tells how many instances there seem to be.
-	reported, own float64
+	// reported and known count, over the reports, all generations and those
+	// known here: their ratio tells how much is placed without notice.
+	reported, known float64
 }
 
 const (
 	// trafficMemory is the time after which traffic counts about a third.
 	trafficMemory = 5 * time.Second
-	// ratioMemory is how many reports weigh as much as all before.
+	// ratioMemory is how many reports or prompts weigh as much as all before.
 	ratioMemory = 100
 	startPrompt = 100
 )
 
-func (p *pool) fade(now time.Time) {
-	if !p.placedAt.IsZero() {
-		p.placements *= math.Exp(-now.Sub(p.placedAt).Seconds() / trafficMemory.Seconds())
-	}
-	p.placedAt = now
-}
+func newPool() *pool { return &pool{promptTokens: startPrompt} }
 
 func (p *pool) placed(now time.Time, promptTokens int) {
-	if p.firstAt.IsZero() {
-		p.firstAt, p.promptTokens = now, startPrompt
-	}
-	p.fade(now)
-	p.placements++
+	p.placements.count(now)
 	p.promptTokens += (float64(promptTokens) - p.promptTokens) / ratioMemory
 }
 
-// rate returns this instance's placements a second.
-func (p *pool) rate(now time.Time) float64 {
-	if p.firstAt.IsZero() {
-		return 0
-	}
-	p.fade(now)
-	// A young count hasn't filled its memory yet.
-	filled := 1 - math.Exp(-max(1, now.Sub(p.firstAt).Seconds())/trafficMemory.Seconds())
-	return p.placements / (trafficMemory.Seconds() * filled)
-}
-
-func (p *pool) observe(all, own int) {
+func (p *pool) observe(all, known int) {
 	p.reported += float64(all) - p.reported/ratioMemory
-	p.own += float64(own) - p.own/ratioMemory
+	p.known += float64(known) - p.known/ratioMemory
 }
 
-// othersPerOwn returns how many generations others place for each of ours.
-func (p *pool) othersPerOwn() float64 { return max(0, (p.reported+1)/(p.own+1)-1) }
+// unknownPerKnown returns how many generations are placed without notice for
+// each that is known.
+func (p *pool) unknownPerKnown() float64 { return max(0, (p.reported+1)/(p.known+1)-1) }
 
-// unseenRate returns how many generations a second others may place at each of
-// the upstreams.
+// unseenRate returns how many generations a second may come to each of the
+// upstreams without notice.
 func (p *pool) unseenRate(now time.Time, upstreams int) float64 {
-	return p.rate(now) * p.othersPerOwn() / float64(max(1, upstreams))
+	return p.placements.perSecond(now) * p.unknownPerKnown() / float64(max(1, upstreams))
+}
+
+// rate counts events, the older the lighter.
+type rate struct {
+	weight          float64
+	firstAt, lastAt time.Time
+}
+
+func (r *rate) fade(now time.Time) {
+	r.weight *= math.Exp(-now.Sub(r.lastAt).Seconds() / trafficMemory.Seconds())
+	r.lastAt = now
+}
+
+func (r *rate) count(now time.Time) {
+	if r.firstAt.IsZero() {
+		r.firstAt, r.lastAt = now, now
+	}
+	r.fade(now)
+	r.weight++
+}
+
+// perSecond returns the events a second; zero when there was none.
+func (r *rate) perSecond(now time.Time) float64 {
+	if r.firstAt.IsZero() {
+		return 0
+	}
+	r.fade(now)
+	// A young count hasn't filled its memory yet.
+	filled := 1 - math.Exp(-max(1, now.Sub(r.firstAt).Seconds())/trafficMemory.Seconds())
+	return r.weight / (trafficMemory.Seconds() * filled)
 }
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	// maxQueue bounds the requests that wait at one instance.
+	// maxQueue bounds the requests that wait.
 	maxQueue = 512
+	// keepPlace is how long a place is kept for another instance's request,
+	// and maxKept how often.
+	keepPlace = 50 * time.Millisecond
+	maxKept   = 2
 	// untargetedWait is how long a request of a class without a target for
 	// waiting may wait.
 	untargetedWait = 30 * time.Second
@@ -29,6 +33,11 @@
 	deadline, expiresAt time.Time
 	// round is the request's place among those of its team.
 	round int
+	// foreign requests wait at another instance, which places them. A place
+	// that they should get is kept for them until keptUntil, a few times.
+	foreign   bool
+	kept      int
+	keptUntil time.Time
 }
 
 func newWaiting(now time.Time, r Request) *waiting {
@@ -40,7 +49,8 @@
 	return w
 }
 
-// queue holds requests that no upstream has room for. It serves the teams in
+// queue holds requests that no upstream has room for, here and, by notice, at
+// other instances, so that all keep to one order. It serves the teams in
 // turn, and within each turn the request with the least slack first, so that
 // a team with many requests waits behind itself.
 type queue struct{ list []*waiting }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -29,6 +29,8 @@
 	placed     map[ident.Request]string
 	queue      queue
 	retries    retryBudget
+	// notices gathers what to tell other instances after a step.
+	notices []Action
 }
 
 // New returns a scheduler for an instance in the data centre.
@@ -44,6 +46,12 @@
 
 // Step takes one event at a time that never falls, and returns what to do.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
+	actions := append(s.take(now, e), s.notices...)
+	s.notices = nil
+	return actions
+}
+
+func (s *Scheduler) take(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case UpstreamsChanged:
 		s.replaceUpstreams(e.Upstreams)
@@ -59,7 +67,13 @@
 	case Failed:
 		s.fail(now, e.Upstream)
 		return nil
+	case Noticed:
+		s.takeNotice(now, e.Notice)
+		if e.Notice.Kind != NoticeEnded {
+			return nil
+		}
 	case Tick:
+		s.forgetSilent(now)
 	}
 	return s.serveQueue(now)
 }
@@ -85,53 +99,74 @@
 		return
 	}
 	u.take(now, e.Report)
-	own, _ := u.ownAt(e.Report.TakenAt)
-	s.pool(u.Pool).observe(e.Report.Running+e.Report.Waiting, own)
+	known, _ := u.knownAt(e.Report.TakenAt)
+	s.pool(u.Pool).observe(e.Report.Running+e.Report.Waiting, known)
 }
 
 func (s *Scheduler) pool(name string) *pool {
 	p, ok := s.pools[name]
 	if !ok {
-		p = &pool{}
+		p = newPool()
 		s.pools[name] = p
 	}
 	return p
 }
 
 func (s *Scheduler) progress(now time.Time, e Progressed) {
-	u := s.upstreams[s.placed[e.ID]]
+	if s.advance(now, e.ID, e.Tokens) {
+		s.tell(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Tokens: e.Tokens})
+	}
+}
+
+// advance notes how many tokens a flight has by now.
+func (s *Scheduler) advance(now time.Time, id ident.Request, tokens int) bool {
+	u := s.upstreams[s.placed[id]]
 	if u == nil {
-		return
+		return false
 	}
-	for _, f := range u.flights {
-		if f.ID == e.ID && e.Tokens > f.tokens {
-			s.lengths.Passed(f.Request, f.tokens, e.Tokens)
-			f.tokens, f.tokensAt = e.Tokens, now
-			u.stale = true
-		}
+	f := u.find(id)
+	if f == nil || tokens <= f.tokens {
+		return false
 	}
+	s.lengths.Passed(f.Request, f.tokens, tokens)
+	f.tokens, f.tokensAt = tokens, now
+	u.stale = true
+	return true
 }
 
 func (s *Scheduler) end(now time.Time, e Ended) {
-	s.queue.remove(e.ID)
-	f := s.release(now, e.ID)
-	if f == nil {
+	if s.queue.remove(e.ID) {
+		s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}})
 		return
 	}
-	if e.Tokens > f.tokens {
-		s.lengths.Passed(f.Request, f.tokens, e.Tokens)
-	}
-	if e.Outcome.Reason != verdict.Completed {
+	completed := e.Outcome.Reason == verdict.Completed
+	f := s.finish(now, e.ID, e.Tokens, completed)
+	if f == nil {
 		return
 	}
-	if e.Tokens > 0 {
-		s.lengths.Ended(f.Request, e.Tokens)
+	if f.Class.Kind == config.Stream {
+		s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Tokens: e.Tokens, Completed: completed})
 	}
-	if u := s.upstreams[f.upstream]; u != nil {
+	if u := s.upstreams[f.upstream]; u != nil && completed {
 		u.health.succeed(now)
 	}
 }
 
+// finish takes a flight away and learns from its length.
+func (s *Scheduler) finish(now time.Time, id ident.Request, tokens int, completed bool) *flight {
+	f := s.release(now, id)
+	if f == nil {
+		return nil
+	}
+	if tokens > f.tokens {
+		s.lengths.Passed(f.Request, f.tokens, tokens)
+	}
+	if completed && tokens > 0 {
+		s.lengths.Ended(f.Request, tokens)
+	}
+	return f
+}
+
 // release forgets where the request was placed.
 func (s *Scheduler) release(now time.Time, id ident.Request) *flight {
 	name, ok := s.placed[id]
@@ -183,12 +218,13 @@
 			return []Action{place}
 		}
 	}
-	start := earliest(now, ahead, s.pool(r.Class.Pool).rate(now))
+	start := earliest(now, ahead, s.pool(r.Class.Pool).placements.perSecond(now))
 	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
 		why := fmt.Sprintf("%d are ahead and the earliest start is %v after the target", ahead, start.Sub(w.deadline).Round(time.Millisecond))
 		return []Action{s.refuse(now, r, verdict.Overloaded, why)}
 	}
 	s.queue.add(w)
+	s.tell(Notice{Kind: NoticeWaiting, Request: r})
 	return nil
 }
 
@@ -204,20 +240,40 @@
 	return live
 }
 
-// place draws an upstream with room, if there is one.
+// choice is an upstream for a request, and why it was chosen.
+type choice struct {
+	upstream *upstream
+	lengths  Distribution
+	why      string
+}
+
+// place sends the request to an upstream with room, if there is one.
 func (s *Scheduler) place(now time.Time, w *waiting, candidates []*upstream) (Place, bool) {
+	c, ok := s.choose(now, w, candidates)
+	if !ok {
+		return Place{}, false
+	}
+	s.board(now, c.upstream, w.Request, c.lengths, false)
+	if w.Class.Kind == config.Stream {
+		s.tell(Notice{Kind: NoticePlaced, Request: w.Request, Upstream: c.upstream.Name})
+	}
+	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Priority: priorityOf(w.Request, c.lengths.Mean()), Why: c.why}, true
+}
+
+// choose draws an upstream with room, if there is one.
+func (s *Scheduler) choose(now time.Time, w *waiting, candidates []*upstream) (choice, bool) {
 	lengths := s.lengths.Of(w.Request)
 	anyFresh := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.fresh(now) })
 	if w.Class.Kind != config.Stream || !anyFresh {
 		u := s.fewest(candidates)
 		why := fmt.Sprintf("fewest requests: %d here, %d waiting by report", len(u.flights), u.report.Waiting)
-		return s.send(now, w, u, lengths, why), true
+		return choice{u, lengths, why}, true
 	}
-	var own forecast
-	own.addFlight(w.PromptTokens, 0, lengths)
 	traffic, curve := s.pool(w.Class.Pool), s.lengths.Pool(w.Class.Pool)
 	unseen := crowd{size: max(1, traffic.promptTokens)}
 	unseenRate := traffic.unseenRate(now, len(candidates))
+	var own forecast
+	own.addFlight(w.PromptTokens, 0, lengths)
 	draw := lots{id: w.ID}
 	room := 0
 	for _, u := range candidates {
@@ -234,21 +290,14 @@
 		draw.offer(u, free*u.health.share(now))
 	}
 	if draw.best == nil {
-		return Place{}, false
+		return choice{}, false
 	}
 	u := draw.best
 	why := fmt.Sprintf(
-		"room at %d of %d; here %d tokens stay free of %d at the peak, with %d own, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
+		"room at %d of %d; here %d tokens stay free of %d at the peak, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
 		room, len(candidates), int(float64(u.report.CapacityTokens)-u.with(&own)), u.report.CapacityTokens,
-		u.baseLoad.own, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
-	return s.send(now, w, u, lengths, why), true
-}
-
-func (s *Scheduler) send(now time.Time, w *waiting, u *upstream, lengths Distribution, why string) Place {
-	s.pool(u.Pool).placed(now, w.PromptTokens)
-	u.place(&flight{Request: w.Request, upstream: u.Name, lengths: lengths, sentAt: now, tokensAt: now})
-	s.placed[w.ID] = u.Name
-	return Place{ID: w.ID, Upstream: u.Upstream, Priority: priorityOf(w.Request, lengths.Mean()), Why: why}
+		u.baseLoad.known, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
+	return choice{u, lengths, why}, true
 }
 
 // fewest returns the upstream with the fewest requests, the own data centre
@@ -269,33 +318,65 @@
 // too long. A request whose target has passed lets nobody go before it.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
 	var actions []Action
-	blocked := map[string]bool{}
+	blocked := map[string]int{}
 	for _, w := range slices.Clone(s.queue.list) {
-		if !now.Before(w.expiresAt) {
+		switch {
+		case w.foreign && now.Before(w.keptUntil):
+			continue
+		case w.foreign && (w.kept >= maxKept || !now.Before(w.expiresAt)):
+			s.queue.remove(w.ID)
+			s.withdraw(w.ID)
+			continue
+		case w.foreign:
+			s.withdraw(w.ID)
+		case !now.Before(w.expiresAt):
 			s.queue.remove(w.ID)
+			s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: w.ID}})
 			why := fmt.Sprintf("no upstream had room in %v", now.Sub(w.arrivedAt).Round(time.Millisecond))
 			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, why))
 			continue
 		}
-		if blocked[w.Class.Pool] {
+		if blocked[w.Class.Pool] >= maxPassed {
 			continue
 		}
-		candidates := s.candidates(now, w.Request)
-		if len(candidates) > 0 {
-			if place, ok := s.place(now, w, candidates); ok {
-				s.queue.remove(w.ID)
-				actions = append(actions, place)
-				continue
+		action, ok := s.serve(now, w)
+		if ok && action != nil {
+			actions = append(actions, action)
+		}
+		if !ok {
+			blocked[w.Class.Pool]++
+			if now.After(w.deadline) {
+				blocked[w.Class.Pool] = maxPassed
 			}
 		}
-		blocked[w.Class.Pool] = now.After(w.deadline)
-	}
-	if len(actions) > 0 {
-		s.queue.sort()
 	}
 	return actions
 }
 
+// maxPassed is how many requests without room are passed over for later ones.
+const maxPassed = 8
+
+// serve places a waiting request, or keeps its place when it waits elsewhere.
+func (s *Scheduler) serve(now time.Time, w *waiting) (Action, bool) {
+	candidates := s.candidates(now, w.Request)
+	if len(candidates) == 0 {
+		return nil, false
+	}
+	if w.foreign {
+		c, ok := s.choose(now, w, candidates)
+		if ok {
+			s.keep(now, w, c.upstream, c.lengths)
+		}
+		return nil, ok
+	}
+	place, ok := s.place(now, w, candidates)
+	if !ok {
+		return nil, false
+	}
+	s.queue.remove(w.ID)
+	return place, true
+}
+
 const (
 	shortestRetry = 250 * time.Millisecond
 	longestRetry  = 30 * time.Second
@@ -305,7 +386,7 @@
 // refused together don't come back together.
 func (s *Scheduler) refuse(now time.Time, r Request, reason verdict.Reason, why string) Refuse {
 	after := shortestRetry
-	if rate := s.pool(r.Class.Pool).rate(now); rate > 0 {
+	if rate := s.pool(r.Class.Pool).placements.perSecond(now); rate > 0 {
 		after += time.Duration(float64(len(s.queue.list)) / rate * float64(time.Second))
 	}
 	spread := 0.75 + lot(r.ID, 0)/2
--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -36,6 +36,8 @@
 	now     time.Time
 	engines int
 	last    uint64
+	// notices are those that the scheduler wanted sent.
+	notices []decide.Notice
 }
 
 func newRig(engines int) *rig {
@@ -66,7 +68,18 @@
 	return ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: r.last}
 }
 
-func (r *rig) step(e decide.Event) []decide.Action { return r.Step(r.now, e) }
+// step returns the answers to requests and keeps the notices.
+func (r *rig) step(e decide.Event) []decide.Action {
+	var answers []decide.Action
+	for _, action := range r.Step(r.now, e) {
+		if notify, ok := action.(decide.Notify); ok {
+			r.notices = append(r.notices, notify.Notice)
+			continue
+		}
+		answers = append(answers, action)
+	}
+	return answers
+}
 
 // report gives every engine a report of now.
 func (r *rig) report(of func(engine int) decide.Report) []decide.Action {
@@ -270,6 +283,75 @@
 	}
 }
 
+// What another instance placed takes room here before any report shows it, and
+// gives it back at its end, or when there is no more news of it.
+func TestNoticesCountBeforeReports(t *testing.T) {
+	for name, end := range map[string]func(sender, receiver *rig, id ident.Request){
+		"end": func(sender, _ *rig, id ident.Request) {
+			sender.step(decide.Ended{ID: id, Tokens: draftTokens, Outcome: verdict.Outcome{Reason: verdict.Completed}})
+		},
+		"silence": func(_, receiver *rig, _ ident.Request) {
+			receiver.now = receiver.now.Add(11 * time.Second)
+			receiver.report(func(int) decide.Report { return decide.Report{} })
+			receiver.step(decide.Tick{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sender, receiver := newRig(1), newRig(1)
+			sender.now, receiver.now = sender.now.Add(time.Second), receiver.now.Add(time.Second)
+			sender.report(func(int) decide.Report { return decide.Report{} })
+			receiver.report(func(int) decide.Report { return decide.Report{} })
+			large := func(q *decide.Request) { q.PromptTokens = engineTokens * 3 / 5 }
+			sender.notices = nil
+			id, actions := sender.arrive("reef", func(q *decide.Request) {
+				large(q)
+				q.ID.Home.Incarnation++
+			})
+			assert.Equal(t, describe(actions), "place at engine0")
+			pass := func() {
+				for _, notice := range sender.notices {
+					receiver.step(decide.Noticed{Notice: notice})
+				}
+				sender.notices = nil
+			}
+			pass()
+			waiting, actions := receiver.arrive("reef", large)
+			assert.Equal(t, describe(actions), "")
+			receiver.step(decide.Ended{ID: waiting})
+			end(sender, receiver, id)
+			pass()
+			_, actions = receiver.arrive("other", large)
+			assert.Equal(t, describe(actions), "place at engine0")
+		})
+	}
+}
+
+// Two instances that know of each other's waiting requests place them in one
+// order, whoever learns of the room first.
+func TestQueuesKeepToOneOrder(t *testing.T) {
+	r := newRig(1)
+	r.now = r.now.Add(100 * time.Millisecond)
+	large := func(q *decide.Request) { q.PromptTokens = engineTokens / 2 }
+	r.report(func(int) decide.Report { return full })
+	elsewhere := draft("other")
+	elsewhere.ID, elsewhere.StartBy = ident.Request{Home: ident.Home{Incarnation: 8}, Sequence: 1}, r.now.Add(draftClass.Wait/2)
+	large(&elsewhere)
+	r.step(decide.Noticed{Notice: decide.Notice{Kind: decide.NoticeWaiting, Request: elsewhere}})
+	id, actions := r.arrive("reef", large)
+	assert.Equal(t, describe(actions), "")
+	r.now = r.now.Add(100 * time.Millisecond)
+	actions = r.report(func(int) decide.Report { return decide.Report{} })
+	assert.Equal(t, describe(actions), "", "the other instance's request is due first")
+	// The other instance is never heard of again, so its place is given away.
+	for len(actions) == 0 {
+		r.now = r.now.Add(10 * time.Millisecond)
+		assert.Assert(t, r.now.Before(epoch.Add(time.Minute)))
+		actions = r.report(func(int) decide.Report { return decide.Report{} })
+	}
+	assert.Equal(t, describe(actions), "place at engine0")
+	assert.Equal(t, actions[0].(decide.Place).ID, id)
+}
+
 // However requests come and go, each gets one answer at most, none is placed
 // beyond the memory that is known to be left, and all that waits is answered
 // by its limit.
--- a/decide/types.go
+++ b/decide/types.go
@@ -88,6 +88,9 @@
 	Reason   verdict.Reason
 }
 
+// Noticed is another instance's notice.
+type Noticed struct{ Notice Notice }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -97,6 +100,7 @@
 func (Progressed) decideEvent()       {}
 func (Ended) decideEvent()            {}
 func (Failed) decideEvent()           {}
+func (Noticed) decideEvent()          {}
 func (Tick) decideEvent()             {}
 
 // Action is what the scheduler wants done.
@@ -121,5 +125,34 @@
 	Why     string
 }
 
+// NoticeKind is what a notice tells.
+type NoticeKind uint8
+
+const (
+	// NoticePlaced tells that an instance sends a request to an upstream.
+	NoticePlaced NoticeKind = iota
+	// NoticeProgressed tells how many tokens it has by now.
+	NoticeProgressed
+	// NoticeEnded tells that it is over, there or in the queue.
+	NoticeEnded
+	// NoticeWaiting tells that a request waits in the queue.
+	NoticeWaiting
+)
+
+// Notice tells other instances of a stream that this one queued or placed.
+type Notice struct {
+	Kind NoticeKind
+	// Request has only its id, unless the request waits or is being placed.
+	Request  Request
+	Upstream string
+	Tokens   int
+	// Completed says that the output came to its regular end.
+	Completed bool
+}
+
+// Notify sends a notice to all other instances.
+type Notify struct{ Notice Notice }
+
 func (Place) decideAction()  {}
+func (Notify) decideAction() {}
 func (Refuse) decideAction() {}
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -13,7 +13,7 @@
 	Upstream
 	hash   uint64
 	report Report
-	// flights are the requests this instance placed, and departed those that
+	// flights are the known requests there, and departed those that
 	// are over but may still count in the latest report.
 	flights  []*flight
 	departed []*flight
@@ -30,12 +30,12 @@
 
 // batch counts the generations that may be at an upstream.
 type batch struct {
-	own    int
+	known  int
 	others crowd
 	unseen crowd
 }
 
-func (b batch) count() float64 { return float64(b.own) + b.others.count + b.unseen.count }
+func (b batch) count() float64 { return float64(b.known) + b.others.count + b.unseen.count }
 
 // forecastAge is how long a forecast is kept while nothing else changes.
 const forecastAge = 20 * time.Millisecond
@@ -73,19 +73,36 @@
 	u.stale = true
 }
 
-// release returns the flight that ended, or nil.
-func (u *upstream) release(now time.Time, id ident.Request) *flight {
+func (u *upstream) find(id ident.Request) *flight {
+	for _, f := range u.flights {
+		if f.ID == id {
+			return f
+		}
+	}
+	return nil
+}
+
+// remove takes a flight away as if it had never been there, and returns it.
+func (u *upstream) remove(id ident.Request) *flight {
 	i := slices.IndexFunc(u.flights, func(f *flight) bool { return f.ID == id })
 	if i < 0 {
 		return nil
 	}
 	f := u.flights[i]
 	u.flights = slices.Delete(u.flights, i, i+1)
-	u.departed, u.goneAt = append(u.departed, f), append(u.goneAt, now)
 	u.stale = true
 	return f
 }
 
+// release takes away a flight that ended, and returns it.
+func (u *upstream) release(now time.Time, id ident.Request) *flight {
+	f := u.remove(id)
+	if f != nil {
+		u.departed, u.goneAt = append(u.departed, f), append(u.goneAt, now)
+	}
+	return f
+}
+
 // step returns the time of an iteration as last known.
 func (u *upstream) step() time.Duration {
 	if learned := u.pace.step(float64(u.report.Running)); learned > 0 {
@@ -94,8 +111,8 @@
 	return u.report.StepTime
 }
 
-// ownAt returns the count and memory of this instance's part of the report.
-func (u *upstream) ownAt(taken time.Time) (count int, memory float64) {
+// knownAt returns the count and memory of the known part of the report.
+func (u *upstream) knownAt(taken time.Time) (count int, memory float64) {
 	step := u.step()
 	for _, list := range [][]*flight{u.flights, u.departed} {
 		for _, f := range list {
@@ -108,15 +125,15 @@
 	return count, memory
 }
 
-// others returns what other instances had there at the time of the report.
+// others returns what else was there at the time of the report.
 func (u *upstream) others(meanPrompt float64) crowd {
-	ownCount, ownMemory := u.ownAt(u.report.TakenAt)
-	count := float64(max(0, u.report.Running+u.report.Waiting-ownCount))
+	knownCount, knownMemory := u.knownAt(u.report.TakenAt)
+	count := float64(max(0, u.report.Running+u.report.Waiting-knownCount))
 	if count == 0 {
 		return crowd{}
 	}
 	// What waits takes its prompt's memory once it runs.
-	memory := max(0, float64(u.report.UsedTokens)-ownMemory) + float64(u.report.Waiting)*meanPrompt
+	memory := max(0, float64(u.report.UsedTokens)-knownMemory) + float64(u.report.Waiting)*meanPrompt
 	return crowd{count, max(meanPrompt/2, memory/count)}
 }
 
--- /dev/null
+++ b/peer/notices.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/peerpb"
+)
+
+const (
+	// noticeDelay is how long notices are gathered before they are sent.
+	noticeDelay = 5 * time.Millisecond
+	// noticeLimit bounds the sending of one message.
+	noticeLimit = 500 * time.Millisecond
+	// maxNotices bounds those that wait; more are dropped.
+	maxNotices = 4096
+)
+
+// notices are waiting to be sent.
+type notices struct {
+	mu    sync.Mutex
+	list  []*peerpb.Notice
+	ready chan struct{}
+}
+
+func newNotices() *notices { return &notices{ready: make(chan struct{}, 1)} }
+
+// add runs on the control goroutine.
+func (n *notices) add(notice decide.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.list) >= maxNotices {
+		return
+	}
+	n.list = append(n.list, noticeToWire(notice))
+	select {
+	case n.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (n *notices) take() []*peerpb.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := n.list
+	n.list = nil
+	return list
+}
+
+// notify sends notices to every listed instance. One that is slow holds up no
+// other.
+func (l *links) notify(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.notices.ready:
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(noticeDelay):
+		}
+		message := &peerpb.Notices{
+			Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation), Notices: l.notices.take(),
+		}
+		for _, listed := range l.rt.Snapshot().Listed {
+			group.Go(func() { l.sendNotices(ctx, listed.Peer, message) })
+		}
+	}
+}
+
+func (l *links) sendNotices(ctx context.Context, addr netip.AddrPort, message *peerpb.Notices) {
+	client, err := l.client(addr)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeLimit)
+	defer cancel()
+	_, _ = client.Notify(ctx, message) // What is lost is forecast from load reports.
+}
+
+// Notify implements peerpb.PeerServer.
+func (h *handler) Notify(_ context.Context, message *peerpb.Notices) (*peerpb.NoticesReceipt, error) {
+	addr, err := netip.ParseAddrPort(message.Peer)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	view := h.rt.Snapshot().Config
+	if view == nil {
+		return &peerpb.NoticesReceipt{}, nil
+	}
+	home := ident.Home{Peer: addr, Incarnation: ident.Incarnation(message.Incarnation)}
+	for _, wire := range message.Notices {
+		notice := noticeFromWire(home, wire)
+		// The configurations of two instances may differ for a moment; a class
+		// that is unknown here is forecast from load reports.
+		class, ok := view.Classes[wire.Class]
+		if wire.Class != "" && !ok {
+			continue
+		}
+		notice.Request.Class = class
+		h.rt.Send(control.Scheduling{Event: decide.Noticed{Notice: notice}})
+	}
+	return &peerpb.NoticesReceipt{}, nil
+}
+
+func noticeToWire(n decide.Notice) *peerpb.Notice {
+	wire := &peerpb.Notice{Kind: peerpb.Notice_Kind(n.Kind), Sequence: n.Request.ID.Sequence, Tokens: int64(n.Tokens), Completed: n.Completed}
+	if n.Kind == decide.NoticePlaced || n.Kind == decide.NoticeWaiting {
+		wire.Upstream, wire.Team, wire.Class = n.Upstream, n.Request.Team, n.Request.Class.Name
+		wire.PromptTokens = int64(n.Request.PromptTokens)
+		if !n.Request.StartBy.IsZero() {
+			wire.StartByUnixMs = n.Request.StartBy.UnixMilli()
+		}
+	}
+	return wire
+}
+
+func noticeFromWire(home ident.Home, wire *peerpb.Notice) decide.Notice {
+	notice := decide.Notice{
+		Kind: decide.NoticeKind(wire.Kind), Upstream: wire.Upstream, Tokens: int(wire.Tokens), Completed: wire.Completed,
+		Request: decide.Request{ID: ident.Request{Home: home, Sequence: wire.Sequence}, Team: wire.Team, PromptTokens: int(wire.PromptTokens)},
+	}
+	if wire.StartByUnixMs != 0 {
+		notice.Request.StartBy = time.UnixMilli(wire.StartByUnixMs)
+	}
+	return notice
+}
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"mangoloft/control"
+	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/ident"
 	"mangoloft/kernel"
@@ -59,7 +60,7 @@
 func start(rt *kernel.Runtime) ([]kernel.Actor, error) {
 	l := &links{
 		rt: rt, conns: map[netip.AddrPort]*grpc.ClientConn{}, peers: map[string]contact{}, holders: holders{addr: map[ident.Home]netip.AddrPort{}},
-		news: make(chan struct{}, 1), fetches: make(chan control.Action, fetchBacklog),
+		news: make(chan struct{}, 1), notices: newNotices(), fetches: make(chan control.Action, fetchBacklog),
 	}
 	var err error
 	if l.serverCredentials, l.clientCredentials, err = secrecy(rt.Settings.TLS.Peers); err != nil {
@@ -72,6 +73,7 @@
 		{Name: "peer server", Run: l.serve},
 		{Name: "heartbeats", Run: l.beat},
 		{Name: "fetches from peers", Run: l.fetch},
+		{Name: "notices", Run: l.notify},
 	}, nil
 }
 
@@ -91,6 +93,7 @@
 	// names holds the upstreams' names by hash, of the list with the hash namesOf.
 	names   map[uint32]string
 	namesOf uint64
+	notices *notices
 	// news asks for a heartbeat at once.
 	news chan struct{}
 	// fetches asks for a peer's configuration or instance list. A full channel
@@ -106,7 +109,11 @@
 
 // watch runs on the control goroutine.
 func (l *links) watch(action control.Action) {
-	switch action.(type) {
+	switch a := action.(type) {
+	case control.Scheduled:
+		if notify, ok := a.Action.(decide.Notify); ok {
+			l.notices.add(notify.Notice)
+		}
 	case control.Announce:
 		select {
 		case l.news <- struct{}{}:
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -174,6 +174,7 @@
 
 // stream sends the tokens from index next until the generation ends.
 func (e *Engine) stream(c echo.Context, id, reader string, next int) error {
+	var quietSince time.Time
 	for begun := false; ; begun = true {
 		e.mu.Lock()
 		made, finish, ok := e.model.Progress(id)
@@ -192,6 +193,10 @@
 			c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
 			c.Response().WriteHeader(http.StatusOK)
 			c.Response().Flush()
+			quietSince = time.Now()
+		}
+		if next < made {
+			quietSince = time.Now()
 		}
 		for ; next < made; next++ {
 			if err := sendToken(c, tokenWire{Generation: id, Index: next, Text: TokenText(id, next)}); err != nil {
@@ -201,13 +206,17 @@
 		if finish != "" {
 			return sendToken(c, tokenWire{Generation: id, Index: next, Finish: finish})
 		}
-		select {
-		case <-changed:
-		case <-time.After(heartbeatInterval):
+		// A generation that waits for memory makes no token while others do.
+		if time.Since(quietSince) >= heartbeatInterval {
 			if _, err := c.Response().Write([]byte(": heartbeat\n\n")); err != nil {
 				return err
 			}
 			c.Response().Flush()
+			quietSince = time.Now()
+		}
+		select {
+		case <-changed:
+		case <-time.After(heartbeatInterval):
 		case <-c.Request().Context().Done():
 			return nil
 		}
