Memory forecast: overhead and own error learned, ten horizons, a 95% bound

Cause: with 2.33 deviations kept free the wait for the first token became the stall (p99 3682 ms); whole blocks and errors of the estimate were not in the forecast. Change: the memory per generation beyond its tokens and the mean square of the forecast's misses are learned from reports in which all generations are known; horizons are closer; 1.64 deviations are kept.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -6,11 +6,11 @@
 )
 
 // horizons are the tokens from now at which memory is forecast.
-var horizons = [...]float64{1, 16, 48, 112, 240, 496, 1008}
+var horizons = [...]float64{1, 12, 24, 48, 80, 128, 208, 336, 544, 880}
 
 // confidence is the number of standard deviations kept free: the forecast
-// holds in 99 of 100 cases for a sum of many generations.
-const confidence = 2.33
+// holds in 95 of 100 cases for a sum of many generations.
+const confidence = 1.64
 
 // flight is a request that was placed and isn't over.
 type flight struct {
@@ -61,20 +61,23 @@
 type forecast [len(horizons)]moments
 
 // addFlight adds a generation that this instance placed.
-func (f *forecast) addFlight(prompt int, made float64, lengths Distribution) {
+func (f *forecast) addFlight(prompt, made float64, lengths Distribution) {
 	now := lengths.Beyond(made)
 	for i, h := range horizons {
 		lasts := 0.0
 		if now > 0 {
 			lasts = lengths.Beyond(made+h) / now
 		}
-		f[i].add(alive(lasts, float64(prompt)+made+h))
+		f[i].add(alive(lasts, prompt+made+h))
 	}
 }
 
 // addOthers adds running generations that other instances placed, as they were
 // some tokens ago.
 func (f *forecast) addOthers(others crowd, ago float64, pool *Curve) {
+	if others.count == 0 {
+		return
+	}
 	for i, h := range horizons {
 		grown := h + ago
 		lasts := pool.Lasts(grown)
@@ -88,6 +91,9 @@
 // addUnseen adds generations that others may have placed since the report: a
 // Poisson number around the count.
 func (f *forecast) addUnseen(unseen crowd, pool *Curve) {
+	if unseen.count == 0 {
+		return
+	}
 	for i, h := range horizons {
 		amount := unseen.size + h
 		mean := unseen.count * pool.atHorizon[i] * amount
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -273,7 +273,7 @@
 	unseen := crowd{size: max(1, traffic.promptTokens)}
 	unseenRate := traffic.unseenRate(now, len(candidates))
 	var own forecast
-	own.addFlight(w.PromptTokens, 0, lengths)
+	own.addFlight(float64(w.PromptTokens), 0, lengths)
 	draw := lots{id: w.ID}
 	room := 0
 	for _, u := range candidates {
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -19,6 +19,12 @@
 	departed []*flight
 	goneAt   []time.Time
 	pace     paceModel
+	// overhead is the memory that a known generation takes beyond its tokens,
+	// as whole blocks do.
+	overhead float64
+	// missed is the mean square of what the known memory was wrong by, in
+	// tokens squared.
+	missed float64
 	health   health
 
 	// base is the forecast without the request in question, as of baseAt.
@@ -63,6 +69,7 @@
 	if r.StepTime > 0 && r.Running > 0 {
 		u.pace.observe(r.Running, r.StepTime)
 	}
+	u.learnOverhead()
 	for len(u.departed) > 0 && u.goneAt[0].Before(r.TakenAt) {
 		u.departed, u.goneAt = u.departed[1:], u.goneAt[1:]
 	}
@@ -118,13 +125,31 @@
 		for _, f := range list {
 			if f.sentAt.Before(taken) {
 				count++
-				memory += float64(f.PromptTokens) + f.made(taken, step)
+				memory += float64(f.PromptTokens) + f.made(taken, step) + u.overhead
 			}
 		}
 	}
 	return count, memory
 }
 
+const (
+	// overheadMemory is how many reports weigh as much as all before.
+	overheadMemory = 20
+	maxOverhead    = 64
+)
+
+// learnOverhead compares the memory of a report in which all generations are
+// known with that of their tokens.
+func (u *upstream) learnOverhead() {
+	count, memory := u.knownAt(u.report.TakenAt)
+	if count == 0 || count != u.report.Running || u.report.Waiting > 0 {
+		return
+	}
+	miss := float64(u.report.UsedTokens) - memory
+	u.overhead = min(maxOverhead, max(0, u.overhead+miss/float64(count)/overheadMemory))
+	u.missed += (miss*miss - u.missed) / overheadMemory
+}
+
 // others returns what else was there at the time of the report.
 func (u *upstream) others(meanPrompt float64) crowd {
 	knownCount, knownMemory := u.knownAt(u.report.TakenAt)
@@ -145,7 +170,10 @@
 	u.base, u.baseAt, u.stale = forecast{}, now, false
 	step := u.step()
 	for _, f := range u.flights {
-		u.base.addFlight(f.PromptTokens, f.made(now, step), f.lengths)
+		u.base.addFlight(float64(f.PromptTokens)+u.overhead, f.made(now, step), f.lengths)
+	}
+	for i := range u.base {
+		u.base[i].variance += u.missed
 	}
 	u.baseLoad = batch{len(u.flights), u.others(unseen.size), unseen}
 	ago := 0.0
