Admission takes a risk only as a request's time runs out

Change: the deviations kept free fall from 2.33 at arrival to 1.28 when the target for waiting passes. A sum of few generations is bounded by the most it can be, horizons are closer, notices leave after 1 ms in place of 5.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -6,11 +6,22 @@
 )
 
 // horizons are the tokens from now at which memory is forecast.
-var horizons = [...]float64{1, 12, 24, 48, 80, 128, 208, 336, 544, 880}
+var horizons = [...]float64{1, 8, 16, 24, 32, 48, 64, 80, 96, 112, 128, 160, 192, 224, 256, 320, 384, 512, 768, 1024}
 
-// confidence is the number of standard deviations kept free: the forecast
-// holds in 95 of 100 cases for a sum of many generations.
-const confidence = 1.64
+// The deviations kept free: patient for a request that has all its time to
+// wait for a safe place, when a forecast holds in 99 of 100 cases, and hurried
+// for one whose target for waiting passes, when it holds in 90.
+const (
+	patient = 2.33
+	hurried = 1.28
+)
+
+// margin returns the deviations to keep free for a request. It takes a risk
+// only as its time runs out, for then waiting is a stall for certain.
+func margin(now, arrivedAt, deadline time.Time) float64 {
+	left := float64(deadline.Sub(now)) / float64(max(1, deadline.Sub(arrivedAt)))
+	return hurried + (patient-hurried)*max(0, min(1, left))
+}
 
 // flight is a request that was placed and isn't over.
 type flight struct {
@@ -34,20 +45,27 @@
 	return float64(f.tokens) + float64(since)/float64(step)
 }
 
-// moments are the mean and the variance of an amount of memory in tokens.
-type moments struct{ mean, variance float64 }
+// moments are the mean and the variance of an amount of memory in tokens, and
+// the most that it can be.
+type moments struct{ mean, variance, most float64 }
 
 func (m *moments) add(o moments) {
 	m.mean += o.mean
 	m.variance += o.variance
+	m.most += o.most
 }
 
-// upper is the amount that is exceeded with the stated confidence at most.
-func (m moments) upper() float64 { return m.mean + confidence*math.Sqrt(m.variance) }
+// upper is the amount that so many deviations leave room for. The sum of few generations is far from normal, but never above the most.
+func (m moments) upper(deviations float64) float64 {
+	return min(m.mean+deviations*math.Sqrt(m.variance), m.most)
+}
 
 // alive returns the moments of an amount that is held with a probability.
 func alive(probability, amount float64) moments {
-	return moments{probability * amount, probability * (1 - probability) * amount * amount}
+	if probability <= 0 {
+		return moments{}
+	}
+	return moments{probability * amount, probability * (1 - probability) * amount * amount, amount}
 }
 
 // crowd is a number of generations about which only sums are known.
@@ -81,10 +99,12 @@
 	for i, h := range horizons {
 		grown := h + ago
 		lasts := pool.Lasts(grown)
-		f[i].mean += others.count * lasts * (others.size + grown)
 		// The sizes are about as spread as exponential ones.
 		square := 2*others.size*others.size + 2*others.size*grown + grown*grown
-		f[i].variance += others.count * lasts * (1 - lasts) * square
+		f[i].add(moments{
+			mean: others.count * lasts * (others.size + grown), variance: others.count * lasts * (1 - lasts) * square,
+			most: others.count * (others.size + grown),
+		})
 	}
 }
 
@@ -97,15 +117,15 @@
 	for i, h := range horizons {
 		amount := unseen.size + h
 		mean := unseen.count * pool.atHorizon[i] * amount
-		f[i].add(moments{mean, mean * amount})
+		f[i].add(moments{mean, mean * amount, math.Inf(1)})
 	}
 }
 
 // peak returns the largest of the upper bounds.
-func (f *forecast) peak() float64 {
+func (f *forecast) peak(deviations float64) float64 {
 	largest := 0.0
 	for _, m := range f {
-		largest = max(largest, m.upper())
+		largest = max(largest, m.upper(deviations))
 	}
 	return largest
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -272,6 +272,7 @@
 	traffic, curve := s.pool(w.Class.Pool), s.lengths.Pool(w.Class.Pool)
 	unseen := crowd{size: max(1, traffic.promptTokens)}
 	unseenRate := traffic.unseenRate(now, len(candidates))
+	deviations := margin(now, w.arrivedAt, w.deadline)
 	var own forecast
 	own.addFlight(float64(w.PromptTokens), 0, lengths)
 	draw := lots{id: w.ID}
@@ -282,7 +283,7 @@
 		}
 		unseen.count = unseenRate * now.Sub(u.report.TakenAt).Seconds()
 		u.refresh(now, unseen, curve)
-		free := float64(u.report.CapacityTokens) - u.with(&own)
+		free := float64(u.report.CapacityTokens) - u.with(&own, deviations)
 		if free < 0 || !u.holdsPace(w.Request) {
 			continue
 		}
@@ -294,8 +295,8 @@
 	}
 	u := draw.best
 	why := fmt.Sprintf(
-		"room at %d of %d; here %d tokens stay free of %d at the peak, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
-		room, len(candidates), int(float64(u.report.CapacityTokens)-u.with(&own)), u.report.CapacityTokens,
+		"room at %d of %d; here %d tokens stay free of %d at the peak with %.2f deviations, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
+		room, len(candidates), int(float64(u.report.CapacityTokens)-u.with(&own, deviations)), u.report.CapacityTokens, deviations,
 		u.baseLoad.known, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
 	return choice{u, lengths, why}, true
 }
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 
@@ -25,7 +26,7 @@
 	// missed is the mean square of what the known memory was wrong by, in
 	// tokens squared.
 	missed float64
-	health   health
+	health health
 
 	// base is the forecast without the request in question, as of baseAt.
 	base     forecast
@@ -173,7 +174,7 @@
 		u.base.addFlight(float64(f.PromptTokens)+u.overhead, f.made(now, step), f.lengths)
 	}
 	for i := range u.base {
-		u.base[i].variance += u.missed
+		u.base[i].add(moments{variance: u.missed, most: patient * math.Sqrt(u.missed)})
 	}
 	u.baseLoad = batch{len(u.flights), u.others(unseen.size), unseen}
 	ago := 0.0
@@ -185,12 +186,12 @@
 }
 
 // with returns the peak of memory if a request with such a forecast came too.
-func (u *upstream) with(request *forecast) float64 {
+func (u *upstream) with(request *forecast, deviations float64) float64 {
 	f := u.base
 	for i := range f {
 		f[i].add(request[i])
 	}
-	return f.peak()
+	return f.peak(deviations)
 }
 
 // holdsPace says that the tightest target for pace there would still hold. A
--- a/peer/notices.go
+++ b/peer/notices.go
@@ -17,7 +17,7 @@
 
 const (
 	// noticeDelay is how long notices are gathered before they are sent.
-	noticeDelay = 5 * time.Millisecond
+	noticeDelay = 1 * time.Millisecond
 	// noticeLimit bounds the sending of one message.
 	noticeLimit = 500 * time.Millisecond
 	// maxNotices bounds those that wait; more are dropped.
