Load reports travel with the notices, also to other data centres

Cause: reports that are asked for once for each data centre reach the other ones late or not at all, so that only the own two or three engines were candidates: stall p99 4948 ms, 17 refusals. Change: an instance sends the reports it asked for itself to all listed instances each 500 ms. At 410 instances all listed must become those that share engines; the cost is linear in their number.

--- a/peer/notices.go
+++ b/peer/notices.go
@@ -20,6 +20,8 @@
 	noticeDelay = 1 * time.Millisecond
 	// noticeLimit bounds the sending of one message.
 	noticeLimit = 500 * time.Millisecond
+	// loadInterval is the time between two messages with load reports.
+	loadInterval = 500 * time.Millisecond
 	// maxNotices bounds those that wait; more are dropped.
 	maxNotices = 4096
 )
@@ -55,24 +57,32 @@
 	return list
 }
 
-// notify sends notices to every listed instance. One that is slow holds up no
-// other.
+// notify sends notices to every listed instance, and at intervals the load
+// reports that this one asked for: a stream may go to an engine of another
+// data centre only while its load is known. An instance that is slow holds up
+// no other.
 func (l *links) notify(ctx context.Context) error {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
+		message := &peerpb.Notices{Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation)}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-l.notices.ready:
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-time.After(noticeDelay):
+			}
+		case <-ticker.C:
+			message.Loads = l.ownLoads()
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(noticeDelay):
-		}
-		message := &peerpb.Notices{
-			Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation), Notices: l.notices.take(),
+		message.Notices = l.notices.take()
+		if len(message.Notices)+len(message.Loads) == 0 {
+			continue
 		}
 		for _, listed := range l.rt.Snapshot().Listed {
 			group.Go(func() { l.sendNotices(ctx, listed.Peer, message) })
@@ -80,6 +90,16 @@
 	}
 }
 
+func (l *links) ownLoads() []*peerpb.Load {
+	var loads []*peerpb.Load
+	if l.loads != nil {
+		for _, load := range l.loads.FreshLoads() {
+			loads = append(loads, loadToWire(load))
+		}
+	}
+	return loads
+}
+
 func (l *links) sendNotices(ctx context.Context, addr netip.AddrPort, message *peerpb.Notices) {
 	client, err := l.client(addr)
 	if err != nil {
@@ -100,6 +120,10 @@
 	if view == nil {
 		return &peerpb.NoticesReceipt{}, nil
 	}
+	for _, wire := range message.Loads {
+		load := loadFromWire(wire)
+		h.rt.Send(control.Scheduling{Event: decide.Reported{Upstream: load.Upstream, Report: load.Report}})
+	}
 	home := ident.Home{Peer: addr, Incarnation: ident.Incarnation(message.Incarnation)}
 	for _, wire := range message.Notices {
 		notice := noticeFromWire(home, wire)
