Notices stay among few instances, and loads are asked for directly while upstreams are few

Cause: two ways to learn loads of other data centres met: notices carried load reports to every listed instance, and heartbeats carry them inside a data centre under hashes of names. Sent to every listed instance, notices would also cost 409 messages for each batch at 410 nodes.

Change: notices go to the whole fleet while it has fewer than 32 entry instances, and else to the own data centre. They carry no load reports any more; while a fleet has at most 32 upstreams, every instance asks all of them itself, and beyond that only the ones of its data centre that fall to it.

Open: what notices cost inside a data centre at the target size.

--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -155,10 +155,17 @@
 	return []Action{PollUpstream{u}}
 }
 
+// pollAllLimit is how many upstreams a fleet may have for every instance to ask
+// all of them, in other data centres too.
+const pollAllLimit = 32
+
 // choosePolls returns the upstreams whose load this instance asks for: all of
-// its data centre while they are few, and else its share by rendezvous
-// hashing. The others learn the reports by heartbeat.
+// the fleet or of its data centre while they are few, and else its share by
+// rendezvous hashing. The others learn the reports by heartbeat.
 func (s *State) choosePolls() []decide.Upstream {
+	if len(s.upstreams.marked) <= pollAllLimit {
+		return s.upstreams.marked
+	}
 	pollers := s.members.Pollers()
 	var local []decide.Upstream
 	for _, u := range s.upstreams.marked {
--- a/peer/notices.go
+++ b/peer/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"mangoloft/control"
 	"mangoloft/decide"
 	"mangoloft/ident"
+	"mangoloft/member"
 	"mangoloft/peerpb"
 )
 
@@ -20,8 +22,6 @@
 	noticeDelay = 1 * time.Millisecond
 	// noticeLimit bounds the sending of one message.
 	noticeLimit = 500 * time.Millisecond
-	// loadInterval is the time between two messages with load reports.
-	loadInterval = 500 * time.Millisecond
 	// maxNotices bounds those that wait; more are dropped.
 	maxNotices = 4096
 )
@@ -57,13 +57,9 @@
 	return list
 }
 
-// notify sends notices to every listed instance, and at intervals the load
-// reports that this one asked for: a stream may go to an engine of another
-// data centre only while its load is known. An instance that is slow holds up
-// no other.
+// notify sends notices to the partners. An instance that is slow holds up no
+// other.
 func (l *links) notify(ctx context.Context) error {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
@@ -77,27 +73,31 @@
 				return nil
 			case <-time.After(noticeDelay):
 			}
-		case <-ticker.C:
-			message.Loads = l.ownLoads()
 		}
 		message.Notices = l.notices.take()
-		if len(message.Notices)+len(message.Loads) == 0 {
+		if len(message.Notices) == 0 {
 			continue
 		}
-		for _, listed := range l.rt.Snapshot().Listed {
+		for _, listed := range l.noticePartners() {
 			group.Go(func() { l.sendNotices(ctx, listed.Peer, message) })
 		}
 	}
 }
 
-func (l *links) ownLoads() []*peerpb.Load {
-	var loads []*peerpb.Load
-	if l.loads != nil {
-		for _, load := range l.loads.FreshLoads() {
-			loads = append(loads, loadToWire(load))
-		}
+// noticeAllLimit is how many entry instances a fleet may have for notices to go
+// to all of them, in other data centres too.
+const noticeAllLimit = 32
+
+// noticePartners returns whom to send notices: the whole fleet while it is
+// small, and else the own data centre.
+func (l *links) noticePartners() []member.Listed {
+	listed := l.rt.Snapshot().Listed
+	if len(listed) < noticeAllLimit {
+		return listed
 	}
-	return loads
+	return slices.DeleteFunc(slices.Clone(listed), func(m member.Listed) bool {
+		return m.DataCentre != l.rt.Settings.DataCentre
+	})
 }
 
 func (l *links) sendNotices(ctx context.Context, addr netip.AddrPort, message *peerpb.Notices) {
@@ -120,10 +120,6 @@
 	if view == nil {
 		return &peerpb.NoticesReceipt{}, nil
 	}
-	for _, wire := range message.Loads {
-		load := loadFromWire(wire)
-		h.rt.Send(control.Scheduling{Event: decide.Reported{Upstream: load.Upstream, Report: load.Report}})
-	}
 	home := ident.Home{Peer: addr, Incarnation: ident.Incarnation(message.Incarnation)}
 	for _, wire := range message.Notices {
 		notice := noticeFromWire(home, wire)
