Soak: answers are compared whole again

Cause: the stand-in service numbers its runs no more, so the soak took every answer for another's: 16,031 violations in a run of make test, none of them real. Change: the whole answer must be the one wanted, as before the numbers.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -268,7 +267,7 @@
 		attempts++
 		answer := s.post(ctx, s.entry(random), "/v1/calls/"+PurchaseClass, body, ticket)
 		if answer.status == http.StatusOK {
-			if want := fmt.Sprintf("%s for %s: %s ", PurchaseClass, Team, body); !strings.HasPrefix(answer.body, want) {
+			if want := fmt.Sprintf("%s for %s: %s", PurchaseClass, Team, body); answer.body != want {
 				s.violation("charge %s got the answer %q", name, answer.body)
 			}
 			history.succeeded, history.onlyNotRun, result = true, false, "completed"
@@ -311,7 +310,7 @@
 	result := "failed"
 	if answer.status == http.StatusOK {
 		result = "completed"
-		if want := fmt.Sprintf("%s for %s: profile %s ", ReadClass, Team, name); !strings.HasPrefix(answer.body, want) {
+		if want := fmt.Sprintf("%s for %s: profile %s", ReadClass, Team, name); answer.body != want {
 			s.violation("read %s got the answer %q", name, answer.body)
 		}
 	}
