--- a/bench/stop_test.go
+++ b/bench/stop_test.go
@@ -201,6 +201,24 @@
 	assert.NilError(t, history.Check(runs))
 }
 
+// TestOtherDataCentreFindsTheSuccessor shows the ticket of a home that stopped
+// in another data centre, whose heartbeats don't come here.
+func TestOtherDataCentreFindsTheSuccessor(t *testing.T) {
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 3, Services: 1})
+	caller, history := bench.NewCaller(bench.Credential), bench.NewChargeHistory()
+	ticket, err := caller.Mint(ctx, fleet.Entries[0], bench.PurchaseClass)
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.Entries[0].Stop(ctx))
+	for _, p := range fleet.Entries[1:] {
+		done := history.Call(ctx, caller, p, "headset", ticket, 0)
+		assert.Assert(t, done.Completed(), "%s: %+v", p.Name, done)
+	}
+	runs, err := fleet.Runs(ctx)
+	assert.NilError(t, err)
+	assert.NilError(t, history.Check(runs))
+	assert.Equal(t, len(runs), 1)
+}
+
 // TestHandOverThatNobodyTakes stops a home whose only peer can't answer it.
 // Then nobody runs its tickets.
 func TestHandOverThatNobodyTakes(t *testing.T) {
--- a/charge/plugin.go
+++ b/charge/plugin.go
@@ -32,7 +32,7 @@
 
 // forwarder asks another instance to run a ticket of its own.
 type forwarder interface {
-	RunTicket(ctx context.Context, home ident.Home, text string, r call.Request) Result
+	RunTicket(ctx context.Context, t ticket.Ticket, text string, r call.Request) Result
 }
 
 // successors finds a live peer that takes ledgers over.
@@ -64,9 +64,12 @@
 	if !ok {
 		return *fail(verdict.MayHaveRun, verdict.HomeGone, "no plug-in speaks to peers")
 	}
-	return peers.RunTicket(ctx, t.Home, text, r)
+	return peers.RunTicket(ctx, t, text, r)
 }
 
+// Holds reports whether the tickets of the home are run here.
+func (c *Charges) Holds(home ident.Home) bool { return c.book.Holds(home) }
+
 // RunHere runs a verified ticket whose ledger should be here.
 func (c *Charges) RunHere(ctx context.Context, t ticket.Ticket, r call.Request) Result {
 	return c.book.Run(ctx, t, r)
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -58,6 +58,7 @@
 
 // ticketRunner runs tickets whose home is this instance.
 type ticketRunner interface {
+	Holds(home ident.Home) bool
 	RunHere(ctx context.Context, t ticket.Ticket, r call.Request) charge.Result
 }
 
@@ -89,6 +90,10 @@
 		return charge.Result{Err: verdict.FailAt(verdict.NotRun, verdict.Stopping, time.Now().Add(busyBackoff), "the ticket's home is stopping and hands its ledger over")}
 	}
 	defer h.rt.Work.End(kernel.Call)
+	if request.Relay && !runner.Holds(t.Home) {
+		request.Relay = false
+		return h.links.runAtHome(ctx, t.Home, request)
+	}
 	return runner.RunHere(ctx, t, call.Request{
 		ID: id, Team: request.Team, Class: request.Class, ContentType: request.ContentType, Body: request.Body,
 		Deadline: time.UnixMilli(request.DeadlineUnixMs),
--- a/peer/handover.go
+++ b/peer/handover.go
@@ -104,15 +104,15 @@
 
 // takesWork asks the peer itself, since what was last heard may be old.
 func (l *links) takesWork(ctx context.Context, peer member.Peer) (ident.Incarnation, bool) {
-	client, err := l.client(peer.Home.Peer)
+	conn, err := l.conn(peer.Home.Peer)
 	if err != nil {
 		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
-	answer, err := client.Exchange(ctx, l.heartbeat(l.rt.Snapshot().LeavingHash, ""))
+	answer, err := peerpb.NewPeerClient(conn).Exchange(ctx, l.heartbeat(l.rt.Snapshot().LeavingHash, ""))
 	if err != nil {
-		l.abandon(peer.Home.Peer)
+		l.abandon(peer.Home.Peer, conn)
 		return 0, false
 	}
 	return ident.Incarnation(answer.Incarnation), !answer.Stopping
@@ -122,15 +122,15 @@
 // do so again after a silence, because that incarnation knows them again.
 func (l *links) transfer(ctx context.Context, addr netip.AddrPort, transfer *peerpb.LedgerTransfer) error {
 	return sendUntilKnown(func() error {
-		client, err := l.client(addr)
+		conn, err := l.conn(addr)
 		if err != nil {
 			return err
 		}
 		ctx, cancel := context.WithTimeout(ctx, transferLimit)
 		defer cancel()
-		_, err = client.TakeLedgers(ctx, transfer)
+		_, err = peerpb.NewPeerClient(conn).TakeLedgers(ctx, transfer)
 		if err != nil && status.Code(err) != codes.FailedPrecondition {
-			l.abandon(addr)
+			l.abandon(addr, conn)
 		}
 		return err
 	})
--- a/peer/plugin.go
+++ b/peer/plugin.go
@@ -148,6 +148,14 @@
 
 // client returns a client of the peer; its connection is made on first use.
 func (l *links) client(addr netip.AddrPort) (peerpb.PeerClient, error) {
+	conn, err := l.conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+func (l *links) conn(addr netip.AddrPort) (*grpc.ClientConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conn, ok := l.conns[addr]
@@ -174,7 +182,7 @@
 		}
 		l.conns[addr] = conn
 	}
-	return peerpb.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 // beat exchanges heartbeats with the partners, at each interval and when there
