Instance list: a change is followed at once, and a stale copy is no news

Cause: an instance that is no reader took another list only when it had been read 2 s later than its own was last seen. While one reader saw a new list and the other not yet, the old one was refreshed all the time. In TestPlannedStopCutsNothingOff, whose third instance had read the list before it was published, requests were refused with no_upstream for 2 s after the start, and the test failed; the same window stood after every change of the list. Change: lists carry the time when they appeared at the instance that read them, and the one that appeared last is followed, at the next heartbeat. Two readers with different copies do not make the others change to and fro, because neither appears anew. The first list that a newcomer reads counts as an hour old. Checks: tables for each case; TestPlannedStopCutsNothingOff passes.

--- a/control/event.go
+++ b/control/event.go
@@ -40,8 +40,11 @@
 	Entries   []member.Listed
 	Upstreams []decide.Upstream
 	// Source names where it came from, ReadAt when it was read from the platform.
-	Source  string
-	ReadAt  time.Time
+	Source string
+	ReadAt time.Time
+	// Since is when the list appeared at the peer that passes it on; zero for
+	// one that this instance read itself.
+	Since   time.Time
 	AskedAt time.Time
 }
 
@@ -154,6 +157,8 @@
 	// from the platform, by whichever instance.
 	ListHash   uint64
 	ListReadAt time.Time
+	// ListSince is when the list appeared at the instance that read it.
+	ListSince time.Time
 	// ConfigContactAt is the last answer of the configuration service, zero
 	// when the latest try failed.
 	ConfigContactAt time.Time
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -167,7 +167,10 @@
 		}
 		f.send(m, control.ConfigOffered{Document: peer.snapshot.Document, Source: peer.name, AskedAt: f.now})
 	case control.FetchList:
-		f.step(m, f.listRead())
+		from := f.find(a.Peer.Name).snapshot
+		f.step(m, control.ListRead{
+			Entries: from.Entries, Upstreams: from.ListedUpstreams, Source: a.Peer.Name, ReadAt: from.ListReadAt, Since: from.ListSince, AskedAt: f.now,
+		})
 	case control.ReadConfig:
 		f.read(m)
 	case control.ReadList:
@@ -216,7 +219,7 @@
 	s := m.snapshot
 	h := member.Heartbeat{
 		Name: m.name, DataCentre: m.centre, Home: m.home, Stopping: s.Stopping,
-		ConfigContact: s.ConfigContactAt, ConfigFailed: s.ConfigFailed, ListHash: s.ListHash, ListRead: s.ListReadAt, LeavingHash: s.LeavingHash,
+		ConfigContact: s.ConfigContactAt, ConfigFailed: s.ConfigFailed, ListHash: s.ListHash, ListRead: s.ListReadAt, ListSince: s.ListSince, LeavingHash: s.LeavingHash,
 	}
 	if s.Config != nil {
 		h.ConfigVersion, h.ConfigDigest = s.Config.Version, s.Config.Digest
--- a/control/membership.go
+++ b/control/membership.go
@@ -12,9 +12,13 @@
 
 const (
 	// followMargin is how much later than the own list another one must have
-	// been read to replace it. Readers that see different copies of the list
-	// would otherwise make everybody change to and fro.
-	followMargin = 2 * time.Second
+	// appeared to replace it. Ages lose some milliseconds on their way, and
+	// readers that see different copies of the list must not make everybody
+	// change to and fro.
+	followMargin = 100 * time.Millisecond
+	// firstListAge is the age of the first list that an instance reads: nobody
+	// knows how long it has stood, and a newcomer's stale copy is no news.
+	firstListAge = 1 * time.Hour
 	// refreshStep is how much the age of the list may change before it is
 	// published again.
 	refreshStep = 500 * time.Millisecond
@@ -28,6 +32,8 @@
 	entries []member.Listed
 	hash    uint64
 	readAt  time.Time
+	// since is when the list appeared at the instance that read it.
+	since time.Time
 	// publishedAt is the readAt that the snapshot shows.
 	publishedAt time.Time
 	fetchAt     time.Time
@@ -44,15 +50,24 @@
 func (s *State) readList(now time.Time, e ListRead) []Action {
 	s.heardPlatform(e.AskedAt)
 	s.list.fetchAt = time.Time{}
-	if e.ReadAt.Before(s.list.readAt) {
-		return nil // A slow answer must not undo a quick one that came after it.
-	}
-	s.freshList(e.ReadAt)
 	hash := hashList(e.Entries, e.Upstreams)
-	if s.list.known && hash == s.list.hash {
+	own := e.Since.IsZero()
+	switch {
+	case s.list.known && hash == s.list.hash:
+		s.freshList(e.ReadAt)
+		return nil
+	case !s.list.known && own:
+		e.Since = e.ReadAt.Add(-firstListAge)
+	case !s.list.known:
+	case own && e.ReadAt.Before(s.list.since):
+		return nil // A slow answer must not undo a quick one that came after it.
+	case own:
+		e.Since = e.ReadAt
+	case !s.isNewer(e.Since, e.ReadAt):
 		return nil
 	}
-	s.list.known, s.list.hash, s.list.entries = true, hash, e.Entries
+	s.list.known, s.list.hash, s.list.entries, s.list.since = true, hash, e.Entries, e.Since
+	s.list.readAt = e.ReadAt
 	s.members.SetListed(e.Entries)
 	listed := slices.Clone(e.Upstreams)
 	sortUpstreams(listed)
@@ -68,6 +83,12 @@
 	return append(actions, s.refreshReady(now)...)
 }
 
+// isNewer reports whether a list replaces the own one: it appeared later, or
+// nobody has seen the own one any more for long.
+func (s *State) isNewer(since, readAt time.Time) bool {
+	return since.Sub(s.list.since) > followMargin || readAt.Sub(s.list.readAt) > contactLimit
+}
+
 // freshList notes that the list was still the same at a time.
 func (s *State) freshList(readAt time.Time) {
 	if readAt.After(s.list.readAt) {
@@ -86,7 +107,7 @@
 	case s.list.known && peer.ListHash == s.list.hash:
 		s.freshList(peer.ListRead)
 		return nil
-	case s.list.known && peer.ListRead.Sub(s.list.readAt) < followMargin, now.Before(s.list.fetchAt):
+	case s.list.known && !s.isNewer(peer.ListSince, peer.ListRead), now.Before(s.list.fetchAt):
 		return nil
 	}
 	s.list.fetchAt = now.Add(fetchRetry)
--- a/control/state.go
+++ b/control/state.go
@@ -265,7 +265,7 @@
 		Upstreams: s.upstreams.marked, Polls: s.polls, PollsShared: s.pollsShared, Listed: s.members.Listed(), Entries: s.list.entries, ListedUpstreams: s.upstreams.listed,
 		Partners: s.partners, Peers: s.members.Alive(),
 		Leaving: s.upstreams.leaving, LeavingHash: s.upstreams.hash,
-		ListHash: s.list.hash, ListReadAt: s.list.readAt, ConfigContactAt: s.intake.contact, ConfigFailed: s.intake.failed, Reader: s.reader,
+		ListHash: s.list.hash, ListReadAt: s.list.readAt, ListSince: s.list.since, ConfigContactAt: s.intake.contact, ConfigFailed: s.intake.failed, Reader: s.reader,
 		Ready: s.ready && !s.stopping, Stopping: s.stopping, Lacks: s.lacks,
 	}}
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -214,3 +214,42 @@
 	l.step(slow)
 	assert.Equal(t, l.last.Upstreams[0].Incarnation, ident.Incarnation(2))
 }
+
+// A peer's list is taken when it appeared later than the own one, and not
+// because it was read later.
+func TestListOfAPeerIsFollowed(t *testing.T) {
+	tests := map[string]struct {
+		since, read time.Duration
+		follows     bool
+	}{
+		"it appeared just now":             {0, 0, true},
+		"it has stood for longer":          {-time.Minute, 0, false},
+		"the own one is seen by nobody":    {-time.Minute, 6 * time.Second, true},
+		"it appeared at the same time":     {-10 * time.Second, 0, false},
+		"a few milliseconds lost on a way": {-10*time.Second + 20*time.Millisecond, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			l.now = l.now.Add(time.Minute)
+			l.list(engineAt(2))
+			l.now = l.now.Add(10 * time.Second)
+			l.list(engineAt(2))
+			actions := l.step(control.PeerHeard{Heartbeat: member.Heartbeat{
+				Name: "b", DataCentre: "dc0", ListHash: 1, ListRead: l.now.Add(test.read), ListSince: l.now.Add(test.since),
+			}})
+			follows := slices.ContainsFunc(actions, func(a control.Action) bool { _, ok := a.(control.FetchList); return ok })
+			assert.Equal(t, follows, test.follows)
+		})
+	}
+}
+
+// What a newcomer reads first may be stale, and is no news to others.
+func TestFirstListIsNoNews(t *testing.T) {
+	l := newLone()
+	l.list(engineAt(1))
+	assert.Assert(t, l.now.Sub(l.last.ListSince) > time.Minute)
+	l.now = l.now.Add(time.Second)
+	l.list(engineAt(2))
+	assert.Equal(t, l.last.ListSince, l.now)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -70,8 +70,9 @@
 	ConfigFailed bool
 	// ListHash tells instance lists apart; ListRead is when the list was read
 	// from the platform, by whichever instance.
-	ListHash uint64
-	ListRead time.Time
+	// ListSince is when it appeared there.
+	ListHash            uint64
+	ListRead, ListSince time.Time
 	// LeavingHash is over all marks of listed upstreams. Leaving holds the
 	// marks themselves when the receiver's hash was another.
 	LeavingHash uint64
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -25,7 +25,7 @@
 		Peer: l.rt.Home.Peer.String(), Incarnation: uint64(l.rt.Home.Incarnation),
 		Stopping: snapshot.Stopping, LeavingHash: snapshot.LeavingHash, ConfigFailed: snapshot.ConfigFailed,
 		ConfigContactMs: ageToWire(now, snapshot.ConfigContactAt),
-		ListHash:        snapshot.ListHash, ListAgeMs: ageToWire(now, snapshot.ListReadAt),
+		ListHash:        snapshot.ListHash, ListAgeMs: ageToWire(now, snapshot.ListReadAt), ListSinceMs: ageToWire(now, snapshot.ListSince),
 		Held: l.held(),
 	}
 	if snapshot.Config != nil {
@@ -67,7 +67,7 @@
 		Home:     ident.Home{Peer: addr, Incarnation: ident.Incarnation(wire.Incarnation)},
 		Stopping: wire.Stopping, ConfigVersion: wire.ConfigVersion, ConfigDigest: wire.ConfigDigest,
 		ConfigContact: ageFromWire(now, wire.ConfigContactMs), ConfigFailed: wire.ConfigFailed,
-		ListHash: wire.ListHash, ListRead: ageFromWire(now, wire.ListAgeMs), LeavingHash: wire.LeavingHash,
+		ListHash: wire.ListHash, ListRead: ageFromWire(now, wire.ListAgeMs), ListSince: ageFromWire(now, wire.ListSinceMs), LeavingHash: wire.LeavingHash,
 	}
 	for _, mark := range wire.Leaving {
 		h.Leaving = append(h.Leaving, member.Mark{Upstream: mark.Upstream, Incarnation: ident.Incarnation(mark.Incarnation)})
@@ -132,7 +132,7 @@
 }
 
 func listToWire(snapshot *control.Snapshot, now time.Time) *peerpb.ListReply {
-	reply := &peerpb.ListReply{AgeMs: ageToWire(now, snapshot.ListReadAt)}
+	reply := &peerpb.ListReply{AgeMs: ageToWire(now, snapshot.ListReadAt), SinceMs: ageToWire(now, snapshot.ListSince)}
 	for _, l := range snapshot.Entries {
 		reply.Entries = append(reply.Entries, &peerpb.ListedEntry{Name: l.Name, DataCentre: l.DataCentre, Peer: l.Peer.String(), Leaving: l.Leaving})
 	}
@@ -145,7 +145,7 @@
 }
 
 func listFromWire(wire *peerpb.ListReply, now time.Time) (control.ListRead, error) {
-	list := control.ListRead{ReadAt: ageFromWire(now, wire.AgeMs)}
+	list := control.ListRead{ReadAt: ageFromWire(now, wire.AgeMs), Since: ageFromWire(now, wire.SinceMs)}
 	for _, l := range wire.Entries {
 		addr, err := netip.ParseAddrPort(l.Peer)
 		if err != nil {
