Membership: in a small fleet all instances speak to all

Cause: since delegates speak for their data centre, an instance of another one no longer heard who holds the ledger of a home that stopped, and status no longer showed it. The users' fleets have 18 or 19 instances. Change: while fewer than 24 other instances are listed, heartbeats go to all. Open beyond that: a holder is known in its own data centre, and elsewhere only when it is a delegate. Tests: random faults hit small and large fleets in turn; a second operator races the first in TestConfigNeverReverts.

--- a/bench/config_test.go
+++ b/bench/config_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +72,17 @@
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 3, Engines: 1, Services: 1, Step: time.Second, Proxies: true})
 	random := rand.New(rand.NewPCG(1, 2))
 	faults := []bench.Fault{bench.Pass, bench.Cut, bench.Silence, bench.SilenceAnswers}
+	// Another operator changes another value all the while.
+	racing, stopRacing := context.WithCancel(ctx)
+	var operator sync.WaitGroup
+	operator.Go(func() {
+		for i := 0; racing.Err() == nil; i++ {
+			if _, err := fleet.ChangeConfig(racing, "classes/"+bench.PurchaseClass, strings.Replace(classValue(i), "read", "charge", 1)); err != nil {
+				return // Only the end of the race stops the service.
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	for i := range 60 {
 		p := fleet.Entries[random.IntN(len(fleet.Entries))]
 		f := faults[random.IntN(len(faults))]
@@ -97,6 +110,8 @@
 		assert.NilError(t, err)
 		time.Sleep(150 * time.Millisecond)
 	}
+	stopRacing()
+	operator.Wait()
 	settle(ctx, t, fleet)
 }
 
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -369,7 +369,7 @@
 	}
 	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 1, 4, 5, 4)
+			f := newFleet(t, 1, 4, 8, 4)
 			f.run(6 * time.Second)
 			fault(f)
 			version := f.publish()
@@ -384,9 +384,10 @@
 }
 
 // Random faults: nothing ever goes back, and everything is equal once they end.
+// Half of the fleets are so small that all speak to all.
 func TestNothingRevertsUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(40) {
-		f := newFleet(t, seed, 3, 6, 3)
+		f := newFleet(t, seed, 3, 6+int(seed%2)*4, 3)
 		f.maxDelay = 3 * time.Second
 		for range 30 {
 			m := f.members[f.random.IntN(len(f.members))]
--- a/member/table.go
+++ b/member/table.go
@@ -21,6 +21,9 @@
 	avoidFor = 15 * time.Second
 	// delegates is how many instances of a data centre speak to other data centres.
 	delegates = 2
+	// meshLimit is from how many instances on a fleet is too large for each to
+	// speak to all.
+	meshLimit = 24
 	// manyNeighbours is from how many instances of a data centre on the roles
 	// are kept apart.
 	manyNeighbours = 12
@@ -228,10 +231,14 @@
 	return NewChooser(t.Neighbours()).Choose(delegateKey, delegates)
 }
 
-// Partners returns whom the instance exchanges heartbeats with: all listed
+// Partners returns whom the instance exchanges heartbeats with: in a small fleet
+// all; else all listed
 // instances of its own data centre, and if it is a delegate also one delegate of
 // each other: the first delegates speak to each other, and the second ones.
 func (t *Table) Partners(now time.Time) []Listed {
+	if len(t.listed) < meshLimit {
+		return t.listed
+	}
 	var partners []Listed
 	others := map[string][]Listed{}
 	for _, l := range t.listed {
