Instance list: one that lost most of what it named is held back

Cause: an empty or cut list, as from a platform that restarts, took all upstreams and peers from every instance within a second, though all of them ran. Change: a list that lacks more than half of the entry instances or upstreams of the one before, if those were at least 4, must go on coming for 10 s before it is taken; its signs of leaving are taken at once. The price: upstreams that are really gone are tried for 10 s more, where they refuse connections. Event 305 list_doubted. Checks: a table, each seen to fail with the doubt off, without end, deaf to signs of leaving, or not ended by a whole list.

--- a/control/membership.go
+++ b/control/membership.go
@@ -19,6 +19,11 @@
 	// firstListAge is the age of the first list that an instance reads: nobody
 	// knows how long it has stood, and a newcomer's stale copy is no news.
 	firstListAge = 1 * time.Hour
+	// doubtFor is how long a list that lost most of what it named must go on
+	// coming before it is believed; one that named less than doubtedSize of a
+	// kind is believed at once.
+	doubtFor    = 10 * time.Second
+	doubtedSize = 4
 	// refreshStep is how much the age of the list may change before it is
 	// published again.
 	refreshStep = 500 * time.Millisecond
@@ -34,6 +39,8 @@
 	readAt  time.Time
 	// since is when the list appeared at the instance that read it.
 	since time.Time
+	// doubtedSince is since when lists come that are held back.
+	doubtedSince time.Time
 	// publishedAt is the readAt that the snapshot shows.
 	publishedAt time.Time
 	fetchAt     time.Time
@@ -55,6 +62,7 @@
 	switch {
 	case s.list.known && hash == s.list.hash:
 		s.freshList(e.ReadAt)
+		s.list.doubtedSince = time.Time{}
 		return nil
 	case !s.list.known && own:
 		e.Since = e.ReadAt.Add(-firstListAge)
@@ -66,6 +74,9 @@
 	case !s.isNewer(e.Since, e.ReadAt):
 		return nil
 	}
+	if actions, doubted := s.doubtList(now, e); doubted {
+		return actions
+	}
 	s.list.known, s.list.hash, s.list.entries, s.list.since = true, hash, e.Entries, e.Since
 	s.list.readAt = e.ReadAt
 	s.members.SetListed(e.Entries)
@@ -73,16 +84,69 @@
 	sortUpstreams(listed)
 	s.upstreams.setListed(now, listed)
 	actions := []Action{Record{event.ListChanged, listRecord{len(e.Entries), len(e.Upstreams), e.Source}}}
+	actions = append(actions, s.markListed(now, listed)...)
+	s.applyUpstreams(now)
+	s.lookAround = true
+	return append(actions, s.refreshReady(now)...)
+}
+
+// markListed takes the list's word for what is leaving.
+func (s *State) markListed(now time.Time, listed []decide.Upstream) []Action {
+	var actions []Action
 	for _, u := range listed {
 		if u.Leaving {
 			actions = append(actions, s.markLeaving(now, markOf(u), "instance_list")...)
 		}
 	}
-	s.applyUpstreams(now)
-	s.lookAround = true
-	return append(actions, s.refreshReady(now)...)
+	return actions
+}
+
+// doubtList holds back a list that lost most of what it named, as one from a
+// platform that restarts may have. Upstreams that are really gone refuse and
+// fail by themselves meanwhile; signs of leaving are taken at once.
+func (s *State) doubtList(now time.Time, e ListRead) ([]Action, bool) {
+	if !s.list.known || !s.losesMost(e) {
+		s.list.doubtedSince = time.Time{}
+		return nil, false
+	}
+	var actions []Action
+	if s.list.doubtedSince.IsZero() {
+		s.list.doubtedSince = now
+		actions = append(actions, Record{event.ListDoubted, listRecord{len(e.Entries), len(e.Upstreams), e.Source}})
+	}
+	if now.Sub(s.list.doubtedSince) >= doubtFor {
+		s.list.doubtedSince = time.Time{}
+		return nil, false
+	}
+	return append(actions, s.markListed(now, e.Upstreams)...), true
 }
 
+// losesMost reports whether the list lacks more than half of the entry
+// instances or of the upstreams that the own one names, if those are not few.
+func (s *State) losesMost(e ListRead) bool {
+	names := map[string]bool{}
+	for _, l := range e.Entries {
+		names["entry "+l.Name] = true
+	}
+	for _, u := range e.Upstreams {
+		names["upstream "+u.Name] = true
+	}
+	lostEntries, lostUpstreams := 0, 0
+	for _, l := range s.list.entries {
+		if !names["entry "+l.Name] {
+			lostEntries++
+		}
+	}
+	for _, u := range s.upstreams.listed {
+		if !names["upstream "+u.Name] {
+			lostUpstreams++
+		}
+	}
+	return isMost(lostEntries, len(s.list.entries)) || isMost(lostUpstreams, len(s.upstreams.listed))
+}
+
+func isMost(lost, all int) bool { return all >= doubtedSize && 2*lost > all }
+
 // isNewer reports whether a list replaces the own one: it appeared later, or
 // nobody has seen the own one any more for long.
 func (s *State) isNewer(since, readAt time.Time) bool {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -253,3 +253,64 @@
 	l.list(engineAt(2))
 	assert.Equal(t, l.last.ListSince, l.now)
 }
+
+// A list that lost most of what it named is believed only when it goes on
+// coming; its signs of leaving are taken at once.
+func TestListThatLostMostIsDoubted(t *testing.T) {
+	engines := func(n int) []decide.Upstream {
+		var all []decide.Upstream
+		for i := range n {
+			all = append(all, decide.Upstream{Name: fmt.Sprint("engine", i), Pool: "p", DataCentre: "dc0", Incarnation: 1})
+		}
+		return all
+	}
+	leaving := engines(2)
+	leaving[1].Leaving = true
+	tests := map[string]struct {
+		next  []decide.Upstream
+		after time.Duration
+		want  int
+	}{
+		"nothing left":               {nil, 0, 6},
+		"nothing left for long":      {nil, 11 * time.Second, 0},
+		"a third left":               {engines(2), 5 * time.Second, 6},
+		"a third left, and a sign":   {leaving, 0, 5},
+		"half of them left":          {engines(3), 0, 3},
+		"as many, of which some new": {engines(8), 0, 8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLone()
+			l.now = l.now.Add(time.Second)
+			l.list(engines(6)...)
+			l.now = l.now.Add(time.Second)
+			l.list(test.next...)
+			l.now = l.now.Add(test.after)
+			l.list(test.next...)
+			live := 0
+			for _, u := range l.last.Upstreams {
+				if !u.Leaving {
+					live++
+				}
+			}
+			assert.Equal(t, live, test.want)
+		})
+	}
+}
+
+func TestDoubtEndsWithAWholeList(t *testing.T) {
+	l := newLone()
+	var whole []decide.Upstream
+	for i := range 6 {
+		whole = append(whole, decide.Upstream{Name: fmt.Sprint("engine", i), DataCentre: "dc0", Incarnation: 1})
+	}
+	l.now = l.now.Add(time.Second)
+	l.list(whole...)
+	for range 5 {
+		l.now = l.now.Add(4 * time.Second)
+		l.list()
+		l.now = l.now.Add(4 * time.Second)
+		l.list(whole...)
+	}
+	assert.Equal(t, len(l.last.Upstreams), 6)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,7 @@
 	PeerSilent  ID = 302
 	ListFailed  ID = 303
 	ListChanged ID = 304
+	ListDoubted ID = 305
 
 	UpstreamJoined      ID = 401
 	UpstreamLeaving     ID = 402
@@ -71,6 +72,7 @@
 	PeerSilent:          "peer_silent",
 	ListFailed:          "list_failed",
 	ListChanged:         "list_changed",
+	ListDoubted:         "list_doubted",
 	UpstreamJoined:      "upstream_joined",
 	UpstreamLeaving:     "upstream_leaving",
 	UpstreamGone:        "upstream_gone",
