--- a/control/state_test.go
+++ b/control/state_test.go
@@ -309,8 +309,8 @@
 	for range 5 {
 		l.now = l.now.Add(4 * time.Second)
 		l.list()
+		assert.Equal(t, len(l.last.Upstreams), 6)
 		l.now = l.now.Add(4 * time.Second)
 		l.list(whole...)
 	}
-	assert.Equal(t, len(l.last.Upstreams), 6)
 }
