Membership: a pause of its own does not make an instance take its peers for dead

Cause: at the first tick after a pause of 3 s or more every peer had been silent for too long, so the instance recorded all as silent, made itself reader and delegate, asked all upstreams, and took it all back a second later. Change: a pause excuses the peers; they have the usual time to be heard. The check was seen to fail without it. Also a test that a data centre without the platform learns changes and signs of leaving from the others, seen to fail when nothing is fetched from peers.

--- a/bench/members_test.go
+++ b/bench/members_test.go
@@ -170,3 +170,32 @@
 	assert.Assert(t, !slices.Contains(served, false), "%v", served)
 	assert.Equal(t, after, before, "the engine that left got work")
 }
+
+// A data centre that has lost the platform, but not the others, learns changes
+// and signs of leaving from them.
+func TestDataCentreWithoutPlatformLearnsFromPeers(t *testing.T) {
+	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 2, Engines: 1, Services: 1, Step: 2 * time.Millisecond, Proxies: true})
+	for _, p := range fleet.Entries {
+		if p.DataCentre == "dc2" {
+			fleet.Configuration.Proxy.Set(p.IP, bench.Cut)
+			fleet.Instance.Proxy.Set(p.IP, bench.Cut)
+		}
+	}
+	version, err := fleet.ChangeConfig(ctx, "classes/"+bench.ReadClass, classValue(0))
+	assert.NilError(t, err)
+	assert.NilError(t, fleet.WaitVersion(ctx, version, time.Now().Add(settleLimit)))
+	for _, p := range fleet.Entries {
+		if p.DataCentre != "dc2" {
+			continue
+		}
+		changes, err := fleet.ConfigChanges(p)
+		assert.NilError(t, err)
+		assert.Assert(t, changes[len(changes)-1].Source != "configuration_service", p.Name)
+	}
+	left := fleet.Engines[0]
+	assert.NilError(t, fleet.Leave(ctx, left))
+	for _, p := range fleet.Entries {
+		eventually(t, p.Name+" knows that the engine leaves", func() bool { return fleet.LeavingAt(ctx, p, left.Name) })
+		assert.Assert(t, serves(ctx, p), p.Name)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -120,6 +120,7 @@
 		return []Action{Announce{}}
 	case Paused:
 		s.stale, s.staleSince = true, now
+		s.members.Excuse(now)
 		return []Action{Record{event.ProcessPaused, pauseRecord{e.Gap.Milliseconds()}}}
 	case Tick:
 		return s.tick(now)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -314,3 +314,18 @@
 		l.list(whole...)
 	}
 }
+
+// After a pause of its own an instance does not take its peers for dead, but
+// for no longer than if they had been heard just now.
+func TestPauseDoesNotSilenceThePeers(t *testing.T) {
+	l := newLone()
+	l.step(control.PeerHeard{Heartbeat: member.Heartbeat{Name: "b", DataCentre: "dc0"}})
+	l.now = l.now.Add(time.Minute)
+	l.step(control.Paused{Gap: time.Minute})
+	l.pass(0)
+	assert.Equal(t, len(l.last.Peers), 1)
+	l.pass(2 * time.Second)
+	assert.Equal(t, len(l.last.Peers), 1)
+	l.pass(2 * time.Second)
+	assert.Equal(t, len(l.last.Peers), 0)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -163,6 +163,15 @@
 // Peer returns what the peer said last, if it is alive.
 func (t *Table) Peer(name string) Peer { return t.peers[name] }
 
+// Excuse gives all peers time to be heard again: after a pause of this process
+// it is not they who were silent.
+func (t *Table) Excuse(now time.Time) {
+	for name, peer := range t.peers {
+		peer.AliveUntil = now.Add(silenceLimit)
+		t.peers[name] = peer
+	}
+}
+
 // Expire drops the peers whose time has passed and returns them, by name.
 func (t *Table) Expire(now time.Time) []Peer {
 	var gone []Peer
