--- a/baseline/rules.go
+++ b/baseline/rules.go
@@ -26,7 +26,11 @@
 	register("two_choices", func(o Options) (control.Scheduler, error) {
 		lots := rand.New(rand.NewPCG(o.Seed, 0))
 		return newRule(func(of []*candidate) *candidate {
-			a, b := of[lots.IntN(len(of))], of[lots.IntN(len(of))]
+			i, j := lots.IntN(len(of)), lots.IntN(max(1, len(of)-1))
+			if j >= i && len(of) > 1 {
+				j++
+			}
+			a, b := of[i], of[j]
 			if moreLoaded(a, b) > 0 {
 				return b
 			}
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -28,7 +28,7 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	build := exec.Command("go", "build", "-o", dir, "mangoloft/cmd/mangoloft", "mangoloft/cmd/standin")
+	build := exec.Command("go", "build", "-o", dir, "mangoloft/cmd/mangoloft", "mangoloft/cmd/mangobench-entry", "mangoloft/cmd/standin")
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n%v\n", output, err)
 		return 1
