--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -138,12 +138,6 @@
 		"a prompt beyond the memory waits": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
 			r.PromptTokens = 2 * engineTokens
 		}, ""},
-		"an impossible target for pace doesn't count": {func(i int) decide.Report {
-			if i == 1 {
-				return decide.Report{}
-			}
-			return full
-		}, func(r *decide.Request) { r.Class.Pace = time.Millisecond }, "place at engine1"},
 		"a pool without upstreams": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
 			r.Class.Pool = "none"
 		}, "refuse as no_upstream"},
@@ -158,6 +152,32 @@
 	}
 }
 
+// An engine whose step takes 20 ms and 2 ms more for each generation has eight.
+func TestPace(t *testing.T) {
+	for name, c := range map[string]struct {
+		pace time.Duration
+		want string
+	}{
+		"the target holds":       {40 * time.Millisecond, "place at engine0"},
+		"the target would break": {36 * time.Millisecond, ""},
+		"no target":              {0, "place at engine0"},
+		"an impossible target":   {10 * time.Millisecond, "place at engine0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(1)
+			for _, batch := range []int{2, 4, 6, 8} {
+				r.now = r.now.Add(500 * time.Millisecond)
+				r.step(decide.Reported{Upstream: "engine0", Report: decide.Report{
+					TakenAt: r.now, Running: batch, UsedTokens: 50, CapacityTokens: 1000 * engineTokens,
+					StepTime: time.Duration(20+2*batch) * time.Millisecond,
+				}})
+			}
+			_, actions := r.arrive("reef", func(q *decide.Request) { q.Class.Pace = c.pace })
+			assert.Equal(t, describe(actions), c.want)
+		})
+	}
+}
+
 func TestWaitingRequestIsPlacedWhenRoomIsReported(t *testing.T) {
 	r := newRig(1)
 	r.report(func(int) decide.Report { return full })
