--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -91,6 +91,21 @@
 		s.order = append(s.order, next.Name)
 	}
 	slices.Sort(s.order)
+	for name, u := range old {
+		if s.upstreams[name] != u {
+			s.forgetForeign(u)
+		}
+	}
+}
+
+// forgetForeign drops what other instances had at an upstream that is gone;
+// what this one had there ends by itself.
+func (s *Scheduler) forgetForeign(u *upstream) {
+	for _, f := range u.flights {
+		if f.foreign {
+			delete(s.placed, f.ID)
+		}
+	}
 }
 
 func (s *Scheduler) takeReport(now time.Time, e Reported) {
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -105,8 +105,13 @@
 // release takes away a flight that ended, and returns it.
 func (u *upstream) release(now time.Time, id ident.Request) *flight {
 	f := u.remove(id)
-	if f != nil {
-		u.departed, u.goneAt = append(u.departed, f), append(u.goneAt, now)
+	if f == nil {
+		return nil
+	}
+	u.departed, u.goneAt = append(u.departed, f), append(u.goneAt, now)
+	// Without new reports nobody needs to know what the last one held.
+	for now.Sub(u.goneAt[0]) > reportAge {
+		u.departed, u.goneAt = u.departed[1:], u.goneAt[1:]
 	}
 	return f
 }
