Streams: a reader comes back to the same instance, or past one that is frozen when asked

The second is the race that order of attachment alone doesn't settle: the frozen instance wakes when the reader has gone on, takes the request that waits in its socket, is the last to attach, learns of the hang-up only then, and cancels in good faith after its grace. The engine must ignore that while another reader is reading.

--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -291,6 +291,45 @@
 	}
 }
 
+// The reader hangs up and goes on by way of the instances in the order given.
+func TestReaderGoesOnInOrder(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		order  []int
+		frozen int
+	}{
+		"back to the same instance": {[]int{0, 0}, -1},
+		// It wakes when the reader has gone on, takes the request that waits in
+		// its socket, and is the last to attach to the generation. That the
+		// reader has hung up reaches it only then.
+		"past an instance that is frozen when it is asked": {[]int{0, 1, 2}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet, ctx := startStreams(t, bench.Plan{DataCentres: 1, Entries: 3, Engines: 1, Step: step, Proxies: true})
+			r := newReader()
+			r.OnToken = at(r, 50, func() error {
+				if test.frozen >= 0 {
+					frozen := fleet.Entries[test.frozen]
+					assert.Check(t, frozen.Signal(syscall.SIGSTOP))
+					later(t, 1500*time.Millisecond, func() { frozen.Proxy.Set(bench.AllSources, bench.Silence) })
+					later(t, 4*time.Second, func() { _ = frozen.Signal(syscall.SIGCONT) })
+					later(t, 5500*time.Millisecond, frozen.Proxy.Heal)
+				}
+				return errHangUp
+			})
+			var instances []*bench.Process
+			for _, i := range test.order {
+				instances = append(instances, fleet.Entries[i])
+			}
+			const tokens = 2500
+			assert.NilError(t, r.ReadAll(ctx, impatientClient(t), instances, prompt(tokens)))
+			assert.NilError(t, r.CheckWhole(tokens))
+		})
+	}
+}
+
 func running(ctx context.Context, t *testing.T, fleet *bench.Fleet) int {
 	t.Helper()
 	load, err := fleet.Load(ctx, fleet.Engines[0])
