A stream that its engine preempts and resumes goes on whole

A generation with a higher priority takes the engine's memory from a stream in its middle. The reader, who would notice 2.5 s without a sign, gets one whole stream, and the engine reports a preemption.

Seen to fail: with memory enough for both, since nothing is preempted.

--- a/bench/streams.go
+++ b/bench/streams.go
@@ -126,7 +126,8 @@
 
 // Load is the part of an engine's load report that the bench looks at.
 type Load struct {
-	Running int `json:"running"`
+	Running     int `json:"running"`
+	Preemptions int `json:"preemptions"`
 }
 
 // Load asks an engine for its load.
--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -244,6 +244,46 @@
 	return fleet, ctx
 }
 
+// An engine whose memory is full takes it from a stream halfway, and makes its
+// tokens again later. The reader gets heartbeats meanwhile, and one stream.
+func TestEnginePreemptsAndResumes(t *testing.T) {
+	t.Parallel()
+	fleet, ctx := startStreams(t, bench.Plan{
+		DataCentres: 1, Entries: 1, Engines: 1, Step: step,
+		EngineArgs: []string{"--blocks", "64", "--block-tokens", "16", "--cache-blocks", "0"},
+	})
+	engine := fleet.Engines[0]
+	ended := make(chan error, 1)
+	r := newReader()
+	r.OnToken = at(r, 50, func() error {
+		later(t, 0, func() { ended <- takeMemory(ctx, engine, 900) })
+		return nil
+	})
+	const tokens = 800
+	assert.NilError(t, r.ReadAll(ctx, impatientClient(t), fleet.Entries, prompt(tokens)))
+	assert.NilError(t, r.CheckWhole(tokens))
+	assert.NilError(t, <-ended)
+	load, err := fleet.Load(ctx, engine)
+	assert.NilError(t, err)
+	assert.Assert(t, load.Preemptions > 0, "nothing was preempted")
+}
+
+// takeMemory runs a generation at the engine that is preempted last.
+func takeMemory(ctx context.Context, engine *bench.Process, tokens int) error {
+	order := fmt.Sprintf(`{"generation": "hog", "reader": "hog", "prompt": %q, "max_tokens": %d, "priority": 1000000000}`, prompt(tokens), tokens)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.Addr.String()+"/generations", strings.NewReader(order))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // errHangUp makes a reader hang up.
 var errHangUp = errorx.Interrupted.New("enough")
 
