--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -50,6 +50,7 @@
 }
 
 func TestStreamSurvivesItsEntryInstance(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 2, Engines: 1, Services: 1, Step: 10 * time.Millisecond, Proxies: true})
 	r := &bench.Reader{Credential: bench.Credential}
 	r.OnToken = func() error {
