--- a/cmd/mangoloft/main.go
+++ b/cmd/mangoloft/main.go
@@ -17,6 +17,7 @@
 	"github.com/alexflint/go-arg"
 
 	_ "mangoloft/caller"
+	"mangoloft/certs"
 	_ "mangoloft/charge"
 	"mangoloft/check"
 	_ "mangoloft/engine"
@@ -49,15 +50,26 @@
 	Heads []string   `arg:"--head,separate" placeholder:"HASH" help:"a hash that status once showed, which the trail must hold; may be given several times"`
 }
 
+// instanceOptions say which instance to ask, and how.
+type instanceOptions struct {
+	Operators   netip.AddrPort `arg:"required" help:"the instance's address for operators, such as 10.0.0.1:9090"`
+	CA          string         `arg:"--ca" placeholder:"FILE" help:"the authorities of the instance's certificate, when it speaks TLS"`
+	Certificate string         `arg:"--certificate" placeholder:"FILE" help:"the certificate to show, when the instance asks for one"`
+	Key         string         `arg:"--key" placeholder:"FILE" help:"the key of the certificate"`
+	JSON        bool           `arg:"--json" help:"show the answer as JSON"`
+}
+
+func (o instanceOptions) client() operator.Client {
+	return operator.Client{Addr: o.Operators, Files: certs.Files{Certificate: o.Certificate, Key: o.Key, CA: o.CA}}
+}
+
 type explainCommand struct {
-	Operators netip.AddrPort `arg:"required" help:"the address for operators of any instance, such as 10.0.0.1:9090"`
-	JSON      bool           `arg:"--json" help:"show the audit records as JSON"`
-	RequestID string         `arg:"positional,required" placeholder:"REQUEST_ID" help:"the request's id, from X-Request-Id"`
+	instanceOptions
+	RequestID string `arg:"positional,required" placeholder:"REQUEST_ID" help:"the request's id, from X-Request-Id; any instance finds it"`
 }
 
 type statusCommand struct {
-	Operators netip.AddrPort `arg:"required" help:"the address for operators of the instance, such as 10.0.0.1:9090"`
-	JSON      bool           `arg:"--json" help:"show the status as JSON"`
+	instanceOptions
 }
 
 type versionCommand struct{}
@@ -102,8 +114,7 @@
 	case args.Explain != nil:
 		return explain(ctx, *args.Explain)
 	case args.Status != nil:
-		client := operator.Client{Addr: args.Status.Operators}
-		content, err := client.Status(ctx)
+		content, err := args.Status.client().Status(ctx)
 		return show(content, err, args.Status.JSON, operator.WriteStatus)
 	}
 	fmt.Println("mangoloft", version())
@@ -141,8 +152,7 @@
 		fmt.Fprintf(os.Stderr, "%q is no request id; an answer's X-Request-Id holds one, such as r-fwAAARtY...\n", command.RequestID)
 		return exitUnable
 	}
-	client := operator.Client{Addr: command.Operators}
-	content, err := client.Explain(ctx, id)
+	content, err := command.client().Explain(ctx, id)
 	return show(content, err, command.JSON, operator.WriteExplanation)
 }
 
--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -122,33 +123,76 @@
 	assert.Equal(t, r.stderr, "standard input:1:14: [\"pools/p\"].x: found unknown field \"x\"; allowed: the fields checks_fencing\n")
 }
 
+// newSettings writes the settings of an instance without a platform, and
+// returns their path and the addresses of its listeners. The busy one is taken.
+func newSettings(t *testing.T, busy, more string) (path string, addrs map[string]string) {
+	t.Helper()
+	addrs = map[string]string{}
+	for _, name := range []string{"callers", "peers", "operators"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addrs[name] = listener.Addr().String()
+		t.Cleanup(func() { listener.Close() })
+		if name != busy {
+			defer listener.Close()
+		}
+	}
+	dir := t.TempDir()
+	settings := fmt.Sprintf(`{
+		"instance": "e", "data_centre": "dc1", "listen": {"callers": %q, "peers": %q, "operators": %q}, %s
+		"platform": {"configuration": "127.0.0.1:1", "instance_list": "127.0.0.1:1"}, "keys": [{"id": "k", "secret_file": "secret"}],
+	}`, addrs["callers"], addrs["peers"], addrs["operators"], more)
+	path = filepath.Join(dir, "settings.json")
+	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "secret"), bytes.Repeat([]byte("k"), 32), 0o600))
+	return path, addrs
+}
+
 // TestBusyPort holds that an instance which can't listen ends, and says why.
 func TestBusyPort(t *testing.T) {
 	for _, busy := range []string{"callers", "peers", "operators"} {
 		t.Run(busy, func(t *testing.T) {
-			addrs := map[string]string{}
-			for _, name := range []string{"callers", "peers", "operators"} {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				addrs[name] = listener.Addr().String()
-				if name != busy {
-					listener.Close()
-				}
-				defer listener.Close()
-			}
-			dir := t.TempDir()
-			settings := fmt.Sprintf(`{
-				"instance": "e", "data_centre": "dc1", "listen": {"callers": %q, "peers": %q, "operators": %q},
-				"platform": {"configuration": "127.0.0.1:1", "instance_list": "127.0.0.1:1"}, "keys": [{"id": "k", "secret_file": "key"}],
-			}`, addrs["callers"], addrs["peers"], addrs["operators"])
-			path := filepath.Join(dir, "settings.json")
-			assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
-			assert.NilError(t, os.WriteFile(filepath.Join(dir, "key"), bytes.Repeat([]byte("k"), 32), 0o600))
+			path, addrs := newSettings(t, busy, "")
 			expect(t, 1, "listen tcp "+addrs[busy], "serve", "--settings", path)
 		})
 	}
 }
 
+// TestSecuredOperators asks an instance whose listener for operators speaks TLS
+// and asks for a certificate.
+func TestSecuredOperators(t *testing.T) {
+	path, addrs := newSettings(t, "", `"tls": {"operators": {"certificate_file": "e.crt", "key_file": "e.key", "ca_file": "ca.crt"}},`)
+	dir := filepath.Dir(path)
+	for _, name := range []string{"ca", "other"} {
+		authority, err := bench.NewAuthority()
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, name+".crt"), authority.PEM(), 0o600))
+		if name == "ca" {
+			assert.NilError(t, authority.Issue(dir, "e", netip.MustParseAddr("127.0.0.1")))
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	command := exec.CommandContext(ctx, filepath.Join(bin, "mangoloft"), "serve", "--settings", path)
+	assert.NilError(t, command.Start())
+	defer func() { _ = command.Process.Kill(); _ = command.Wait() }()
+	status := []string{"status", "--operators", addrs["operators"]}
+	identity := []string{"--certificate", filepath.Join(dir, "e.crt"), "--key", filepath.Join(dir, "e.key")}
+	ask := func(authority string, more ...string) []string {
+		return slices.Concat(status, []string{"--ca", filepath.Join(dir, authority)}, more)
+	}
+	for mangoloft(t, "", status...).code == 2 {
+		assert.NilError(t, ctx.Err(), "the instance does not listen")
+		time.Sleep(20 * time.Millisecond)
+	}
+	expect(t, 0, "e in dc1", ask("ca.crt", identity...)...)
+	expect(t, 1, "it speaks TLS only", status...)
+	expect(t, 2, "certificate required", ask("ca.crt")...)
+	expect(t, 2, "unknown authority", ask("other.crt", identity...)...)
+	expect(t, 2, "holds no certificate", ask("e.key", identity...)...)
+	expect(t, 2, "no such file", ask("none.crt", identity...)...)
+}
+
 // TestFleet looks at a running fleet by the command line.
 func TestFleet(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
--- a/operator/client.go
+++ b/operator/client.go
@@ -1,15 +1,20 @@
 package operator
 
 import (
+	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"mangoloft/certs"
 	"mangoloft/ident"
 )
 
@@ -44,6 +49,36 @@
 type Client struct {
 	// Addr is the instance's address for operators.
 	Addr netip.AddrPort
+	// Files secure the connection when any of them is named: the authorities of
+	// the instance's certificate, or those of the system, and the certificate
+	// that the instance asks for.
+	Files certs.Files
+}
+
+// transport returns what carries the questions, and the scheme for it.
+func (c Client) transport() (transport *http.Transport, scheme string, err error) {
+	if c.Files == (certs.Files{}) {
+		return &http.Transport{}, "http", nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if c.Files.CA != "" {
+		content, err := os.ReadFile(c.Files.CA)
+		if err != nil {
+			return nil, "", err
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(content) {
+			return nil, "", unreachable.New("%s holds no certificate of an authority", c.Files.CA)
+		}
+	}
+	if c.Files.Enabled() {
+		identity, err := tls.LoadX509KeyPair(c.Files.Certificate, c.Files.Key)
+		if err != nil {
+			return nil, "", err
+		}
+		config.Certificates = []tls.Certificate{identity}
+	}
+	return &http.Transport{TLSClientConfig: config}, "https", nil
 }
 
 // Status returns the instance's status as JSON.
@@ -59,11 +94,16 @@
 func (c Client) get(ctx context.Context, path string) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr.String()+path, nil)
+	transport, scheme, err := c.transport()
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+"://"+c.Addr.String()+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := (&http.Client{Transport: transport}).Do(request)
 	if err != nil {
 		return nil, unreachable.New("no answer from %s, which should be an instance's listen.operators: %v", c.Addr, err)
 	}
@@ -91,5 +131,8 @@
 	if json.Unmarshal(content, &wire) == nil && wire.Message != "" {
 		return wire.Message
 	}
+	if bytes.Contains(content, []byte("HTTPS server")) {
+		return "it speaks TLS only; name the authorities of its certificate"
+	}
 	return response.Status
 }
