Reads are hedged: a late or lost answer sends them to another service

Cause: a read was tried again only when it was proved not to have run, as if it were a charge.

Ruled out: longer waits, which a read's target doesn't allow, and retries in the transport, which know no budget.

Change: an idempotent call is sent to a second service when half of its target for waiting has passed, or when its answer is lost, at most three in all. The scheduler gives each further attempt its place within the retry budget. Charges are never hedged. A service that was passed by another counts as a failure for ejection. A call whose every attempt is proved not to have run is not_run; one lost answer makes it may_have_run.

Seen to fail: without the second attempt the silent service's case hangs; with the last error taken as it comes, a refusal after a lost answer passes for not_run.

--- /dev/null
+++ b/call/hedge_test.go
@@ -0,0 +1,110 @@
+package call_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"mangoloft/call"
+	"mangoloft/config"
+	"mangoloft/control"
+	"mangoloft/decide"
+	"mangoloft/verdict"
+)
+
+// services answer by the port that they are reached at. They are placed in
+// order, and places are refused after the last.
+type services struct {
+	behaviours []string
+
+	mu     sync.Mutex
+	placed int
+	calls  int
+	blamed []string
+	ended  int
+}
+
+func (s *services) Place(_ context.Context, r decide.Request) (decide.Place, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.placed != len(r.Avoid) {
+		return decide.Place{}, verdict.Fail(verdict.NotRun, verdict.Internal, "placed %d times, avoids %d", s.placed, len(r.Avoid))
+	}
+	if s.placed == len(s.behaviours) {
+		return decide.Place{}, verdict.Fail(verdict.NotRun, verdict.Overloaded, "the retry budget is spent")
+	}
+	s.placed++
+	addr := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(s.placed))
+	return decide.Place{Upstream: decide.Upstream{Name: s.behaviours[s.placed-1], Addr: addr}}, nil
+}
+
+func (s *services) Send(e control.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch e := e.(control.Scheduling).Event.(type) {
+	case decide.Failed:
+		s.blamed = append(s.blamed, e.Upstream)
+	case decide.Ended:
+		s.ended++
+	}
+}
+
+func (s *services) Call(ctx context.Context, addr netip.AddrPort, _ call.Request) (call.Answer, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	switch s.behaviours[addr.Port()-1] {
+	case "silent":
+		<-ctx.Done()
+		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "silent")
+	case "lost":
+		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "lost")
+	case "refuses":
+		return call.Answer{}, verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "refused")
+	default:
+		return call.Answer{Status: 200}, nil
+	}
+}
+
+func TestRunIdempotent(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	tests := map[string]struct {
+		behaviours []string
+		verdict    verdict.Verdict
+		reason     verdict.Reason
+		upstream   string
+		calls      int
+		blamed     []string
+	}{
+		"one that answers":              {[]string{"answers", "lost"}, verdict.Ran, verdict.Completed, "answers", 1, nil},
+		"a lost answer":                 {[]string{"lost", "answers"}, verdict.Ran, verdict.Completed, "answers", 2, []string{"lost"}},
+		"a silent one":                  {[]string{"silent", "answers"}, verdict.Ran, verdict.Completed, "answers", 2, []string{"silent"}},
+		"a refusal":                     {[]string{"refuses", "answers"}, verdict.Ran, verdict.Completed, "answers", 2, []string{"refuses"}},
+		"the budget is spent":           {[]string{"lost"}, verdict.MayHaveRun, verdict.UpstreamLost, "", 1, []string{"lost"}},
+		"all refuse":                    {[]string{"refuses", "refuses"}, verdict.NotRun, verdict.UpstreamRefused, "", 2, []string{"refuses", "refuses"}},
+		"a refusal after a lost answer": {[]string{"lost", "refuses"}, verdict.MayHaveRun, verdict.UpstreamLost, "", 2, []string{"lost", "refuses"}},
+		"no more than three attempts":   {[]string{"lost", "lost", "lost", "answers"}, verdict.MayHaveRun, verdict.UpstreamLost, "", 3, []string{"lost", "lost", "lost"}},
+		"no place at all":               {nil, verdict.NotRun, verdict.Overloaded, "", 0, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &services{behaviours: test.behaviours}
+			d := &call.Dispatcher{Placer: s, Runner: s}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			answer, _, err := d.RunIdempotent(ctx, config.Class{Wait: 20 * time.Millisecond}, call.Request{})
+			outcome := verdict.Of(err)
+			assert.Equal(t, outcome.Verdict, test.verdict, outcome.Detail)
+			assert.Equal(t, outcome.Reason, test.reason, outcome.Detail)
+			assert.Equal(t, answer.Upstream, test.upstream)
+			assert.Equal(t, s.calls, test.calls)
+			assert.DeepEqual(t, s.blamed, test.blamed)
+			assert.Equal(t, s.ended, min(1, test.calls))
+		})
+	}
+}
--- a/caller/calls.go
+++ b/caller/calls.go
@@ -49,7 +49,7 @@
 	}
 	var answer call.Answer
 	if class.Kind == config.Read {
-		answer, x.record.Steps, err = s.dispatcher.Run(x.Request().Context(), class, r)
+		answer, x.record.Steps, err = s.dispatcher.RunIdempotent(x.Request().Context(), class, r)
 	} else {
 		answer, err = s.charge(x, r)
 	}
