Charges under a schedule of faults with planned stops, and a home that wakes late

Cause: the random run ended with its charges, after one to seven faults, and no fault was a planned stop. Nothing with processes showed that a home that wakes late runs nothing that nobody waits for.

Change: TestChargesUnderRandomFaults goes through a schedule of ten faults from its seed, planned stops among them, and charges as long as that lasts. MANGOLOFT_SEED gives another seed. TestHomeThatWakesLateRunsNothing freezes a home with a forwarded ticket in its hands, and the forwarder, for 17 s, wakes the home alone, and sees that it runs nothing until it is asked again. The tests with fleets of their own run in parallel, as many as there are processors.

A first form of the second test froze only the home. It passed with every comparison of deadlines switched off, because the forwarder had given up and closed the link, which takes the request with it; it was worth nothing. With the forwarder frozen it fails when the comparisons at the home, the dispatcher and the service's client are off, and passes with any of them: they stand behind one another.

--- a/bench/charges_test.go
+++ b/bench/charges_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -75,6 +77,7 @@
 }
 
 func TestCharges(t *testing.T) {
+	t.Parallel()
 	tests := map[string]func(context.Context, chargeCase){
 		"a home that is gone is told of at once":          homeGone,
 		"a home that is frozen is told of, and wakes":     homeFrozen,
@@ -252,35 +255,97 @@
 	c.wantRuns(ctx, 1)
 }
 
+// frozenFor is longer than a call may take from its arrival.
+const frozenFor = 17 * time.Second
+
+// TestHomeThatWakesLateRunsNothing freezes a home with a forwarded ticket in its
+// hands until nobody waits for it any more. The forwarder is frozen too, so that
+// the link stays as it is.
+func TestHomeThatWakesLateRunsNothing(t *testing.T) {
+	t.Parallel()
+	fleet, ctx, caller := chargeFleet(t)
+	home, history := fleet.Entries[0], bench.NewChargeHistory()
+	ticket, err := caller.Mint(ctx, home, bench.PurchaseClass)
+	assert.NilError(t, err)
+	assert.NilError(t, home.Signal(syscall.SIGSTOP))
+	frozenAt := time.Now()
+	forwarder := fleet.Entries[1]
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { history.Call(ctx, caller, forwarder, "headset", ticket, 0) })
+	wait(ctx, time.Second)
+	assert.NilError(t, forwarder.Signal(syscall.SIGSTOP))
+	wait(ctx, time.Until(frozenAt.Add(frozenFor)))
+	assert.NilError(t, home.Signal(syscall.SIGCONT))
+	// What it held has been looked at once later tickets are through.
+	for i := range 10 {
+		done := askUntilDone(ctx, history, caller, fleet.Entries[2:], fmt.Sprint("later ", i), mustMint(ctx, t, caller, home), 0)
+		assert.Assert(t, done.Completed(), "%+v", done)
+	}
+	assert.Equal(t, runsOf(ctx, t, fleet, "headset"), 0)
+	assert.NilError(t, forwarder.Signal(syscall.SIGCONT))
+	group.Wait()
+	done := askUntilDone(ctx, history, caller, fleet.Entries[1:], "headset", ticket, 0)
+	assert.Assert(t, done.Completed(), "%+v", done)
+	runs, err := fleet.Runs(ctx)
+	assert.NilError(t, err)
+	assert.NilError(t, history.Check(runs))
+}
+
+func mustMint(ctx context.Context, t *testing.T, caller *bench.Caller, p *bench.Process) string {
+	t.Helper()
+	ticket, err := caller.Mint(ctx, p, bench.PurchaseClass)
+	assert.NilError(t, err)
+	return ticket
+}
+
 // TestChargesUnderRandomFaults charges through all instances while homes die,
-// freeze, are cut off and are forgotten, and services fail.
+// freeze, stop by plan, are cut off and are forgotten, and services fail.
 func TestChargesUnderRandomFaults(t *testing.T) {
-	const seed, workers, perWorker = 1, 8, 25
+	t.Parallel()
+	const workers, faults = 8, 10
+	seed := chargeSeed(t)
 	fleet, ctx, caller := chargeFleet(t)
-	w := &chargeLoad{fleet, caller, bench.NewChargeHistory(), atomic.Int32{}}
-	var callers, faults sync.WaitGroup
+	w := &chargeLoad{fleet: fleet, caller: caller, history: bench.NewChargeHistory()}
+	over, end := context.WithCancel(ctx)
+	defer end()
+	var group sync.WaitGroup
 	for worker := range workers {
-		callers.Go(func() { w.run(ctx, rand.New(rand.NewPCG(seed, uint64(worker)+1)), worker, perWorker) })
+		group.Go(func() { w.run(ctx, over, rand.New(rand.NewPCG(seed, uint64(worker)+1)), worker) })
 	}
-	over := make(chan struct{})
-	count := 0
-	faults.Go(func() { count = injectFaults(ctx, fleet, rand.New(rand.NewPCG(seed, 0)), over) })
-	callers.Wait()
-	close(over)
-	faults.Wait()
+	random := rand.New(rand.NewPCG(seed, 0))
+	for range faults {
+		wait(ctx, time.Duration(random.IntN(200))*time.Millisecond)
+		injectFault(ctx, fleet, random)
+	}
+	end()
+	group.Wait()
 	runs, err := fleet.Runs(ctx)
 	assert.NilError(t, err)
-	t.Logf("seed %d: %d charges, %d answered, %d runs, %d faults", seed, workers*perWorker, w.answered.Load(), len(runs), count)
-	assert.Assert(t, w.answered.Load() > 0 && count > 0)
+	t.Logf("seed %d: %d charges, %d answered, %d runs, %d faults", seed, w.charges.Load(), w.answered.Load(), len(runs), faults)
+	assert.Assert(t, w.answered.Load() > 0)
 	assert.NilError(t, w.history.Check(runs))
 }
 
+// chargeSeed returns the seed of the run: 1, unless MANGOLOFT_SEED has another.
+func chargeSeed(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("MANGOLOFT_SEED")
+	if text == "" {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	assert.NilError(t, err)
+	return seed
+}
+
 // chargeLoad makes charges and asks again, as callers do.
 type chargeLoad struct {
-	fleet    *bench.Fleet
-	caller   *bench.Caller
-	history  *bench.ChargeHistory
-	answered atomic.Int32
+	fleet   *bench.Fleet
+	caller  *bench.Caller
+	history *bench.ChargeHistory
+
+	charges, answered atomic.Int32
 }
 
 var callFaults = []standin.ServiceFault{standin.Refuse, standin.Fail, standin.Drop, standin.DropAnswer, standin.CutAnswer, standin.Cross, standin.Slow}
@@ -288,13 +353,18 @@
 // maxAsks is how often a caller asks before it leaves a charge as unknown.
 const maxAsks = 4
 
-func (w *chargeLoad) run(ctx context.Context, random *rand.Rand, worker, charges int) {
-	for i := range charges {
+// chargePause keeps the load small.
+const chargePause = 20 * time.Millisecond
+
+// run charges until over ends.
+func (w *chargeLoad) run(ctx, over context.Context, random *rand.Rand, worker int) {
+	for i := 0; over.Err() == nil; i++ {
 		charge := fmt.Sprintf("headset %d/%d", worker, i)
 		if random.IntN(4) == 0 {
 			charge += " fault=" + string(callFaults[random.IntN(len(callFaults))])
 		}
 		w.charge(ctx, random, charge)
+		wait(ctx, chargePause)
 	}
 }
 
@@ -303,6 +373,7 @@
 	if err != nil {
 		return // The instance is gone; nothing was charged.
 	}
+	w.charges.Add(1)
 	for attempt, asked := 0, 0; asked < maxAsks; asked++ {
 		var group sync.WaitGroup
 		if random.IntN(8) == 0 {
@@ -326,44 +397,37 @@
 	return w.fleet.Entries[random.IntN(len(w.fleet.Entries))]
 }
 
-// injectFaults puts one fault after another on the fleet until over is closed,
-// takes them all back, and returns how many there were.
-func injectFaults(ctx context.Context, fleet *bench.Fleet, random *rand.Rand, over <-chan struct{}) int {
-	for count := 0; ; count++ {
-		select {
-		case <-over:
-			return count
-		case <-ctx.Done():
-			return count
-		case <-time.After(time.Duration(random.IntN(200)) * time.Millisecond):
-		}
-		p, other := fleet.Entries[random.IntN(len(fleet.Entries))], fleet.Entries[random.IntN(len(fleet.Entries))]
-		length := time.Duration(100+random.IntN(1500)) * time.Millisecond
-		switch random.IntN(6) {
-		case 0:
-			p.Kill()
-			wait(ctx, length/4)
-			_ = fleet.Restart(p) // What fails here shows as an instance that never answers.
-		case 1:
-			_ = p.Signal(syscall.SIGSTOP)
-			wait(ctx, 2*length)
-			_ = p.Signal(syscall.SIGCONT)
-		case 2:
-			p.PeerProxy.Set(other.IP, bench.Cut)
-			wait(ctx, length)
-			p.PeerProxy.Heal()
-		case 3:
-			p.PeerProxy.Set(other.IP, bench.SilenceAnswers)
-			wait(ctx, 2*length)
-			p.PeerProxy.Heal()
-		case 4:
-			p.PeerProxy.ForgetOpen()
-		case 5:
-			fleet.Services[random.IntN(len(fleet.Services))].Proxy.Set(p.IP, bench.SilenceAnswers)
-			wait(ctx, length)
-			for _, service := range fleet.Services {
-				service.Proxy.Heal()
-			}
+// injectFault puts a fault on the fleet for a while, and takes it back.
+func injectFault(ctx context.Context, fleet *bench.Fleet, random *rand.Rand) {
+	p, other := fleet.Entries[random.IntN(len(fleet.Entries))], fleet.Entries[random.IntN(len(fleet.Entries))]
+	length := time.Duration(100+random.IntN(1500)) * time.Millisecond
+	switch random.IntN(7) {
+	case 0:
+		p.Kill()
+		wait(ctx, length/4)
+		_ = fleet.Restart(p) // What fails here shows as an instance that never answers.
+	case 6:
+		_ = p.Stop(ctx) // What doesn't end shows as charges that nobody answers.
+		_ = fleet.Restart(p)
+	case 1:
+		_ = p.Signal(syscall.SIGSTOP)
+		wait(ctx, 2*length)
+		_ = p.Signal(syscall.SIGCONT)
+	case 2:
+		p.PeerProxy.Set(other.IP, bench.Cut)
+		wait(ctx, length)
+		p.PeerProxy.Heal()
+	case 3:
+		p.PeerProxy.Set(other.IP, bench.SilenceAnswers)
+		wait(ctx, 2*length)
+		p.PeerProxy.Heal()
+	case 4:
+		p.PeerProxy.ForgetOpen()
+	case 5:
+		fleet.Services[random.IntN(len(fleet.Services))].Proxy.Set(p.IP, bench.SilenceAnswers)
+		wait(ctx, length)
+		for _, service := range fleet.Services {
+			service.Proxy.Heal()
 		}
 	}
 }
--- a/bench/security_test.go
+++ b/bench/security_test.go
@@ -47,6 +47,7 @@
 // TestTeamsAreApart has one team use what belongs to another. It must learn
 // nothing by it: it gets the answer to what doesn't exist at all.
 func TestTeamsAreApart(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 2, Engines: 1, Services: 1, Step: time.Millisecond})
 	owner, other := bench.NewCaller(bench.Credential), addTeam(ctx, t, fleet)
 	ticket, err := owner.Mint(ctx, fleet.Entries[0], bench.PurchaseClass)
@@ -109,6 +110,7 @@
 // TestRequestIdsLeadNowhereElse explains a request whose id, which nobody
 // signs, names a home that is no entry instance.
 func TestRequestIdsLeadNowhereElse(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 1, Services: 1})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -135,6 +137,7 @@
 // TestMalformedInput sends what is wrong in some way. Each gets a clear error
 // and has no effect.
 func TestMalformedInput(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 1, Engines: 1, Services: 1, Step: time.Millisecond})
 	good, p := bench.NewCaller(bench.Credential), fleet.Entries[0]
 	ticket, err := good.Mint(ctx, p, bench.PurchaseClass)
@@ -173,6 +176,7 @@
 
 // TestOpenRequestsAreBounded has more callers than the settings allow.
 func TestOpenRequestsAreBounded(t *testing.T) {
+	t.Parallel()
 	const limit, callers = 4, 20
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 1, Services: 1, OpenRequests: limit})
 	assert.NilError(t, fleet.SetFault(ctx, standin.Slow))
@@ -204,6 +208,7 @@
 // TestPeersAuthenticateEachOther secures the links between instances, and has
 // others try to speak to one.
 func TestPeersAuthenticateEachOther(t *testing.T) {
+	t.Parallel()
 	authority, err := bench.NewAuthority()
 	assert.NilError(t, err)
 	foreign, err := bench.NewAuthority()
@@ -252,6 +257,7 @@
 // TestPeersRefuseAnImpostor puts a server without a certificate of the authority
 // at the address of a peer that is gone.
 func TestPeersRefuseAnImpostor(t *testing.T) {
+	t.Parallel()
 	authority, err := bench.NewAuthority()
 	assert.NilError(t, err)
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 2, Services: 1, Authority: authority})
@@ -293,6 +299,7 @@
 // TestKeysRotateWithoutRestart puts a new key on the ring of running instances,
 // and takes the old one away.
 func TestKeysRotateWithoutRestart(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 2, Services: 1})
 	caller := bench.NewCaller(bench.Credential)
 	mint := func(p *bench.Process) string {
--- a/bench/stop_test.go
+++ b/bench/stop_test.go
@@ -159,6 +159,7 @@
 // TestTicketsOutliveTheirHomesPlannedStop replaces one instance after the other
 // by plan. Tickets go on wherever they are shown, until a holder is killed.
 func TestTicketsOutliveTheirHomesPlannedStop(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 3, Services: 1})
 	caller, history := bench.NewCaller(bench.Credential), bench.NewChargeHistory()
 	mint := func() string {
@@ -204,6 +205,7 @@
 // TestOtherDataCentreFindsTheSuccessor shows the ticket of a home that stopped
 // in another data centre, whose heartbeats don't come here.
 func TestOtherDataCentreFindsTheSuccessor(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 2, Entries: 3, Services: 1})
 	caller, history := bench.NewCaller(bench.Credential), bench.NewChargeHistory()
 	ticket, err := caller.Mint(ctx, fleet.Entries[0], bench.PurchaseClass)
@@ -222,6 +224,7 @@
 // TestHandOverThatNobodyTakes stops a home whose only peer can't answer it.
 // Then nobody runs its tickets.
 func TestHandOverThatNobodyTakes(t *testing.T) {
+	t.Parallel()
 	fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 2, Services: 1, Proxies: true})
 	caller, history := bench.NewCaller(bench.Credential), bench.NewChargeHistory()
 	home, other := fleet.Entries[0], fleet.Entries[1]
