Orphaned generations are ended

Cause: a generation whose entry instance was killed, and whose reader did not come back, ran on to its last token: memory taken from others, with nobody to read it. Nobody else knew of it, because nothing is kept.

Weighed: telling a peer of each open generation by heartbeat, so that it can cancel after the death: bytes for every stream, and the peer may die too. The engine knows better than anyone whether somebody reads.

Change: an engine's load report lists the generations under way that nobody reads, with their latest reader and for how long. Whoever asks the engine for its load ends those that were unread for 15 s, longer than an instance (10 s over a cut link) or its own cancel (4 s after a hang-up) takes. The cancel names the latest reader, so a reader who came back meanwhile loses nothing, and two instances may do it at once. Event 504 records it.

--- a/engine/plugin.go
+++ b/engine/plugin.go
@@ -89,6 +89,8 @@
 	CapacityTokens int    `json:"capacity_tokens"`
 	StepMicros     int64  `json:"step_us"`
 	Preemptions    uint64 `json:"preemptions"`
+	// Unread holds generations under way that nobody reads.
+	Unread []unreadWire `json:"unread"`
 }
 
 // run asks the upstreams that fall to this instance for their load.
@@ -150,4 +152,5 @@
 	l.own[u.Name] = load
 	l.mu.Unlock()
 	l.rt.Send(control.Scheduling{Event: decide.Reported{Upstream: u.Name, Report: load.Report}})
+	l.cancelOrphans(ctx, u, wire.Unread)
 }
--- a/event/event.go
+++ b/event/event.go
@@ -48,6 +48,7 @@
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
 	GenerationCancelled ID = 503
+	GenerationOrphaned  ID = 504
 
 	LedgerHandedOver ID = 601
 	LedgerTaken      ID = 602
@@ -80,6 +81,7 @@
 	RequestEnded:        "request_ended",
 	StreamResumed:       "stream_resumed",
 	GenerationCancelled: "generation_cancelled",
+	GenerationOrphaned:  "generation_orphaned",
 	LedgerHandedOver:    "ledger_handed_over",
 	LedgerTaken:         "ledger_taken",
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -88,6 +88,8 @@
 	CapacityTokens int    `json:"capacity_tokens"`
 	StepMicros     int64  `json:"step_us"`
 	Preemptions    uint64 `json:"preemptions"`
+	// Unread holds the generations under way that nobody reads.
+	Unread []unreadWire `json:"unread,omitempty"`
 }
 
 // Routes returns the engine's HTTP interface.
@@ -237,6 +239,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r.attached[reader]--
+	r.leftAt = time.Now()
 }
 
 // TokenText is the text of a token, from which a test can tell whose it is.
@@ -272,11 +275,12 @@
 func (e *Engine) load(c echo.Context) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	load := e.model.Load(time.Now())
+	now := time.Now()
+	load := e.model.Load(now)
 	return c.JSON(http.StatusOK, loadWire{
 		Incarnation: e.incarnation.String(), Leaving: e.leaving, TakenUnixMS: load.TakenAt.UnixMilli(),
 		Running: load.Running, Waiting: load.Waiting, UsedTokens: load.UsedTokens, CapacityTokens: load.CapacityTokens,
-		StepMicros: load.StepTime.Microseconds(), Preemptions: load.Preemptions,
+		StepMicros: load.StepTime.Microseconds(), Preemptions: load.Preemptions, Unread: e.unread(now),
 	})
 }
 
--- a/standin/readers.go
+++ b/standin/readers.go
@@ -1,11 +1,24 @@
 package standin
 
+import "time"
+
 // readers are those that attached to one generation.
 type readers struct {
 	// newest is the reader that attached first most lately; attached counts
 	// the open connections of every reader that ever attached.
 	newest   string
 	attached map[string]int
+	// leftAt is when the latest connection ended.
+	leftAt time.Time
+}
+
+// open returns how many connections read the generation.
+func (r *readers) open() int {
+	open := 0
+	for _, n := range r.attached {
+		open += n
+	}
+	return open
 }
 
 // attach counts a connection of the reader in.
