The preempted stream's engine has room for what the class may ask

Cause: the test's engine held 1,024 tokens, less than one output of the class may have, so admission refused every request (429, no upstream had room) unless it came before the first report of the engine's load; the test hung on which came first and failed 2 of 4 runs at a time.

Change: 16,384 tokens, of which the other generation's prompt takes all but 1,000. What is checked is the same. A fleet that doesn't begin to serve streams now says in the test's log what the last answer was.

--- a/bench/streams_test.go
+++ b/bench/streams_test.go
@@ -235,10 +235,18 @@
 	t.Helper()
 	plan.Services = 1
 	fleet, ctx := startFleet(t, plan)
+	var last string
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("when the fleet began, %s", last)
+		}
+	})
 	for _, entry := range fleet.Entries {
 		eventually(t, entry.Name+" serves streams", func() bool {
 			r := newReader()
-			return r.Begin(ctx, http.DefaultClient, entry.Addr, bench.DraftClass, prompt(1)) == nil && r.Done
+			err := r.Begin(ctx, http.DefaultClient, entry.Addr, bench.DraftClass, prompt(1))
+			last = fmt.Sprintf("%s: %v %s", entry.Name, err, r.Failure)
+			return err == nil && r.Done
 		})
 	}
 	return fleet, ctx
@@ -250,13 +258,13 @@
 	t.Parallel()
 	fleet, ctx := startStreams(t, bench.Plan{
 		DataCentres: 1, Entries: 1, Engines: 1, Step: step,
-		EngineArgs: []string{"--blocks", "64", "--block-tokens", "16", "--cache-blocks", "0"},
+		EngineArgs: []string{"--blocks", "1024", "--block-tokens", "16", "--cache-blocks", "0"},
 	})
 	engine := fleet.Engines[0]
 	ended := make(chan error, 1)
 	r := newReader()
 	r.OnToken = at(r, 50, func() error {
-		later(t, 0, func() { ended <- takeMemory(ctx, engine, 900) })
+		later(t, 0, func() { ended <- takeMemory(ctx, engine, 1024*16-1000, 900) })
 		return nil
 	})
 	const tokens = 800
@@ -269,8 +277,10 @@
 }
 
 // takeMemory runs a generation at the engine that is preempted last.
-func takeMemory(ctx context.Context, engine *bench.Process, tokens int) error {
-	order := fmt.Sprintf(`{"generation": "hog", "reader": "hog", "prompt": %q, "max_tokens": %d, "priority": 1000000000}`, prompt(tokens), tokens)
+func takeMemory(ctx context.Context, engine *bench.Process, promptTokens, tokens int) error {
+	const bytesPerToken = 4
+	long := prompt(tokens) + strings.Repeat(" ", promptTokens*bytesPerToken)
+	order := fmt.Sprintf(`{"generation": "hog", "reader": "hog", "prompt": %q, "max_tokens": %d, "priority": 1000000000}`, long, tokens)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+engine.Addr.String()+"/generations", strings.NewReader(order))
 	if err != nil {
 		return err
