News of progress waits for the next notice

Cause: half of the messages between instances told of progress alone, which the forecast estimates by the step time anyway, and they took processor time from the relays.

--- a/peer/notices.go
+++ b/peer/notices.go
@@ -20,6 +20,8 @@
 const (
 	// noticeDelay is how long notices are gathered before they are sent.
 	noticeDelay = 1 * time.Millisecond
+	// progressInterval is the longest that news of progress waits.
+	progressInterval = 500 * time.Millisecond
 	// noticeLimit bounds the sending of one message.
 	noticeLimit = 500 * time.Millisecond
 	// maxNotices bounds those that wait; more are dropped.
@@ -43,6 +45,9 @@
 		return
 	}
 	n.list = append(n.list, noticeToWire(notice))
+	if notice.Kind == decide.NoticeProgressed {
+		return // It goes with the next notice, or at the interval.
+	}
 	select {
 	case n.ready <- struct{}{}:
 	default:
@@ -60,6 +65,8 @@
 // notify sends notices to the partners. An instance that is slow holds up no
 // other.
 func (l *links) notify(ctx context.Context) error {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
@@ -73,6 +80,7 @@
 				return nil
 			case <-time.After(noticeDelay):
 			}
+		case <-ticker.C:
 		}
 		message.Notices = l.notices.take()
 		if len(message.Notices) == 0 {
