Capacity: delegates measured where delegates speak

Cause: since all speak to all in fleets of up to 24 instances, the slope over 2 to 16 data centres of two mixed two ways of speaking. Change: the slope is taken over 13, 16, 20 and 26 data centres, up to 52 processes.

--- a/bench/slopes_processes.go
+++ b/bench/slopes_processes.go
@@ -170,7 +170,7 @@
 		sizes  []int
 	}{
 		{"instances in a data centre", centreEntries, neighbours, []int{4, 8, 16, 26}},
-		{"data centres of two delegates", targetCentres, centres, []int{2, 4, 8, 16}},
+		{"data centres of two delegates", targetCentres, centres, []int{13, 16, 20, 26}},
 		{"upstreams of a data centre, 26 instances", targetUpstreams / targetCentres, upstreams, []int{16, 32, 64, 125}},
 		{"teams, 12 instances", targetTeams, teams, []int{2625, 5250, 10_500, 21_000}},
 		{"changes in 8 s, 12 instances, 21,000 teams", targetChanges * watchFor.Seconds() / (24 * 3600), changes, []int{4, 8, 16, 32}},
