Bench: listeners' ports lie outside those of outgoing connections

Cause: now and then a fleet of a test was not ready within 15 s; in the run of make test at hand an instance had heard nothing from its only peer. Only the first instance's log was shown, so whether the peer had ended is not known. What is known: a process dials from the address at which it is to listen, and the ports were chosen from the range that outgoing connections get, some time before the listener was there.

Ruled out: a fault that shows at each start; 240 starts of two instances behind proxies, six fleets at a time, were all ready. The fault itself was not reproduced, so that this was its cause is not proved.

Change: ports are chosen from 10,000 to 30,000, below that range, and a fleet that is not ready shows the status and log of every entry instance.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -21,6 +22,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -352,7 +354,11 @@
 	}
 	*addr = listen
 	if f.plan.Proxies {
-		if *proxy, err = NewProxy(netip.AddrPortFrom(ip, 0), listen); err != nil {
+		front, err := freeAddr(ip)
+		if err != nil {
+			return listen, err
+		}
+		if *proxy, err = NewProxy(front, listen); err != nil {
 			return listen, err
 		}
 		*addr = (*proxy).Addr()
@@ -360,13 +366,28 @@
 	return listen, nil
 }
 
+// Ports are chosen below those from which connections leave: a process dials
+// from the address that it listens at, and one of its first connections could
+// take the port that was chosen for a listener that is not there yet.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// ports counts the ports chosen by this program.
+var ports atomic.Uint32
+
 func freeAddr(ip netip.Addr) (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, err
+	for {
+		addr := netip.AddrPortFrom(ip, uint16(firstPort+ports.Add(1)%portCount))
+		listener, err := net.Listen("tcp", addr.String())
+		switch {
+		case err == nil:
+			return addr, listener.Close()
+		case !errors.Is(err, syscall.EADDRINUSE):
+			return addr, err
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // entryWire and upstreamWire are the instance list's lines.
@@ -470,7 +491,7 @@
 	for _, p := range f.Entries {
 		for !f.ready(ctx, p) {
 			if time.Now().After(until) {
-				return errorx.TimeoutElapsed.New("%s is not ready: %s", p.Name, f.describe(ctx, p))
+				return errorx.TimeoutElapsed.New("%s is not ready: %s", p.Name, f.describe(ctx))
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -478,11 +499,16 @@
 	return nil
 }
 
-// describe tells what an entry instance says of itself and what it last logged.
-func (f *Fleet) describe(ctx context.Context, p *Process) string {
-	status, err := f.Status(ctx, p)
-	logs, _ := os.ReadFile(filepath.Join(f.plan.Dir, p.Name+".log")) // It may not have started.
-	return fmt.Sprintf("status %+v, %v, log: %s", status, err, logs[max(0, len(logs)-shownLogBytes):])
+// describe tells what each entry instance says of itself and what it last
+// logged: one that is not ready may wait for another that has ended.
+func (f *Fleet) describe(ctx context.Context) string {
+	var text strings.Builder
+	for _, p := range f.Entries {
+		status, err := f.Status(ctx, p)
+		logs, _ := os.ReadFile(filepath.Join(f.plan.Dir, p.Name+".log")) // It may not have started.
+		fmt.Fprintf(&text, "\n%s: status %+v, %v, log: %s", p.Name, status, err, logs[max(0, len(logs)-shownLogBytes):])
+	}
+	return text.String()
 }
 
 // shownLogBytes is how much of a log's end an error shows.
