Bench: addresses are chosen without a try

Cause: to find a free port the bench listened at it and closed the listener again. A process that is being forked at that moment holds a copy of the listener until it runs its program, so the real listener, opened right after, was refused: 'address already in use', seen once in make test when the proxy opened it. A process of the fleet that was refused so ended at its start, which fits the fleets that were not ready now and then.

Ruled out: ports of outgoing connections (this one lay below them) and addresses shared with other fleets (each process has its own).

Change: an address is counted up and not tried. Each process has an IP address of its own, and ports are below those of outgoing connections, so nobody else can have it.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -9,11 +9,9 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -200,9 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.Operators, err = freeAddr(p.IP); err != nil {
-		return nil, err
-	}
+	p.Operators = newAddr(p.IP)
 	path := filepath.Join(f.plan.Dir, name+".json")
 	limits := ""
 	if f.plan.StopGrace > 0 {
@@ -349,16 +345,10 @@
 // listener chooses where a process listens, and sets addr to where others
 // reach it: there, or at a proxy before it.
 func (f *Fleet) listener(ip netip.Addr, addr *netip.AddrPort, proxy **Proxy) (listen netip.AddrPort, err error) {
-	if listen, err = freeAddr(ip); err != nil {
-		return listen, err
-	}
+	listen = newAddr(ip)
 	*addr = listen
 	if f.plan.Proxies {
-		front, err := freeAddr(ip)
-		if err != nil {
-			return listen, err
-		}
-		if *proxy, err = NewProxy(front, listen); err != nil {
+		if *proxy, err = NewProxy(newAddr(ip), listen); err != nil {
 			return listen, err
 		}
 		*addr = (*proxy).Addr()
@@ -377,17 +367,12 @@
 // ports counts the ports chosen by this program.
 var ports atomic.Uint32
 
-func freeAddr(ip netip.Addr) (netip.AddrPort, error) {
-	for {
-		addr := netip.AddrPortFrom(ip, uint16(firstPort+ports.Add(1)%portCount))
-		listener, err := net.Listen("tcp", addr.String())
-		switch {
-		case err == nil:
-			return addr, listener.Close()
-		case !errors.Is(err, syscall.EADDRINUSE):
-			return addr, err
-		}
-	}
+// newAddr returns an address that nobody has: the IP address is the process's
+// own. It is not tried out. A listener that is opened for a try and closed again
+// lives on for a moment in any process that is being forked just then, and the
+// real one is refused.
+func newAddr(ip netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(ip, uint16(firstPort+ports.Add(1)%portCount))
 }
 
 // entryWire and upstreamWire are the instance list's lines.
