One way to serve HTTP, and the bench's fleet in files by subject

Change: certs.ServeHTTP serves both listeners. bench/fleet.go is split into fleet, process, address, publish and status.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -117,24 +117,12 @@
 			if err != nil {
 				return nil, err
 			}
-			return &silenceConn{conn, silence}, nil
+			return &impatientConn{conn, silence}, nil
 		},
 		MaxIdleConnsPerHost: 16,
 	}}
 }
 
-type silenceConn struct {
-	net.Conn
-	limit time.Duration
-}
-
-func (c *silenceConn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(b)
-}
-
 func (s *soak) run(ctx context.Context, start time.Time) {
 	// Callers begin nothing new in the last part of the quiet end.
 	beginUntil := start.Add(s.plan.Length - quietEnd/2)
--- /dev/null
+++ b/bench/status.go
@@ -0,0 +1,100 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// WaitReady waits until every entry instance is ready and knows all others of
+// its data centre.
+func (f *Fleet) WaitReady(ctx context.Context, until time.Time) error {
+	for _, p := range f.Entries {
+		for !f.ready(ctx, p) {
+			if time.Now().After(until) {
+				return errorx.TimeoutElapsed.New("%s is not ready: %s", p.Name, f.describe(ctx))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// describe tells what each entry instance says of itself and what it last
+// logged: one that is not ready may wait for another that has ended.
+func (f *Fleet) describe(ctx context.Context) string {
+	var text strings.Builder
+	for _, p := range f.Entries {
+		status, err := f.Status(ctx, p)
+		logs, _ := os.ReadFile(filepath.Join(f.plan.Dir, p.Name+".log")) // It may not have started.
+		fmt.Fprintf(&text, "\n%s: status %+v, %v, log: %s", p.Name, status, err, logs[max(0, len(logs)-shownLogBytes):])
+	}
+	return text.String()
+}
+
+// shownLogBytes is how much of a log's end an error shows.
+const shownLogBytes = 2000
+
+// Status is the part of an instance's status that the bench looks at.
+type Status struct {
+	Incarnation   string   `json:"incarnation"`
+	Ready         bool     `json:"ready"`
+	ConfigVersion uint64   `json:"config_version"`
+	Peers         []string `json:"peers"`
+	OpenRequests  int      `json:"open_requests"`
+}
+
+// Status asks an entry instance for its status.
+func (f *Fleet) Status(ctx context.Context, p *Process) (Status, error) {
+	var status Status
+	content, err := f.Get(ctx, "http://"+p.Operators.String()+"/status")
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal(content, &status)
+}
+
+func (f *Fleet) ready(ctx context.Context, p *Process) bool {
+	status, err := f.Status(ctx, p)
+	if err != nil || !status.Ready {
+		return false
+	}
+	// Instances of other data centres are known to delegates only.
+	for _, other := range f.Entries {
+		if other != p && other.DataCentre == p.DataCentre && !slices.Contains(status.Peers, other.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// Get reads an address; anything but 200 is an error.
+func (f *Fleet) Get(ctx context.Context, target string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := f.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errorx.ExternalError.New("%s: %s %s", target, strconv.Itoa(response.StatusCode), content)
+	}
+	return content, err
+}
+
+// TrailOf returns the path of the audit trail of all incarnations of p.
+func (f *Fleet) TrailOf(p *Process) string { return filepath.Join(f.plan.Dir, p.Name+".trail") }
--- a/caller/plugin.go
+++ b/caller/plugin.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -84,27 +82,7 @@
 		ConnContext:       boundSendBuffer,
 		ReadHeaderTimeout: headerLimit, ReadTimeout: bodyLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeaderBytes,
 	}
-	var group sync.WaitGroup
-	defer group.Wait()
-	// A server that can't listen ends the other goroutine too.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	group.Go(func() {
-		<-ctx.Done()
-		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			server.Close()
-		}
-	})
-	listener, err := certs.ListenHTTP(s.rt.Settings.Listen.Callers, s.rt.Settings.TLS.Callers)
-	if err != nil {
-		return err
-	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return certs.ServeHTTP(ctx, server, s.rt.Settings.Listen.Callers, s.rt.Settings.TLS.Callers, closeLimit)
 }
 
 // sendBufferBytes bounds what the system keeps for one connection whose other
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -4,10 +4,13 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -136,6 +139,32 @@
 	}
 }
 
+// ServeHTTP serves until ctx ends, secured when there are files. Connections
+// have the time closeLimit to end by themselves then.
+func ServeHTTP(ctx context.Context, server *http.Server, addr netip.AddrPort, files Files, closeLimit time.Duration) error {
+	listener, err := ListenHTTP(addr, files)
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	// A server that fails ends the other goroutine too.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() {
+		<-ctx.Done()
+		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			server.Close()
+		}
+	})
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // ListenHTTP listens for HTTP, secured when there are files.
 func ListenHTTP(addr netip.AddrPort, files Files) (net.Listener, error) {
 	listener, err := net.Listen("tcp", addr.String())
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"expvar"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -60,27 +58,7 @@
 	e.GET("/requests/:id", s.explain)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	server := &http.Server{Handler: e, ReadHeaderTimeout: headerLimit}
-	var group sync.WaitGroup
-	defer group.Wait()
-	// A server that can't listen ends the other goroutine too.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	group.Go(func() {
-		<-ctx.Done()
-		closing, cancel := context.WithTimeout(context.Background(), closeLimit)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			server.Close()
-		}
-	})
-	listener, err := certs.ListenHTTP(s.rt.Settings.Listen.Operators, s.rt.Settings.TLS.Operators)
-	if err != nil {
-		return err
-	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return certs.ServeHTTP(ctx, server, s.rt.Settings.Listen.Operators, s.rt.Settings.TLS.Operators, closeLimit)
 }
 
 // statusWire is what an instance tells operators about itself.
