An idle engine takes what fits it now, whatever may come

Cause: a stream whose prompt and forecast output may need more than an engine's whole memory was placed nowhere once a load report was in, not even on an idle engine. It waited its time out and was refused as wait_expired, each time anew, though no engine would ever have more room.

Change: an engine on which nothing runs or waits, as far as is known, has room for a request whose prompt fits its memory.

Seen to fail: without it the new case of TestArrival is not placed; its companion, the same request before engines that are busy, waits as before. Known before from a stream test whose engine had less memory than the class's largest output.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -301,6 +301,10 @@
 		unseen.count = unseenRate * now.Sub(u.report.TakenAt).Seconds()
 		u.refresh(now, unseen, curve)
 		free := float64(u.report.CapacityTokens) - u.with(&own, deviations)
+		if free < 0 && u.idle() && w.PromptTokens < u.report.CapacityTokens {
+			// It will never have more room than now, so waiting is in vain.
+			free = 1
+		}
 		if free < 0 || !u.holdsPace(w.Request) {
 			continue
 		}
--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -116,6 +116,13 @@
 	return strings.Join(words, ", ")
 }
 
+// outgrowing makes a request one of a class without history that may grow
+// beyond an engine's memory.
+func outgrowing(r *decide.Request) {
+	r.Class.Name, r.Class.MaxOutputTokens = "unknown", 50*engineTokens
+	r.PromptTokens = engineTokens - 200
+}
+
 // full is the report of an engine that others have filled.
 var full = decide.Report{Running: 12, UsedTokens: engineTokens - 20}
 
@@ -132,6 +139,15 @@
 			return full
 		}, nil, "place at engine1"},
 		"no engine with room": {func(int) decide.Report { return full }, nil, ""},
+		"one that may outgrow any engine has an idle one": {func(i int) decide.Report {
+			if i == 1 {
+				return decide.Report{}
+			}
+			return decide.Report{Running: 1, UsedTokens: 100}
+		}, outgrowing, "place at engine1"},
+		"one that may outgrow any engine waits for an idle one": {func(int) decide.Report {
+			return decide.Report{Running: 1, UsedTokens: 100}
+		}, outgrowing, ""},
 		"all avoided": {func(int) decide.Report { return decide.Report{} }, func(r *decide.Request) {
 			r.Avoid = []string{"engine0", "engine1", "engine2"}
 		}, "refuse as no_upstream"},
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -199,6 +199,11 @@
 	return f.peak(deviations)
 }
 
+// idle reports whether nothing runs or waits there, as far as is known.
+func (u *upstream) idle() bool {
+	return len(u.flights) == 0 && u.report.Running == 0 && u.report.Waiting == 0
+}
+
 // holdsPace says that the tightest target for pace there would still hold. A
 // target that not even a single generation can have holds nobody back.
 func (u *upstream) holdsPace(r Request) bool {
