Under a ticket, not_run is said only when it holds for the ticket

Cause: an instance that was stopping, full or without a configuration refused a call under a ticket as not_run. That was true of the request at hand, but an earlier request under the same ticket may have run, its answer lost.

Ruled out: asking the home in each such case; an instance that is stopping or full can't wait for it.

Change: at the edge, a not_run under a ticket stands only when the ledger closed the ticket, or when the key can't have run for this team (no ticket, another team's, expired unused, malformed request). Any other becomes may_have_run, with the same ticket to ask with, the same reason and Retry-After. The soak takes a last not_run as a word on all attempts of its charge: such a charge must not have run.

Before: the soak could not notice it, since it checked only charges whose every attempt was not_run.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -64,8 +64,9 @@
 // chargeHistory is what the caller of one charge was told, over all attempts.
 type chargeHistory struct {
 	succeeded bool
-	// onlyNotRun says that every attempt was answered with verdict not_run.
-	onlyNotRun bool
+	// notRun says that the last word was verdict not_run, which speaks of the
+	// ticket and so of the attempts before, too.
+	notRun bool
 }
 
 // callerSilence is how long a caller waits for any byte before it takes its
@@ -248,7 +249,7 @@
 		}
 	}
 	s.secrets.keep("", "", ticket)
-	history := chargeHistory{onlyNotRun: true}
+	var history chargeHistory
 	result := "unknown"
 	attempts := 0
 	for attempts < maxChargeAttempts {
@@ -258,16 +259,14 @@
 			if want := fmt.Sprintf("%s for %s: %s", PurchaseClass, Team, body); answer.body != want {
 				s.violation("charge %s got the answer %q", name, answer.body)
 			}
-			history.succeeded, history.onlyNotRun, result = true, false, "completed"
+			history.succeeded, result = true, "completed"
 			break
 		}
 		if answer.ticket != "" {
 			ticket = answer.ticket
 		}
-		if answer.verdict != verdict.NotRun {
-			history.onlyNotRun = false
-		} else if random.IntN(2) == 0 {
-			result = "not_run"
+		if answer.verdict == verdict.NotRun && random.IntN(2) == 0 {
+			history.notRun, result = true, "not_run"
 			break
 		}
 		if ticket == "" {
@@ -359,8 +358,8 @@
 			s.violation("%s ran %d times", key, n)
 		case history.succeeded && n != 1:
 			s.violation("%s was answered as done and ran %d times", key, n)
-		case history.onlyNotRun && n != 0:
-			s.violation("%s was answered with not_run only, and ran", key)
+		case history.notRun && n != 0:
+			s.violation("%s was answered with not_run at last, and ran", key)
 		}
 	}
 	return nil
--- a/caller/plugin.go
+++ b/caller/plugin.go
@@ -33,7 +33,10 @@
 )
 
 // completionsPath is where completions begin and go on.
-const completionsPath = "/v1/completions"
+const (
+	completionsPath = "/v1/completions"
+	callsPath       = "/v1/calls/:class"
+)
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "caller", Stage: kernel.StageEdge, Start: start})
@@ -70,7 +73,7 @@
 	e.GET("/ready", s.ready)
 	e.POST(completionsPath, s.request(s.complete))
 	e.GET(completionsPath, s.request(s.complete))
-	e.POST("/v1/calls/:class", s.request(s.call))
+	e.POST(callsPath, s.request(s.call))
 	e.POST("/v1/tickets", s.request(s.mint))
 	e.GET("/v1/requests/:id", s.request(s.explain))
 	return e
--- a/caller/request.go
+++ b/caller/request.go
@@ -61,7 +61,7 @@
 		x.record = record{ID: x.id.String(), Route: c.Path(), ArrivedAt: time.Now()}
 		c.Response().Header().Set(requestIDHeader, x.id.String())
 		err := s.admit(x, handle)
-		outcome := verdict.Of(err)
+		outcome := x.provable(verdict.Of(err))
 		x.record.Verdict, x.record.Reason, x.record.Detail = outcome.Verdict, outcome.Reason, outcome.Detail
 		x.record.EndedAt = time.Now()
 		metrics.RequestEnded(outcome)
@@ -73,6 +73,30 @@
 	}
 }
 
+// provable takes back a not_run that nothing proves. A refusal of a call under a
+// ticket speaks of this request only: the ticket's call may have run before, and
+// a caller who reads not_run may charge again under another ticket. Proof is the
+// word of the ticket's ledger, or a key that can't have run for this team.
+func (x *exchange) provable(o verdict.Outcome) verdict.Outcome {
+	ticket := x.Request().Header.Get(ticketHeader)
+	if o.Verdict != verdict.NotRun || x.Path() != callsPath || ticket == "" {
+		return o
+	}
+	answered := x.Response().Header().Get(ticketHeader)
+	closed := answered != "" && answered != ticket
+	switch o.Reason {
+	case verdict.TicketClosed, verdict.TicketExpired, verdict.ForeignKey, verdict.UnknownTeam, verdict.BadRequest:
+		return o
+	}
+	if closed {
+		return o
+	}
+	x.Response().Header().Set(ticketHeader, ticket)
+	o.Verdict = verdict.MayHaveRun
+	o.Detail += "; this request did nothing, but the ticket's call may have run before: ask again with the same ticket"
+	return o
+}
+
 func (s *server) admit(x *exchange, handle func(*exchange) error) error {
 	kind := x.kind()
 	switch s.rt.Work.Begin(kind) {
@@ -137,7 +161,7 @@
 }
 
 func (x *exchange) fail(o verdict.Outcome) error {
-	if o.Verdict == verdict.NotRun && !o.RetryAt.IsZero() {
+	if !o.RetryAt.IsZero() {
 		seconds := max(0, math.Ceil(time.Until(o.RetryAt).Seconds()))
 		x.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(int(seconds)))
 	}
