Test of known lengths: the engines are not idle

Cause: TestKnownLengthsDecideByTheTruth failed in make test since an idle engine takes whatever its memory can begin: its case of a long output stood before idle engines, which are right to take it now.

Change: one generation runs on each engine and the memory is 1500 tokens, so that the long output, known, has no room and the short one has. The check is the same: none placed, and one placed.

Seen to fail: with the long output's known length set to 100, the case is placed.

--- a/baseline/baseline_test.go
+++ b/baseline/baseline_test.go
@@ -76,6 +76,7 @@
 }
 
 // The bound must hold back what a known length has no room for, and only that.
+// The engines are not idle: an idle one takes what its memory can begin.
 func TestKnownLengthsDecideByTheTruth(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "lengths.json")
 	content := `[{"team": "reef", "class": "draft", "prompt_tokens": 10, "output_tokens": 900},
@@ -88,7 +89,7 @@
 			s := newPolicy(t, "known_lengths", path)
 			for _, engine := range []string{"engine0", "engine1"} {
 				s.Step(epoch, decide.Reported{Upstream: engine, Report: decide.Report{
-					TakenAt: epoch, CapacityTokens: 500, StepTime: 10 * time.Millisecond,
+					TakenAt: epoch, Running: 1, UsedTokens: 20, CapacityTokens: 1500, StepTime: 10 * time.Millisecond,
 				}})
 			}
 			actions := s.Step(epoch, decide.Arrived{Request: decide.Request{
