--- /dev/null
+++ b/catalog/follower.go
@@ -0,0 +1,178 @@
+// Package catalog follows what the platform's store publishes: the routing
+// table and the list of upstreams.
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/event"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+var (
+	storeErrors = errorx.NewNamespace("store")
+	// ErrNoTable says that the store has no routing table yet.
+	ErrNoTable = storeErrors.NewType("no_table")
+	// ErrHistoryGone says that a watch can't go on from its revision.
+	ErrHistoryGone = storeErrors.NewType("history_gone")
+)
+
+// Store is what is needed of the platform's store.
+type Store interface {
+	// Table returns the routing table as published and the store's revision.
+	Table(ctx context.Context) (raw []byte, revision uint64, err error)
+	// List returns all upstreams. What changed after the revision may be
+	// missing.
+	List(ctx context.Context) (items []upstream.Item, revision uint64, err error)
+	// WatchTable waits for a table newer than the revision; raw is nil when
+	// none came in time.
+	WatchTable(ctx context.Context, after uint64, until time.Time) (raw []byte, revision uint64, err error)
+	// WatchList waits for changes after the revision.
+	WatchList(ctx context.Context, after uint64, until time.Time) (items []upstream.Item, revision uint64, err error)
+}
+
+// Sink takes what was read.
+type Sink interface {
+	TableRead(d routing.Document, from string)
+	ListRead(items []upstream.Item, revision uint64, whole bool)
+	ListLost()
+}
+
+// Decoder reads a routing table.
+type Decoder interface {
+	Table(raw []byte) (*routing.Table, error)
+}
+
+const (
+	// watchWait is how long the store may hold a watch.
+	watchWait = 10 * time.Second
+	// watchPause is the time between two watches, so that changes which come
+	// together are read together.
+	watchPause = 100 * time.Millisecond
+	// firstBackoff doubles with each failure in a row, up to longestBackoff.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 800 * time.Millisecond
+	storeName      = "store"
+)
+
+// Follower reads the store until its context ends.
+type Follower struct {
+	Store   Store
+	Sink    Sink
+	Decoder Decoder
+	Log     *event.Log
+
+	tableReadAt, listReadAt atomic.Int64
+	tableLost, listLost     atomic.Bool
+}
+
+// Reads reports whether the list can be read at the moment.
+func (f *Follower) Reads() bool { return f.listReadAt.Load() != 0 && !f.listLost.Load() }
+
+// FollowTable follows the routing table.
+func (f *Follower) FollowTable(ctx context.Context) error {
+	var revision uint64
+	var backoff time.Duration
+	for ctx.Err() == nil {
+		raw, at, err := f.readTable(ctx, revision)
+		switch {
+		case errors.Is(err, context.Canceled):
+			return nil
+		case errorx.IsOfType(err, ErrHistoryGone):
+			revision = 0
+			continue
+		case err != nil:
+			backoff = f.failed(ctx, "table", &f.tableLost, backoff, err)
+			continue
+		}
+		f.succeeded("table", &f.tableLost, &f.tableReadAt, at)
+		revision, backoff = max(revision, at), 0
+		if raw != nil {
+			f.offer(raw)
+		}
+		pause(ctx, watchPause)
+	}
+	return nil
+}
+
+func (f *Follower) readTable(ctx context.Context, revision uint64) ([]byte, uint64, error) {
+	if revision == 0 {
+		return f.Store.Table(ctx)
+	}
+	return f.Store.WatchTable(ctx, revision, time.Now().Add(watchWait))
+}
+
+func (f *Follower) offer(raw []byte) {
+	table, err := f.Decoder.Table(raw)
+	if err != nil {
+		f.Log.Emit(event.TableRefused, "error", err.Error())
+		return
+	}
+	f.Sink.TableRead(routing.Document{Table: table, Raw: raw}, storeName)
+}
+
+// FollowList follows the list of upstreams.
+func (f *Follower) FollowList(ctx context.Context) error {
+	var revision uint64
+	var backoff time.Duration
+	for ctx.Err() == nil {
+		whole := revision == 0
+		items, at, err := f.readList(ctx, revision)
+		switch {
+		case errors.Is(err, context.Canceled):
+			return nil
+		case errorx.IsOfType(err, ErrHistoryGone):
+			revision = 0
+			continue
+		case err != nil:
+			f.Sink.ListLost()
+			backoff = f.failed(ctx, "list", &f.listLost, backoff, err)
+			continue
+		}
+		f.succeeded("list", &f.listLost, &f.listReadAt, at)
+		revision, backoff = max(revision, at), 0
+		f.Sink.ListRead(items, at, whole)
+		pause(ctx, watchPause)
+	}
+	return nil
+}
+
+func (f *Follower) readList(ctx context.Context, revision uint64) ([]upstream.Item, uint64, error) {
+	if revision == 0 {
+		return f.Store.List(ctx)
+	}
+	return f.Store.WatchList(ctx, revision, time.Now().Add(watchWait))
+}
+
+func (f *Follower) succeeded(what string, lost *atomic.Bool, readAt *atomic.Int64, revision uint64) {
+	readAt.Store(time.Now().UnixNano())
+	if lost.CompareAndSwap(true, false) {
+		f.Log.Emit(event.StoreBack, "what", what, "revision", revision)
+	}
+}
+
+// failed notes a failure, waits, and returns the next backoff.
+func (f *Follower) failed(ctx context.Context, what string, lost *atomic.Bool, backoff time.Duration, err error) time.Duration {
+	if lost.CompareAndSwap(false, true) {
+		f.Log.Emit(event.StoreLost, "what", what, "error", err.Error())
+	}
+	backoff = min(max(2*backoff, firstBackoff), longestBackoff)
+	pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+	return backoff
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/cmd/mangobench-entry/main.go
+++ b/cmd/mangobench-entry/main.go
@@ -20,7 +20,7 @@
 	"mangoloft/kernel"
 	_ "mangoloft/operator"
 	_ "mangoloft/peer"
-	_ "mangoloft/platform"
+	_ "mangoloft/publisher"
 	_ "mangoloft/service"
 	"mangoloft/settings"
 )
--- /dev/null
+++ b/cmd/mangoloft-edge/main.go
@@ -0,0 +1,91 @@
+// Command mangoloft-edge is the entry instance of mangoloft for the Halvorsen
+// platform, and the tool that checks its settings.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"mangoloft/catalog"
+	"mangoloft/entry"
+	"mangoloft/platform"
+)
+
+const (
+	// heapGrowth is the percentage by which the heap may grow between two
+	// collections. Memory costs more than processor time on small instances.
+	heapGrowth = 50
+)
+
+type serveCommand struct {
+	Settings string `arg:"--settings,env:MANGOLOFT_CONFIG,required" help:"the settings file"`
+}
+
+type checkCommand struct {
+	Settings string `arg:"positional" help:"a settings file"`
+	Table    string `arg:"--table" help:"a routing table as operators publish it"`
+}
+
+type arguments struct {
+	Serve *serveCommand `arg:"subcommand:serve" help:"run an entry instance"`
+	Check *checkCommand `arg:"subcommand:check" help:"check files and tell every fault"`
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	switch {
+	case args.Serve != nil:
+		os.Exit(report(serve(args.Serve.Settings)))
+	case args.Check != nil:
+		os.Exit(report(check(*args.Check)))
+	default:
+		parser.WriteHelp(os.Stderr)
+		os.Exit(2)
+	}
+}
+
+func report(err error) int {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+func serve(path string) error {
+	debug.SetGCPercent(heapGrowth)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	return entry.Run(ctx, path, reloads, entry.Peripherals{
+		Store:    func(addr func() netip.AddrPort) catalog.Store { return platform.NewStore(addr) },
+		Protocol: platform.Headers{}, Engines: platform.NewEngines(), Decoder: platform.Documents{},
+	}, os.Stdout)
+}
+
+func check(c checkCommand) error {
+	if c.Settings != "" {
+		if _, err := entry.Load(c.Settings); err != nil {
+			return err
+		}
+	}
+	if c.Table != "" {
+		raw, err := os.ReadFile(c.Table)
+		if err != nil {
+			return err
+		}
+		if _, err := (platform.Documents{}).Table(raw); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/mangoloft/main.go
+++ b/cmd/mangoloft/main.go
@@ -25,7 +25,7 @@
 	"mangoloft/kernel"
 	"mangoloft/operator"
 	_ "mangoloft/peer"
-	_ "mangoloft/platform"
+	_ "mangoloft/publisher"
 	_ "mangoloft/service"
 	"mangoloft/settings"
 )
--- a/decide/budget.go
+++ b/decide/budget.go
@@ -1,7 +1,11 @@
 package decide
 
 // retryBudget lets retries be a share of traffic and no more.
-type retryBudget struct{ left float64 }
+type retryBudget struct {
+	left float64
+	// share is what each first try adds, saved bounds left.
+	share, saved float64
+}
 
 const (
 	// retryShare is what each first try adds to the budget.
@@ -11,9 +15,11 @@
 	startRetries    = 5
 )
 
-func newRetryBudget() retryBudget { return retryBudget{startRetries} }
+func newRetryBudget() retryBudget {
+	return retryBudget{left: startRetries, share: retryShare, saved: maxRetriesSaved}
+}
 
-func (b *retryBudget) firstTry() { b.left = min(maxRetriesSaved, b.left+retryShare) }
+func (b *retryBudget) firstTry() { b.left = min(b.saved, b.left+b.share) }
 
 // retry takes a retry from the budget, if one is left.
 func (b *retryBudget) retry() bool {
--- a/decide/length.go
+++ b/decide/length.go
@@ -177,6 +177,32 @@
 	}
 }
 
+// lengthsOf returns the forecast within the bound that the caller gave.
+func (s *Scheduler) lengthsOf(r Request) Distribution {
+	d := s.lengths.Of(r)
+	if r.MaxOutputTokens > 0 {
+		return bounded{d, float64(r.MaxOutputTokens)}
+	}
+	return d
+}
+
+// bounded is a distribution of lengths that never go beyond a bound.
+type bounded struct {
+	Distribution
+	most float64
+}
+
+// Beyond implements Distribution.
+func (b bounded) Beyond(tokens float64) float64 {
+	if tokens >= b.most {
+		return 0
+	}
+	return b.Distribution.Beyond(tokens)
+}
+
+// Mean implements Distribution.
+func (b bounded) Mean() float64 { return min(b.Distribution.Mean(), b.most) }
+
 // Pool implements Lengths.
 func (l *learned) Pool(pool string) *Curve {
 	h := l.pool(pool)
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -27,9 +27,11 @@
 		}
 	case NoticePlaced:
 		s.queue.remove(id)
+		// A request that was moved is placed a second time.
 		s.withdraw(id)
 		if u := s.upstreams[n.Upstream]; u != nil {
-			s.board(now, u, n.Request, s.lengths.Of(n.Request), true)
+			s.board(now, u, n.Request, s.lengthsOf(n.Request), true)
+			s.advance(now, id, n.Tokens)
 		}
 	case NoticeProgressed:
 		s.advance(now, id, n.Tokens)
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -27,8 +28,10 @@
 	order      []string
 	pools      map[string]*pool
 	placed     map[ident.Request]string
-	queue      queue
-	retries    retryBudget
+	// moves holds where a request is being moved to.
+	moves   map[ident.Request]string
+	queue   queue
+	retries retryBudget
 	// notices gathers what to tell other instances after a step.
 	notices []Action
 }
@@ -40,10 +43,19 @@
 func NewWith(dataCentre string, lengths Lengths) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		placed: map[ident.Request]string{}, retries: newRetryBudget(),
+		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, retries: newRetryBudget(),
 	}
 }
 
+// LimitRetries replaces the retry budget: each first try adds a share of a
+// retry, and at most saved are kept.
+func (s *Scheduler) LimitRetries(share, saved float64) {
+	s.retries = retryBudget{left: min(max(s.retries.left, saved/2), saved), share: share, saved: saved}
+}
+
+// Waiting returns how many requests wait for a place.
+func (s *Scheduler) Waiting() int { return len(s.queue.list) }
+
 // Step takes one event at a time that never falls, and returns what to do.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	actions := append(s.take(now, e), s.notices...)
@@ -67,6 +79,10 @@
 	case Failed:
 		s.fail(now, e.Upstream)
 		return nil
+	case Relocating:
+		return s.relocate(now, e)
+	case Relocated:
+		s.endMove(now, e)
 	case Noticed:
 		s.takeNotice(now, e.Notice)
 		if e.Notice.Kind != NoticeEnded {
@@ -150,6 +166,7 @@
 }
 
 func (s *Scheduler) end(now time.Time, e Ended) {
+	s.dropMove(e.ID)
 	if s.queue.remove(e.ID) {
 		s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}})
 		return
@@ -217,9 +234,10 @@
 
 func (s *Scheduler) arrive(now time.Time, r Request) []Action {
 	s.release(now, r.ID)
+	s.dropMove(r.ID)
 	if len(r.Avoid) == 0 {
 		s.retries.firstTry()
-	} else if !s.retries.retry() {
+	} else if !r.Unsent && !s.retries.retry() {
 		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is spent")}
 	}
 	candidates := s.candidates(now, r)
@@ -277,11 +295,11 @@
 
 // choose draws an upstream with room, if there is one.
 func (s *Scheduler) choose(now time.Time, w *waiting, candidates []*upstream) (choice, bool) {
-	lengths := s.lengths.Of(w.Request)
+	lengths := s.lengthsOf(w.Request)
 	anyFresh := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.fresh(now) })
 	if w.Class.Kind != config.Stream || !anyFresh {
-		u := s.fewest(candidates)
-		why := fmt.Sprintf("fewest requests: %d here, %d waiting by report", len(u.flights), u.report.Waiting)
+		u := s.fewest(now, w.ID, candidates)
+		why := fmt.Sprintf("fewest requests: %d here, %d running and %d waiting by report", len(u.flights), u.report.Running, u.report.Waiting)
 		return choice{u, lengths, why}, true
 	}
 	traffic, curve := s.pool(w.Class.Pool), s.lengths.Pool(w.Class.Pool)
@@ -298,14 +316,17 @@
 		if !u.fresh(now) {
 			continue
 		}
-		unseen.count = unseenRate * now.Sub(u.report.TakenAt).Seconds()
+		unseen.count = 0
+		if u.reported(now) {
+			unseen.count = unseenRate * now.Sub(u.report.TakenAt).Seconds()
+		}
 		u.refresh(now, unseen, curve)
-		free := float64(u.report.CapacityTokens) - u.with(&own, deviations)
-		if free < 0 && u.idle() && w.PromptTokens < u.report.CapacityTokens {
+		free := u.capacity() - u.with(&own, deviations)
+		if free < 0 && u.idle() && float64(w.PromptTokens) < u.capacity() {
 			// It will never have more room than now, so waiting is in vain.
 			free = 1
 		}
-		if free < 0 || !u.holdsPace(w.Request) {
+		if free < 0 || !u.hasSlot() || !u.holdsPace(w.Request) {
 			continue
 		}
 		room++
@@ -317,25 +338,37 @@
 	u := draw.best
 	why := fmt.Sprintf(
 		"room at %d of %d; here %d tokens stay free of %d at the peak with %.2f deviations, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
-		room, len(looked), int(float64(u.report.CapacityTokens)-u.with(&own, deviations)), u.report.CapacityTokens, deviations,
+		room, len(looked), int(u.capacity()-u.with(&own, deviations)), int(u.capacity()), deviations,
 		u.baseLoad.known, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
 	return choice{u, lengths, why}, true
 }
 
-// fewest returns the upstream with the fewest requests, the own data centre
-// first.
-func (s *Scheduler) fewest(candidates []*upstream) *upstream {
-	return slices.MinFunc(candidates, func(a, b *upstream) int {
-		if localA, localB := a.DataCentre == s.dataCentre, b.DataCentre == s.dataCentre; localA != localB {
-			if localA {
-				return -1
-			}
-			return 1
+// busyShare is the share of an upstream's slots in use from which calls go to
+// another data centre.
+const busyShare = 0.7
+
+// fewest returns the upstream with the fewest requests for its slots, one of
+// the own data centre as long as that is not busy. Those that return from an
+// ejection are passed over as often as their share says.
+func (s *Scheduler) fewest(now time.Time, id ident.Request, candidates []*upstream) *upstream {
+	cost := func(u *upstream) float64 {
+		load := u.load(now)
+		if u.DataCentre != s.dataCentre || load >= busyShare {
+			load += busyShare
+		}
+		if lot(id, ^u.hash) > u.health.share(now) {
+			load += returningCost
 		}
-		return len(a.flights) + a.report.Waiting - len(b.flights) - b.report.Waiting
+		return load
+	}
+	return slices.MinFunc(candidates, func(a, b *upstream) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(lot(id, a.hash), lot(id, b.hash)))
 	})
 }
 
+// returningCost puts an upstream behind all that are not returning.
+const returningCost = 100
+
 // serveQueue places what there is room for now, and gives up what has waited
 // too long. A request whose target has passed lets nobody go before it.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
--- a/decide/types.go
+++ b/decide/types.go
@@ -22,6 +22,11 @@
 	Incarnation ident.Incarnation
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Slots is how many requests it runs at once, CapacityTokens its key-value
+	// memory, and StepTime that of an iteration with a single generation, as
+	// far as they are declared; zero when only reports tell.
+	Slots, CapacityTokens int
+	StepTime              time.Duration
 }
 
 // Request is one request that asks for a place.
@@ -36,8 +41,13 @@
 	Prefix []uint64
 	// StartBy is when the target for waiting passes; zero when the class has none.
 	StartBy time.Time
+	// MaxOutputTokens bounds the output; zero when the caller gave no bound.
+	MaxOutputTokens int
 	// Avoid names upstreams that this request has failed at.
 	Avoid []string
+	// Unsent says that no upstream has got the request yet, so that another
+	// try is no retry.
+	Unsent bool
 }
 
 // Report is an upstream's report of its load, as of a time in the past.
@@ -91,6 +101,21 @@
 // Noticed is another instance's notice.
 type Noticed struct{ Notice Notice }
 
+// Relocating asks for an upstream that a placed request can move to. Until
+// Relocated, it counts at both.
+type Relocating struct {
+	ID ident.Request
+	// Avoid names upstreams that can't take it.
+	Avoid []string
+}
+
+// Relocated says that a move is over. The request stays where it was unless
+// Moved is set.
+type Relocated struct {
+	ID    ident.Request
+	Moved bool
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -101,6 +126,8 @@
 func (Ended) decideEvent()            {}
 func (Failed) decideEvent()           {}
 func (Noticed) decideEvent()          {}
+func (Relocating) decideEvent()       {}
+func (Relocated) decideEvent()        {}
 func (Tick) decideEvent()             {}
 
 // Action is what the scheduler wants done.
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -58,9 +58,37 @@
 
 // fresh says that the memory of the upstream can be forecast.
 func (u *upstream) fresh(now time.Time) bool {
-	return u.report.CapacityTokens > 0 && now.Sub(u.report.TakenAt) < reportAge
+	return u.CapacityTokens > 0 || u.report.CapacityTokens > 0 && now.Sub(u.report.TakenAt) < reportAge
 }
 
+// capacity returns the memory as declared, or else as reported.
+func (u *upstream) capacity() float64 {
+	if u.CapacityTokens > 0 {
+		return float64(u.CapacityTokens)
+	}
+	return float64(u.report.CapacityTokens)
+}
+
+// reported says that a report tells what others have there.
+func (u *upstream) reported(now time.Time) bool {
+	return !u.report.TakenAt.IsZero() && now.Sub(u.report.TakenAt) < reportAge
+}
+
+// load returns the requests there for each slot, as far as is known.
+func (u *upstream) load(now time.Time) float64 {
+	here := len(u.flights)
+	if now.Sub(u.report.TakenAt) < loadAge {
+		here = max(here, u.report.Running+u.report.Waiting)
+	}
+	return float64(here) / float64(max(1, u.Slots))
+}
+
+// loadAge is how long a reported load says something about the next call.
+const loadAge = 300 * time.Millisecond
+
+// hasSlot says that one more request would run at once, as far as is known.
+func (u *upstream) hasSlot() bool { return u.Slots == 0 || len(u.flights) < u.Slots }
+
 func (u *upstream) take(now time.Time, r Report) {
 	if !r.TakenAt.After(u.report.TakenAt) {
 		return
@@ -121,7 +149,10 @@
 	if learned := u.pace.step(float64(u.report.Running)); learned > 0 {
 		return learned
 	}
-	return u.report.StepTime
+	if u.report.StepTime > 0 {
+		return u.report.StepTime
+	}
+	return u.StepTime
 }
 
 // knownAt returns the count and memory of the known part of the report.
@@ -181,7 +212,11 @@
 	for i := range u.base {
 		u.base[i].add(moments{variance: u.missed, most: patient * math.Sqrt(u.missed)})
 	}
-	u.baseLoad = batch{len(u.flights), u.others(unseen.size), unseen}
+	var others crowd
+	if u.reported(now) {
+		others = u.others(unseen.size)
+	}
+	u.baseLoad = batch{len(u.flights), others, unseen}
 	ago := 0.0
 	if step > 0 {
 		ago = float64(now.Sub(u.report.TakenAt)) / float64(step)
--- /dev/null
+++ b/dispatch/commands.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"time"
+
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+type placeCommand struct {
+	event decide.Event
+	id    ident.Request
+	reply chan decision
+}
+
+func (cmd *placeCommand) apply(c *Controller, now time.Time) {
+	c.waiting[cmd.id] = cmd.reply
+	c.schedule(now, cmd.event)
+}
+
+type schedulingCommand struct{ event decide.Event }
+
+func (cmd schedulingCommand) apply(c *Controller, now time.Time) { c.schedule(now, cmd.event) }
+
+type endCommand struct{ event decide.Ended }
+
+func (cmd endCommand) apply(c *Controller, now time.Time) {
+	delete(c.waiting, cmd.event.ID)
+	delete(c.runs, cmd.event.ID)
+	c.schedule(now, cmd.event)
+}
+
+type retriesCommand struct{ share, saved float64 }
+
+func (cmd retriesCommand) apply(c *Controller, _ time.Time) {
+	c.scheduler.LimitRetries(cmd.share, cmd.saved)
+}
+
+type tableCommand struct {
+	document routing.Document
+	from     string
+}
+
+func (cmd tableCommand) apply(c *Controller, now time.Time) {
+	before := c.tables.Version()
+	if !c.tables.Offer(cmd.document) {
+		return
+	}
+	t := cmd.document.Table
+	c.log.Emit(event.TableAccepted, "version", t.Version, "before", before, "routes", len(t.Routes), "credentials", t.Teams(), "source", cmd.from)
+	c.upstreamsChanged(now)
+	c.publish()
+}
+
+type listCommand struct {
+	items    []upstream.Item
+	revision uint64
+	whole    bool
+}
+
+func (cmd listCommand) apply(c *Controller, now time.Time) {
+	before := c.directory.Revision()
+	var changes []upstream.Change
+	if cmd.whole {
+		changes = c.directory.Replace(now, cmd.items, cmd.revision)
+	} else {
+		changes = c.directory.Apply(now, cmd.items, cmd.revision)
+	}
+	if len(changes) > 0 {
+		c.beliefsChanged(now, changes)
+	} else if c.directory.Revision() != before {
+		c.publish()
+	}
+}
+
+type listLostCommand struct{}
+
+func (listLostCommand) apply(c *Controller, now time.Time) { c.directory.ListLost(now) }
+
+type leavingCommand struct {
+	id       string
+	born     int64
+	leavesAt time.Time
+	source   upstream.Source
+}
+
+func (cmd leavingCommand) apply(c *Controller, now time.Time) {
+	if change, ok := c.directory.Leaving(now, cmd.id, cmd.born, cmd.leavesAt, cmd.source); ok {
+		c.beliefsChanged(now, []upstream.Change{change})
+	}
+}
+
+type misdirectedCommand struct {
+	id   string
+	born int64
+}
+
+func (cmd misdirectedCommand) apply(c *Controller, now time.Time) {
+	if change, ok := c.directory.Gone(now, cmd.id, cmd.born, upstream.FromAnswer); ok {
+		c.beliefsChanged(now, []upstream.Change{change})
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -28,27 +28,40 @@
 	InstanceLacks    ID = 108
 	KeysReplaced     ID = 109
 	SettingsUnread   ID = 110
+	SettingsReloaded ID = 111
 
 	ConfigAccepted      ID = 201
 	ConfigRefused       ID = 202
 	ConfigServiceFailed ID = 203
 	ConfigServiceBehind ID = 204
+	TableAccepted       ID = 205
+	TableRefused        ID = 206
+	StoreLost           ID = 207
+	StoreBack           ID = 208
 
 	PeerAlive   ID = 301
 	PeerSilent  ID = 302
 	ListFailed  ID = 303
 	ListChanged ID = 304
 	ListDoubted ID = 305
+	PeerJoined  ID = 306
+	PeerLost    ID = 307
 
 	UpstreamJoined      ID = 401
 	UpstreamLeaving     ID = 402
 	UpstreamGone        ID = 403
 	UpstreamUnreachable ID = 404
+	UpstreamBelief      ID = 405
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
 	GenerationCancelled ID = 503
 	GenerationOrphaned  ID = 504
+	RequestPlaced       ID = 505
+	RequestRefused      ID = 506
+	AttemptEnded        ID = 507
+	RunMoved            ID = 508
+	RequestClosed       ID = 509
 
 	LedgerHandedOver ID = 601
 	LedgerTaken      ID = 602
@@ -78,6 +91,19 @@
 	UpstreamLeaving:     "upstream_leaving",
 	UpstreamGone:        "upstream_gone",
 	UpstreamUnreachable: "upstream_unreachable",
+	UpstreamBelief:      "upstream_belief",
+	TableAccepted:       "table_accepted",
+	TableRefused:        "table_refused",
+	StoreLost:           "store_lost",
+	StoreBack:           "store_back",
+	RequestPlaced:       "request_placed",
+	RequestRefused:      "request_refused",
+	AttemptEnded:        "attempt_ended",
+	RunMoved:            "run_moved",
+	RequestClosed:       "request_closed",
+	PeerJoined:          "peer_joined",
+	PeerLost:            "peer_lost",
+	SettingsReloaded:    "settings_reloaded",
 	RequestEnded:        "request_ended",
 	StreamResumed:       "stream_resumed",
 	GenerationCancelled: "generation_cancelled",
--- /dev/null
+++ b/gossip/peers.go
@@ -0,0 +1,388 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+const (
+	// flushInterval gathers notices into one datagram.
+	flushInterval = 50 * time.Millisecond
+	// lifeInterval is the longest time between two datagrams to a member.
+	lifeInterval = 1 * time.Second
+	// joinInterval is the time between two tries to find a first member.
+	joinInterval = 300 * time.Millisecond
+	// silentInterval is the time between two tries to reach silent members.
+	silentInterval = 2 * time.Second
+	// maxNotices bounds the notices of one datagram, which then stays under
+	// what an Ethernet frame holds.
+	maxNotices = 5
+	// maxPending bounds the notices that wait for a flush.
+	maxPending = 512
+	// maxKnown and maxKnownToNew bound the addresses that a datagram tells.
+	maxKnown      = 4
+	maxKnownToNew = 40
+	maxDatagram   = 16 << 10
+	// pullDelay is how long a member may be ahead before its state is asked
+	// for: what is new at the store reaches most instances by themselves.
+	pullDelay = 250 * time.Millisecond
+	// receiveBacklog is how many datagrams may wait.
+	receiveBacklog = 256
+)
+
+// State is what the instance has, for others.
+type State struct {
+	TableVersion, ListRevision uint64
+	// ReadsStore says that the instance itself reads the store at the moment.
+	ReadsStore bool
+	Table      []byte
+	Items      []upstream.Item
+}
+
+// Sink takes what other instances tell.
+type Sink interface {
+	Noticed(n decide.Notice)
+	Leaving(id string, born int64, leavesAt time.Time, source upstream.Source)
+	TableRead(d routing.Document, from string)
+	ListRead(items []upstream.Item, revision uint64, whole bool)
+}
+
+// Decoder reads the published documents that members pass on as they came.
+type Decoder interface {
+	Table(raw []byte) (*routing.Table, error)
+	Entry(id string, raw []byte) (*upstream.Entry, error)
+}
+
+// Options tell who the instance is.
+type Options struct {
+	Name        string
+	DataCentre  string
+	Listen      netip.AddrPort
+	Control     netip.AddrPort
+	Incarnation ident.Incarnation
+	// Seeds are control addresses of instances that may be stale or down.
+	// Their gossip port is the instance's own.
+	Seeds   func() []netip.AddrPort
+	State   func() State
+	Decoder Decoder
+	Log     *event.Log
+}
+
+// Peers speaks to the other instances.
+type Peers struct {
+	options Options
+	sink    Sink
+	conn    *net.UDPConn
+
+	mu      sync.Mutex
+	pending []decide.Notice
+	leaving []leavingNotice
+
+	wake     chan struct{}
+	received chan datagramWire
+	alive    atomic.Int64
+	stopping atomic.Bool
+
+	// What follows belongs to the goroutine of Run.
+	members    *Table
+	aheadSince time.Time
+	lastLife   time.Time
+	lastJoin   time.Time
+	lastSilent time.Time
+	pulling    atomic.Bool
+	pulls      sync.WaitGroup
+}
+
+type leavingNotice struct {
+	id       string
+	born     int64
+	leavesAt time.Time
+}
+
+// Listen opens the instance's port for datagrams.
+func Listen(o Options, sink Sink) (*Peers, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
+	if err != nil {
+		return nil, err
+	}
+	return &Peers{
+		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
+		members: NewTable(o.Listen),
+	}, nil
+}
+
+// Alive returns how many other instances are alive.
+func (p *Peers) Alive() int { return int(p.alive.Load()) }
+
+// Notice sends a notice with the next datagram.
+func (p *Peers) Notice(n decide.Notice) {
+	p.mu.Lock()
+	if len(p.pending) < maxPending {
+		p.pending = append(p.pending, n)
+	}
+	p.mu.Unlock()
+	p.rouse()
+}
+
+// Leaving tells that an upstream is on its way out.
+func (p *Peers) Leaving(id string, born int64, leavesAt time.Time) {
+	p.mu.Lock()
+	if len(p.leaving) < maxPending {
+		p.leaving = append(p.leaving, leavingNotice{id, born, leavesAt})
+	}
+	p.mu.Unlock()
+	p.rouse()
+}
+
+// Stop tells the others of the planned stop.
+func (p *Peers) Stop() {
+	p.stopping.Store(true)
+	p.rouse()
+}
+
+func (p *Peers) rouse() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Receive reads datagrams until ctx ends.
+func (p *Peers) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			p.options.Log.EmitSparingly(event.PeerLost, "reason", "read", "error", err.Error())
+			continue
+		}
+		var wire datagramWire
+		if err := json.Unmarshal(buffer[:n], &wire); err != nil {
+			p.options.Log.EmitSparingly(event.PeerLost, "reason", "malformed datagram", "error", err.Error())
+			continue
+		}
+		select {
+		case p.received <- wire:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Run sends and takes datagrams until ctx ends.
+func (p *Peers) Run(ctx context.Context) error {
+	defer p.pulls.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-p.received:
+			p.take(ctx, r)
+			continue
+		case <-p.wake:
+			p.gather(ctx, time.After(flushInterval))
+			p.flush(time.Now())
+		case <-timer.C:
+			p.tick(ctx, time.Now())
+			timer.Reset(p.nextTick())
+		}
+	}
+}
+
+// gather takes datagrams until notices are due to be sent.
+func (p *Peers) gather(ctx context.Context, until <-chan time.Time) {
+	if p.stopping.Load() {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-until:
+			return
+		case r := <-p.received:
+			p.take(ctx, r)
+		}
+	}
+}
+
+func (p *Peers) nextTick() time.Duration {
+	if p.members.Count() == 0 {
+		return joinInterval
+	}
+	return lifeInterval / 2
+}
+
+func (p *Peers) tick(ctx context.Context, now time.Time) {
+	for _, m := range p.members.Tick(now) {
+		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.HeardAt).Milliseconds())
+	}
+	p.alive.Store(int64(p.members.Count()))
+	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentInterval {
+		p.lastJoin = now
+		for _, seed := range p.options.Seeds() {
+			addr := netip.AddrPortFrom(seed.Addr(), p.options.Listen.Port())
+			if addr != p.options.Listen {
+				p.write(p.encode(nil, nil, maxKnown), addr)
+			}
+		}
+	}
+	if now.Sub(p.lastSilent) >= silentInterval {
+		p.lastSilent = now
+		for _, addr := range p.members.Silent() {
+			p.write(p.encode(nil, nil, maxKnown), addr)
+		}
+	}
+	if now.Sub(p.lastLife) >= lifeInterval {
+		p.broadcast(now, nil, nil)
+	}
+	p.catchUp(ctx, now)
+}
+
+// flush sends what is pending to all members.
+func (p *Peers) flush(now time.Time) {
+	p.mu.Lock()
+	notices, leaving := p.pending, p.leaving
+	p.pending, p.leaving = nil, nil
+	p.mu.Unlock()
+	var leavingOut []leavingWire
+	for _, l := range leaving {
+		w := leavingWire{ID: l.id, Born: l.born}
+		if !l.leavesAt.IsZero() {
+			w.LeavesInMS = max(1, l.leavesAt.Sub(now).Milliseconds())
+		}
+		leavingOut = append(leavingOut, w)
+	}
+	wires := make([]noticeWire, len(notices))
+	for i, n := range notices {
+		wires[i] = encodeNotice(now, n)
+	}
+	if len(wires) == 0 {
+		p.broadcast(now, nil, leavingOut)
+		return
+	}
+	for chunk := range slices.Chunk(wires, maxNotices) {
+		p.broadcast(now, chunk, leavingOut)
+		leavingOut = nil
+	}
+}
+
+func (p *Peers) broadcast(now time.Time, notices []noticeWire, leaving []leavingWire) {
+	p.lastLife = now
+	content := p.encode(notices, leaving, maxKnown)
+	for _, m := range p.members.Alive() {
+		p.write(content, m.Addr)
+	}
+}
+
+func (p *Peers) encode(notices []noticeWire, leaving []leavingWire, known int) []byte {
+	o, state := p.options, p.options.State()
+	wire := datagramWire{
+		From: o.Listen, Name: o.Name, DataCentre: o.DataCentre, Control: o.Control, Incarnation: uint64(o.Incarnation),
+		TableVersion: state.TableVersion, ListRevision: state.ListRevision, ReadsStore: state.ReadsStore,
+		Stopping: p.stopping.Load(), Notices: notices, Leaving: leaving, Known: p.someKnown(known),
+	}
+	content, err := json.Marshal(wire)
+	if err != nil {
+		o.Log.EmitSparingly(event.PeerLost, "reason", "encode", "error", err.Error())
+	}
+	return content
+}
+
+func (p *Peers) someKnown(most int) []netip.AddrPort {
+	alive := p.members.Alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	var known []netip.AddrPort
+	for _, m := range alive[:min(most, len(alive))] {
+		known = append(known, m.Addr)
+	}
+	return known
+}
+
+// write sends a datagram, which may be lost. The members' own silence tells
+// of those that can't be reached.
+func (p *Peers) write(content []byte, to netip.AddrPort) {
+	if _, err := p.conn.WriteToUDPAddrPort(content, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		p.options.Log.EmitSparingly(event.PeerLost, "reason", "write", "address", to.String(), "error", err.Error())
+	}
+}
+
+func (p *Peers) take(ctx context.Context, w datagramWire) {
+	now := time.Now()
+	if w.Stopping {
+		p.members.Leave(w.From, w.Incarnation)
+	} else {
+		m := Member{
+			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
+			TableVersion: w.TableVersion, ListRevision: w.ListRevision, ReadsStore: w.ReadsStore,
+		}
+		if p.members.Heard(now, m) {
+			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
+			p.write(p.encode(nil, nil, maxKnownToNew), m.Addr)
+		}
+	}
+	for _, addr := range w.Known {
+		p.members.Learn(now, addr)
+	}
+	for _, l := range w.Leaving {
+		var leavesAt time.Time
+		if l.LeavesInMS > 0 {
+			leavesAt = now.Add(time.Duration(l.LeavesInMS) * time.Millisecond)
+		}
+		p.sink.Leaving(l.ID, l.Born, leavesAt, upstream.FromPeer)
+	}
+	for _, n := range w.Notices {
+		notice, err := decodeNotice(now, n)
+		if err != nil {
+			p.options.Log.EmitSparingly(event.PeerLost, "reason", "malformed notice", "peer", w.Name, "error", err.Error())
+			continue
+		}
+		p.sink.Noticed(notice)
+	}
+	p.catchUp(ctx, now)
+}
+
+// catchUp asks a member that has been ahead for a while for what it has.
+func (p *Peers) catchUp(ctx context.Context, now time.Time) {
+	state := p.options.State()
+	m, ahead := p.members.Ahead(state.TableVersion, state.ListRevision, !state.ReadsStore)
+	switch {
+	case !ahead:
+		p.aheadSince = time.Time{}
+		return
+	case p.aheadSince.IsZero():
+		p.aheadSince = now
+	}
+	// An instance that has nothing yet doesn't wait.
+	if state.TableVersion != 0 && now.Sub(p.aheadSince) < pullDelay || !p.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	p.aheadSince = now
+	p.pulls.Go(func() {
+		defer p.pulling.Store(false)
+		if err := p.pull(ctx, m, state); err != nil {
+			p.options.Log.EmitSparingly(event.PeerLost, "reason", "state", "peer", m.Name, "error", err.Error())
+		}
+	})
+}
--- /dev/null
+++ b/gossip/state.go
@@ -0,0 +1,90 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+const (
+	statePath = "/state"
+	// pullLimit bounds one call for a member's state.
+	pullLimit = 1500 * time.Millisecond
+	// maxStateBytes bounds a member's answer.
+	maxStateBytes = 8 << 20
+)
+
+var stateClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Handler answers members that ask for the routing table and the list.
+func (p *Peers) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
+		state := p.options.State()
+		answer := stateWire{ListRevision: state.ListRevision}
+		if version, err := strconv.ParseUint(r.URL.Query().Get("table_version"), 10, 64); err == nil && state.TableVersion > version {
+			answer.Table = state.Table
+		}
+		if revision, err := strconv.ParseUint(r.URL.Query().Get("list_revision"), 10, 64); err == nil && state.ListRevision > revision {
+			answer.Items = encodeItems(state.Items)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// An error here is a member that hung up, which asks again.
+		_ = json.NewEncoder(w).Encode(answer)
+	})
+	return mux
+}
+
+// pull asks a member for what is newer there.
+func (p *Peers) pull(ctx context.Context, m Member, have State) error {
+	ctx, cancel := context.WithTimeout(ctx, pullLimit)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s?table_version=%d&list_revision=%d", m.Control, statePath, have.TableVersion, have.ListRevision)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := stateClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errorx.ExternalError.New("state: %s", response.Status)
+	}
+	var wire stateWire
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&wire); err != nil {
+		return errorx.Decorate(err, "state")
+	}
+	if len(wire.Table) > 0 {
+		table, err := p.options.Decoder.Table(wire.Table)
+		if err != nil {
+			return errorx.Decorate(err, "table of %s", m.Name)
+		}
+		p.sink.TableRead(routing.Document{Table: table, Raw: wire.Table}, m.Name)
+	}
+	if wire.ListRevision > have.ListRevision && !have.ReadsStore {
+		p.sink.ListRead(p.decodeItems(wire.Items), wire.ListRevision, true)
+	}
+	return nil
+}
+
+func (p *Peers) decodeItems(wire []itemWire) []upstream.Item {
+	items := make([]upstream.Item, 0, len(wire))
+	for _, w := range wire {
+		item := upstream.Item{ID: w.ID, Revision: w.Revision, Raw: w.Entry}
+		// An entry that can't be read names no upstream; the others hold.
+		item.Entry, _ = p.options.Decoder.Entry(w.ID, w.Entry)
+		items = append(items, item)
+	}
+	return items
+}
--- /dev/null
+++ b/gossip/wire.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"mangoloft/config"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/upstream"
+)
+
+// datagramWire is one datagram between instances.
+type datagramWire struct {
+	From         netip.AddrPort   `json:"from"`
+	Name         string           `json:"name"`
+	DataCentre   string           `json:"data_centre"`
+	Control      netip.AddrPort   `json:"control"`
+	Incarnation  uint64           `json:"incarnation,string"`
+	TableVersion uint64           `json:"table_version"`
+	ListRevision uint64           `json:"list_revision"`
+	ReadsStore   bool             `json:"reads_store,omitempty"`
+	Stopping     bool             `json:"stopping,omitempty"`
+	Known        []netip.AddrPort `json:"known,omitempty"`
+	Notices      []noticeWire     `json:"notices,omitempty"`
+	Leaving      []leavingWire    `json:"leaving,omitempty"`
+}
+
+type noticeWire struct {
+	Kind         decide.NoticeKind `json:"kind"`
+	ID           string            `json:"id"`
+	Team         string            `json:"team,omitempty"`
+	Class        string            `json:"class,omitempty"`
+	Pool         string            `json:"pool,omitempty"`
+	PromptTokens int               `json:"prompt_tokens,omitempty"`
+	MaxOutput    int               `json:"max_output,omitempty"`
+	// StartInMS is the time left to the target for waiting, in milliseconds.
+	StartInMS int64  `json:"start_in_ms,omitempty"`
+	WaitMS    int64  `json:"wait_ms,omitempty"`
+	Upstream  string `json:"upstream,omitempty"`
+	Tokens    int    `json:"tokens,omitempty"`
+	Completed bool   `json:"completed,omitempty"`
+}
+
+// leavingWire tells that an upstream is on its way out.
+type leavingWire struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"`
+	// LeavesInMS is the time left in milliseconds; 0 when not known.
+	LeavesInMS int64 `json:"leaves_in_ms,omitempty"`
+}
+
+func encodeNotice(now time.Time, n decide.Notice) noticeWire {
+	w := noticeWire{
+		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
+		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
+	}
+	if !n.Request.StartBy.IsZero() {
+		w.StartInMS, w.WaitMS = n.Request.StartBy.Sub(now).Milliseconds(), n.Request.Class.Wait.Milliseconds()
+	}
+	return w
+}
+
+func decodeNotice(now time.Time, w noticeWire) (decide.Notice, error) {
+	id, err := ident.ParseRequest(w.ID)
+	if err != nil {
+		return decide.Notice{}, err
+	}
+	r := decide.Request{ID: id, Team: w.Team, PromptTokens: w.PromptTokens, MaxOutputTokens: w.MaxOutput}
+	r.Class = config.Class{Name: w.Class, Pool: w.Pool, Kind: config.Stream, Wait: time.Duration(w.WaitMS) * time.Millisecond}
+	if w.WaitMS != 0 {
+		r.StartBy = now.Add(time.Duration(w.StartInMS) * time.Millisecond)
+	}
+	return decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}, nil
+}
+
+// stateWire answers an instance that asks for what it lacks.
+type stateWire struct {
+	// Table holds the routing table as it was published.
+	Table        json.RawMessage `json:"table,omitempty"`
+	ListRevision uint64          `json:"list_revision"`
+	Items        []itemWire      `json:"items,omitempty"`
+}
+
+type itemWire struct {
+	ID       string `json:"id"`
+	Revision uint64 `json:"revision"`
+	// Entry holds the entry as it was published.
+	Entry []byte `json:"entry"`
+}
+
+func encodeItems(items []upstream.Item) []itemWire {
+	wire := make([]itemWire, len(items))
+	for i, item := range items {
+		wire[i] = itemWire{item.ID, item.Revision, item.Raw}
+	}
+	return wire
+}
--- a/platform/plugin.go
+++ b/publisher/plugin.go
@@ -1,6 +1,6 @@
-// Package platform reads what the platform publishes: the configuration and
+// Package publisher reads what the platform publishes: the configuration and
 // the instance list. Both can be down or stale; neither can be written.
-package platform
+package publisher
 
 import (
 	"context"
