One or two readers of the store for each data centre

Change: those with the lowest addresses of a data centre read, the others get changes of the list with a datagram and the table by a call; a large fleet gossips within data centres and tells the others the loads of its engines.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -41,7 +41,7 @@
 // Sink takes what was read.
 type Sink interface {
 	TableRead(d routing.Document, from string)
-	ListRead(items []upstream.Item, revision uint64, whole bool)
+	ListRead(items []upstream.Item, revision uint64, whole bool, source upstream.Source)
 	ListLost()
 }
 
@@ -59,7 +59,10 @@
 	// firstBackoff doubles with each failure in a row, up to longestBackoff.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
-	storeName      = "store"
+	// roleInterval is the time between two looks at whether the instance has
+	// become a reader.
+	roleInterval = 200 * time.Millisecond
+	storeName    = "store"
 )
 
 // Follower reads the store until its context ends.
@@ -68,19 +71,28 @@
 	Sink    Sink
 	Decoder Decoder
 	Log     *event.Log
+	// Reads reports whether the instance reads the store; otherwise it learns
+	// from others what is new.
+	Reads func() bool
+	// ListRevision is the revision up to which the list is known.
+	ListRevision func() uint64
 
-	tableReadAt, listReadAt atomic.Int64
-	tableLost, listLost     atomic.Bool
+	tableLost, listLost atomic.Bool
 }
 
-// Reads reports whether the list can be read at the moment.
-func (f *Follower) Reads() bool { return f.listReadAt.Load() != 0 && !f.listLost.Load() }
+// Lost reports whether the store could not be read at the last try.
+func (f *Follower) Lost() bool { return f.tableLost.Load() || f.listLost.Load() }
 
 // FollowTable follows the routing table.
 func (f *Follower) FollowTable(ctx context.Context) error {
 	var revision uint64
 	var backoff time.Duration
 	for ctx.Err() == nil {
+		if !f.Reads() {
+			revision = 0
+			pause(ctx, roleInterval)
+			continue
+		}
 		raw, at, err := f.readTable(ctx, revision)
 		switch {
 		case errors.Is(err, context.Canceled):
@@ -92,7 +104,7 @@
 			backoff = f.failed(ctx, "table", &f.tableLost, backoff, err)
 			continue
 		}
-		f.succeeded("table", &f.tableLost, &f.tableReadAt, at)
+		f.succeeded("table", &f.tableLost, at)
 		revision, backoff = max(revision, at), 0
 		if raw != nil {
 			f.offer(raw)
@@ -122,37 +134,46 @@
 func (f *Follower) FollowList(ctx context.Context) error {
 	var revision uint64
 	var backoff time.Duration
+	whole := false
 	for ctx.Err() == nil {
-		whole := revision == 0
-		items, at, err := f.readList(ctx, revision)
+		if !f.Reads() {
+			revision = 0
+			pause(ctx, roleInterval)
+			continue
+		}
+		if revision == 0 {
+			revision = f.ListRevision()
+		}
+		whole = whole || revision == 0
+		items, at, err := f.readList(ctx, revision, whole)
 		switch {
 		case errors.Is(err, context.Canceled):
 			return nil
 		case errorx.IsOfType(err, ErrHistoryGone):
-			revision = 0
+			whole = true
 			continue
 		case err != nil:
 			f.Sink.ListLost()
 			backoff = f.failed(ctx, "list", &f.listLost, backoff, err)
 			continue
 		}
-		f.succeeded("list", &f.listLost, &f.listReadAt, at)
+		f.succeeded("list", &f.listLost, at)
 		revision, backoff = max(revision, at), 0
-		f.Sink.ListRead(items, at, whole)
+		f.Sink.ListRead(items, at, whole, upstream.FromList)
+		whole = false
 		pause(ctx, watchPause)
 	}
 	return nil
 }
 
-func (f *Follower) readList(ctx context.Context, revision uint64) ([]upstream.Item, uint64, error) {
-	if revision == 0 {
+func (f *Follower) readList(ctx context.Context, revision uint64, whole bool) ([]upstream.Item, uint64, error) {
+	if whole {
 		return f.Store.List(ctx)
 	}
 	return f.Store.WatchList(ctx, revision, time.Now().Add(watchWait))
 }
 
-func (f *Follower) succeeded(what string, lost *atomic.Bool, readAt *atomic.Int64, revision uint64) {
-	readAt.Store(time.Now().UnixNano())
+func (f *Follower) succeeded(what string, lost *atomic.Bool, revision uint64) {
 	if lost.CompareAndSwap(true, false) {
 		f.Log.Emit(event.StoreBack, "what", what, "revision", revision)
 	}
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -86,6 +86,31 @@
 // loadAge is how long a reported load says something about the next call.
 const loadAge = 300 * time.Millisecond
 
+// Load is what is known to run at an engine.
+type Load struct {
+	Upstream   string
+	Running    int
+	UsedTokens int
+}
+
+// Loads returns the loads of a data centre's engines that run anything known.
+func (s *Scheduler) Loads(now time.Time, dataCentre string) []Load {
+	var loads []Load
+	for _, name := range s.order {
+		u := s.upstreams[name]
+		if u.DataCentre != dataCentre || u.CapacityTokens == 0 {
+			continue
+		}
+		load := Load{Upstream: name}
+		for _, f := range u.flights {
+			load.Running++
+			load.UsedTokens += int(float64(f.PromptTokens) + f.made(now, u.step()))
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
+
 // hasSlot says that one more request would run at once, as far as is known.
 func (u *upstream) hasSlot() bool { return u.Slots == 0 || len(u.flights) < u.Slots }
 
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -53,12 +53,14 @@
 	c.log.Emit(event.TableAccepted, "version", t.Version, "before", before, "routes", len(t.Routes), "credentials", t.Teams(), "source", cmd.from)
 	c.upstreamsChanged(now)
 	c.publish()
+	c.announcer.TableChanged()
 }
 
 type listCommand struct {
 	items    []upstream.Item
 	revision uint64
 	whole    bool
+	source   upstream.Source
 }
 
 func (cmd listCommand) apply(c *Controller, now time.Time) {
@@ -67,13 +69,44 @@
 	if cmd.whole {
 		changes = c.directory.Replace(now, cmd.items, cmd.revision)
 	} else {
-		changes = c.directory.Apply(now, cmd.items, cmd.revision)
+		changes = c.directory.Apply(now, cmd.items)
+	}
+	c.directory.Advance(cmd.newest(before, len(changes) > 0))
+	for i := range changes {
+		changes[i].Source = cmd.source
 	}
 	if len(changes) > 0 {
 		c.beliefsChanged(now, changes)
-	} else if c.directory.Revision() != before {
-		c.publish()
 	}
+	if c.directory.Revision() == before {
+		return
+	}
+	c.publish()
+	if cmd.source == upstream.FromList && len(cmd.items) > 0 {
+		c.announcer.ListChanged(cmd.items, before)
+	}
+}
+
+// newest returns the revision of the newest change. That of the store rises
+// with other things too, which other instances need not ask for.
+func (cmd listCommand) newest(before uint64, changed bool) uint64 {
+	if cmd.source == upstream.FromPeer || cmd.whole && (changed || before == 0) {
+		return cmd.revision
+	}
+	var newest uint64
+	for _, item := range cmd.items {
+		newest = max(newest, item.Revision)
+	}
+	return newest
+}
+
+type loadsCommand struct {
+	dataCentre string
+	reply      chan []decide.Load
+}
+
+func (cmd loadsCommand) apply(c *Controller, now time.Time) {
+	cmd.reply <- c.scheduler.Loads(now, cmd.dataCentre)
 }
 
 type listLostCommand struct{}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -31,6 +31,10 @@
 type Announcer interface {
 	Notice(n decide.Notice)
 	Leaving(id string, born int64, leavesAt time.Time)
+	// ListChanged tells what changed in the list after a revision.
+	ListChanged(items []upstream.Item, after uint64)
+	// TableChanged tells that the routing table is newer.
+	TableChanged()
 }
 
 // Snapshot is what traffic reads. It is immutable.
@@ -305,8 +309,23 @@
 
 // ListRead offers changes of the list of upstreams up to a revision, or, when
 // whole is set, the whole list.
-func (c *Controller) ListRead(items []upstream.Item, revision uint64, whole bool) {
-	c.send(listCommand{items, revision, whole})
+func (c *Controller) ListRead(items []upstream.Item, revision uint64, whole bool, source upstream.Source) {
+	c.send(listCommand{items, revision, whole, source})
+}
+
+// Loads returns what is known of the loads of a data centre's engines.
+func (c *Controller) Loads(ctx context.Context, dataCentre string) []decide.Load {
+	reply := make(chan []decide.Load, 1)
+	if !c.send(loadsCommand{dataCentre, reply}) {
+		return nil
+	}
+	select {
+	case loads := <-reply:
+		return loads
+	case <-ctx.Done():
+	case <-c.stopped:
+	}
+	return nil
 }
 
 // ListLost tells that the list can't be read at the moment.
--- a/entry/run.go
+++ b/entry/run.go
@@ -104,6 +104,7 @@
 	i.control.Announce(i.peers)
 	i.follower = &catalog.Follower{
 		Store: p.Store(func() netip.AddrPort { return i.settings.Load().Store.Address }), Sink: i.control, Decoder: p.Decoder, Log: i.log,
+		Reads: i.peers.Reads, ListRevision: func() uint64 { return i.control.Snapshot().ListRevision },
 	}
 	i.gateway = gateway.New(gateway.Options{
 		Home: i.home, Dispatcher: i.control, Protocol: p.Protocol, Engines: p.Engines, Log: i.log,
@@ -117,7 +118,7 @@
 func (i *instance) state() gossip.State {
 	snapshot := i.control.Snapshot()
 	state := gossip.State{
-		ListRevision: snapshot.ListRevision, ReadsStore: i.follower.Reads(), Table: snapshot.Document.Raw, Items: snapshot.Items,
+		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Lost(), Table: snapshot.Document.Raw, Items: snapshot.Items,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,7 +18,7 @@
 const (
 	// progressInterval is the time between two words on a stream's progress to
 	// the scheduler.
-	progressInterval = 1 * time.Second
+	progressInterval = 4 * time.Second
 	// feedBuffer is how many events of an upstream may wait for the caller.
 	feedBuffer = 16
 )
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -4,7 +4,7 @@
 package gossip
 
 import (
-	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -19,32 +19,44 @@
 	Incarnation uint64
 	// TableVersion and ListRevision are what it has by its latest word.
 	TableVersion, ListRevision uint64
-	// ReadsStore says that it can read the store itself.
-	ReadsStore bool
-	HeardAt    time.Time
+	// StoreLost says that it could not read the store when it last tried.
+	StoreLost bool
+	HeardAt   time.Time
 	// Alive members were heard of lately.
 	Alive bool
 }
 
 const (
-	// silence is how long a member may say nothing and still be alive. Three
+	// silence is how long a member may say nothing and still be alive. Two
 	// signs of life in a row may be lost.
-	silence = 3500 * time.Millisecond
+	silence = 2500 * time.Millisecond
+	// farSilence is the same for members of other data centres in a large
+	// fleet, which speak to each in turn.
+	farSilence = 60 * time.Second
 	// forget is how long a silent member is still called, so that a partition
 	// that heals finds it again.
 	forget = 5 * time.Minute
+	// smallFleet is how many instances speak to all others. In a larger fleet
+	// each speaks to those of its data centre, and to a few of the others in
+	// turn, so that what an instance sends doesn't grow with the fleet.
+	smallFleet = 32
+	// crowdedGroup is how many instances of a data centre have two readers of
+	// the store instead of one.
+	crowdedGroup = 8
 )
 
 // Table holds the other instances. It is pure state and belongs to one
 // goroutine.
 type Table struct {
-	self    netip.AddrPort
-	members map[netip.AddrPort]*Member
+	self       netip.AddrPort
+	dataCentre string
+	members    map[netip.AddrPort]*Member
 }
 
-// NewTable returns an empty table for the instance with the address.
-func NewTable(self netip.AddrPort) *Table {
-	return &Table{self: self, members: map[netip.AddrPort]*Member{}}
+// NewTable returns an empty table for the instance with the address, in a data
+// centre.
+func NewTable(self netip.AddrPort, dataCentre string) *Table {
+	return &Table{self: self, dataCentre: dataCentre, members: map[netip.AddrPort]*Member{}}
 }
 
 // Heard takes a member's word of itself. It reports whether the member was not
@@ -82,8 +94,12 @@
 // Tick returns the members that have just fallen silent.
 func (t *Table) Tick(now time.Time) (lost []Member) {
 	for addr, m := range t.members {
+		limit := silence
+		if m.DataCentre != t.dataCentre && len(t.members) >= smallFleet {
+			limit = farSilence
+		}
 		switch quiet := now.Sub(m.HeardAt); {
-		case m.Alive && quiet > silence:
+		case m.Alive && quiet > limit:
 			m.Alive = false
 			lost = append(lost, *m)
 		case quiet > forget:
@@ -128,19 +144,68 @@
 	return n
 }
 
-// Ahead returns a member that has a newer routing table or list than the
-// instance, the one with the newest first.
+// Group returns the alive members that the instance tells everything: all of a
+// small fleet, else those of its data centre.
+func (t *Table) Group() []Member {
+	alive := t.Alive()
+	if len(alive) < smallFleet {
+		return alive
+	}
+	return slices.DeleteFunc(alive, func(m Member) bool { return m.DataCentre != t.dataCentre })
+}
+
+// Others returns the alive members that are not in the group.
+func (t *Table) Others() []Member {
+	alive := t.Alive()
+	if len(alive) < smallFleet {
+		return nil
+	}
+	return slices.DeleteFunc(alive, func(m Member) bool { return m.DataCentre == t.dataCentre })
+}
+
+// Reads reports whether the instance should read the store for its data
+// centre: those with the lowest addresses do, unless they can't.
+func (t *Table) Reads(storeLost bool) bool {
+	if storeLost {
+		// What it can't read it tries again, whoever else reads.
+		return true
+	}
+	able, before := 1, 0
+	for _, m := range t.members {
+		if !m.Alive || m.DataCentre != t.dataCentre || m.StoreLost {
+			continue
+		}
+		able++
+		if m.Addr.Compare(t.self) < 0 {
+			before++
+		}
+	}
+	if able >= crowdedGroup {
+		return before < 2
+	}
+	return before < 1
+}
+
+// Ahead returns a member that has a newer routing table, or a newer list when
+// that is wanted: one of the own data centre if there is one, and any of those
+// with the same chance.
 func (t *Table) Ahead(tableVersion, listRevision uint64, wantList bool) (Member, bool) {
-	var ahead []Member
-	for _, m := range t.Alive() {
-		if m.TableVersion > tableVersion || wantList && m.ListRevision > listRevision && m.ReadsStore {
-			ahead = append(ahead, m)
+	var near, far []Member
+	for _, m := range t.members {
+		if !m.Alive || m.TableVersion <= tableVersion && (!wantList || m.ListRevision <= listRevision) {
+			continue
 		}
+		if m.DataCentre == t.dataCentre {
+			near = append(near, *m)
+		} else {
+			far = append(far, *m)
+		}
+	}
+	if len(near) == 0 {
+		near = far
 	}
-	if len(ahead) == 0 {
+	if len(near) == 0 {
 		return Member{}, false
 	}
-	return slices.MaxFunc(ahead, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.TableVersion, b.TableVersion), cmp.Compare(a.ListRevision, b.ListRevision))
-	}), true
+	return near[rand.IntN(len(near))], true
 }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -33,13 +33,24 @@
 	maxNotices = 5
 	// maxPending bounds the notices that wait for a flush.
 	maxPending = 512
+	// maxItems bounds the entries of one datagram. Whoever gets none asks for
+	// the list.
+	maxItems = 12
 	// maxKnown and maxKnownToNew bound the addresses that a datagram tells.
 	maxKnown      = 4
 	maxKnownToNew = 40
 	maxDatagram   = 16 << 10
-	// pullDelay is how long a member may be ahead before its state is asked
-	// for: what is new at the store reaches most instances by themselves.
+	// pullDelay is how long a member may be ahead before an instance that reads
+	// the store itself asks for its state.
 	pullDelay = 250 * time.Millisecond
+	// itemsDelay is the same for one that doesn't: what changed is on its way.
+	itemsDelay = 30 * time.Millisecond
+	// farMembers is how many members outside the group get a sign of life at
+	// each interval.
+	farMembers = 3
+	// loadInterval is the time between two words on the load of a data centre's
+	// engines to the others.
+	loadInterval = 1 * time.Second
 	// receiveBacklog is how many datagrams may wait.
 	receiveBacklog = 256
 )
@@ -47,10 +58,10 @@
 // State is what the instance has, for others.
 type State struct {
 	TableVersion, ListRevision uint64
-	// ReadsStore says that the instance itself reads the store at the moment.
-	ReadsStore bool
-	Table      []byte
-	Items      []upstream.Item
+	// StoreLost says that the instance could not read the store.
+	StoreLost bool
+	Table     []byte
+	Items     []upstream.Item
 }
 
 // Sink takes what other instances tell.
@@ -58,7 +69,10 @@
 	Noticed(n decide.Notice)
 	Leaving(id string, born int64, leavesAt time.Time, source upstream.Source)
 	TableRead(d routing.Document, from string)
-	ListRead(items []upstream.Item, revision uint64, whole bool)
+	ListRead(items []upstream.Item, revision uint64, whole bool, source upstream.Source)
+	Reported(name string, r decide.Report)
+	// Loads asks for the loads of a data centre's engines.
+	Loads(ctx context.Context, dataCentre string) []decide.Load
 }
 
 // Decoder reads the published documents that members pass on as they came.
@@ -91,10 +105,15 @@
 	mu      sync.Mutex
 	pending []decide.Notice
 	leaving []leavingNotice
+	items   []upstream.Item
+	// itemsAfter is the revision that items follow on.
+	itemsAfter uint64
+	urgent     bool
 
 	wake     chan struct{}
 	received chan datagramWire
 	alive    atomic.Int64
+	reads    atomic.Bool
 	stopping atomic.Bool
 
 	// What follows belongs to the goroutine of Run.
@@ -103,6 +122,8 @@
 	lastLife   time.Time
 	lastJoin   time.Time
 	lastSilent time.Time
+	lastLoads  time.Time
+	lastFar    time.Time
 	pulling    atomic.Bool
 	pulls      sync.WaitGroup
 }
@@ -119,12 +140,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Peers{
+	p := &Peers{
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
-		members: NewTable(o.Listen),
-	}, nil
+		members: NewTable(o.Listen, o.DataCentre),
+	}
+	// Until it knows others, an instance reads for itself.
+	p.reads.Store(true)
+	return p, nil
 }
 
+// Reads reports whether the instance should read the store for its data centre.
+func (p *Peers) Reads() bool { return p.reads.Load() }
+
 // Alive returns how many other instances are alive.
 func (p *Peers) Alive() int { return int(p.alive.Load()) }
 
@@ -148,6 +175,32 @@
 	p.rouse()
 }
 
+// ListChanged tells the group what changed in the list after a revision.
+func (p *Peers) ListChanged(items []upstream.Item, after uint64) {
+	p.mu.Lock()
+	if len(p.items) == 0 {
+		p.itemsAfter = after
+	}
+	p.items = append(p.items, items...)
+	p.urgent = true
+	p.mu.Unlock()
+	p.rouse()
+}
+
+// TableChanged tells the group at once that there is a newer routing table.
+func (p *Peers) TableChanged() {
+	p.mu.Lock()
+	p.urgent = true
+	p.mu.Unlock()
+	p.rouse()
+}
+
+func (p *Peers) isUrgent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.urgent
+}
+
 // Stop tells the others of the planned stop.
 func (p *Peers) Stop() {
 	p.stopping.Store(true)
@@ -201,7 +254,9 @@
 			p.take(ctx, r)
 			continue
 		case <-p.wake:
-			p.gather(ctx, time.After(flushInterval))
+			if !p.isUrgent() {
+				p.gather(ctx, time.After(flushInterval))
+			}
 			p.flush(time.Now())
 		case <-timer.C:
 			p.tick(ctx, time.Now())
@@ -239,71 +294,117 @@
 		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.HeardAt).Milliseconds())
 	}
 	p.alive.Store(int64(p.members.Count()))
+	p.reads.Store(p.members.Reads(p.options.State().StoreLost))
 	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentInterval {
 		p.lastJoin = now
 		for _, seed := range p.options.Seeds() {
 			addr := netip.AddrPortFrom(seed.Addr(), p.options.Listen.Port())
 			if addr != p.options.Listen {
-				p.write(p.encode(nil, nil, maxKnown), addr)
+				p.write(p.encode(datagramWire{}, maxKnown), addr)
 			}
 		}
 	}
 	if now.Sub(p.lastSilent) >= silentInterval {
 		p.lastSilent = now
 		for _, addr := range p.members.Silent() {
-			p.write(p.encode(nil, nil, maxKnown), addr)
+			p.write(p.encode(datagramWire{}, maxKnown), addr)
 		}
 	}
 	if now.Sub(p.lastLife) >= lifeInterval {
-		p.broadcast(now, nil, nil)
+		p.broadcast(now, datagramWire{})
+	}
+	if now.Sub(p.lastFar) >= lifeInterval {
+		p.lastFar = now
+		p.callFar()
+	}
+	if now.Sub(p.lastLoads) >= loadInterval {
+		p.lastLoads = now
+		p.tellLoads(ctx)
 	}
 	p.catchUp(ctx, now)
 }
 
-// flush sends what is pending to all members.
+// flush sends what is pending to the group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
-	notices, leaving := p.pending, p.leaving
-	p.pending, p.leaving = nil, nil
+	notices, leaving, items, after := p.pending, p.leaving, p.items, p.itemsAfter
+	p.pending, p.leaving, p.items, p.urgent = nil, nil, nil, false
 	p.mu.Unlock()
-	var leavingOut []leavingWire
+	var rest datagramWire
 	for _, l := range leaving {
 		w := leavingWire{ID: l.id, Born: l.born}
 		if !l.leavesAt.IsZero() {
 			w.LeavesInMS = max(1, l.leavesAt.Sub(now).Milliseconds())
 		}
-		leavingOut = append(leavingOut, w)
+		rest.Leaving = append(rest.Leaving, w)
+	}
+	if len(items) > 0 && len(items) <= maxItems {
+		rest.List = &listWire{After: after, Items: encodeItems(items)}
 	}
 	wires := make([]noticeWire, len(notices))
 	for i, n := range notices {
 		wires[i] = encodeNotice(now, n)
 	}
 	if len(wires) == 0 {
-		p.broadcast(now, nil, leavingOut)
+		p.broadcast(now, rest)
 		return
 	}
 	for chunk := range slices.Chunk(wires, maxNotices) {
-		p.broadcast(now, chunk, leavingOut)
-		leavingOut = nil
+		rest.Notices = chunk
+		p.broadcast(now, rest)
+		rest = datagramWire{}
 	}
 }
 
-func (p *Peers) broadcast(now time.Time, notices []noticeWire, leaving []leavingWire) {
+// broadcast sends a datagram to the group.
+func (p *Peers) broadcast(now time.Time, w datagramWire) {
 	p.lastLife = now
-	content := p.encode(notices, leaving, maxKnown)
-	for _, m := range p.members.Alive() {
+	content := p.encode(w, maxKnown)
+	for _, m := range p.members.Group() {
 		p.write(content, m.Addr)
 	}
 }
 
-func (p *Peers) encode(notices []noticeWire, leaving []leavingWire, known int) []byte {
-	o, state := p.options, p.options.State()
-	wire := datagramWire{
-		From: o.Listen, Name: o.Name, DataCentre: o.DataCentre, Control: o.Control, Incarnation: uint64(o.Incarnation),
-		TableVersion: state.TableVersion, ListRevision: state.ListRevision, ReadsStore: state.ReadsStore,
-		Stopping: p.stopping.Load(), Notices: notices, Leaving: leaving, Known: p.someKnown(known),
+// callFar gives a sign of life to a few members outside the group, others each
+// time.
+func (p *Peers) callFar() {
+	others := p.members.Others()
+	if len(others) == 0 {
+		return
+	}
+	content := p.encode(datagramWire{}, maxKnown)
+	for range farMembers {
+		p.write(content, others[rand.IntN(len(others))].Addr)
+	}
+}
+
+// tellLoads tells the members outside the group what their own notices don't:
+// the load of this data centre's engines. One reader of the store does it.
+func (p *Peers) tellLoads(ctx context.Context) {
+	others := p.members.Others()
+	if len(others) == 0 || !p.reads.Load() {
+		return
+	}
+	var w datagramWire
+	for _, load := range p.sink.Loads(ctx, p.options.DataCentre) {
+		w.Loads = append(w.Loads, loadWire(load))
+	}
+	if len(w.Loads) == 0 {
+		return
 	}
-	content, err := json.Marshal(wire)
+	content := p.encode(w, 0)
+	for _, m := range others {
+		p.write(content, m.Addr)
+	}
+}
+
+// encode completes a datagram with what every one tells.
+func (p *Peers) encode(w datagramWire, known int) []byte {
+	o, state := p.options, p.options.State()
+	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
+	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
+	w.Stopping, w.Known = p.stopping.Load(), p.someKnown(known)
+	content, err := json.Marshal(w)
 	if err != nil {
 		o.Log.EmitSparingly(event.PeerLost, "reason", "encode", "error", err.Error())
 	}
@@ -335,11 +436,11 @@
 	} else {
 		m := Member{
 			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
-			TableVersion: w.TableVersion, ListRevision: w.ListRevision, ReadsStore: w.ReadsStore,
+			TableVersion: w.TableVersion, ListRevision: w.ListRevision, StoreLost: w.StoreLost,
 		}
 		if p.members.Heard(now, m) {
 			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
-			p.write(p.encode(nil, nil, maxKnownToNew), m.Addr)
+			p.write(p.encode(datagramWire{}, maxKnownToNew), m.Addr)
 		}
 	}
 	for _, addr := range w.Known {
@@ -360,13 +461,25 @@
 		}
 		p.sink.Noticed(notice)
 	}
+	if w.List != nil {
+		// Entries have their own revisions; the list's only holds when none
+		// before them was missed.
+		revision := uint64(0)
+		if p.options.State().ListRevision >= w.List.After {
+			revision = w.ListRevision
+		}
+		p.sink.ListRead(p.decodeItems(w.List.Items), revision, false, upstream.FromPeer)
+	}
+	for _, l := range w.Loads {
+		p.sink.Reported(l.Upstream, decide.Report{TakenAt: now, Running: l.Running, UsedTokens: l.UsedTokens})
+	}
 	p.catchUp(ctx, now)
 }
 
 // catchUp asks a member that has been ahead for a while for what it has.
 func (p *Peers) catchUp(ctx context.Context, now time.Time) {
 	state := p.options.State()
-	m, ahead := p.members.Ahead(state.TableVersion, state.ListRevision, !state.ReadsStore)
+	m, ahead := p.members.Ahead(state.TableVersion, state.ListRevision, true)
 	switch {
 	case !ahead:
 		p.aheadSince = time.Time{}
@@ -374,8 +487,12 @@
 	case p.aheadSince.IsZero():
 		p.aheadSince = now
 	}
+	wait := pullDelay
+	if !p.reads.Load() {
+		wait = itemsDelay
+	}
 	// An instance that has nothing yet doesn't wait.
-	if state.TableVersion != 0 && now.Sub(p.aheadSince) < pullDelay || !p.pulling.CompareAndSwap(false, true) {
+	if state.TableVersion != 0 && now.Sub(p.aheadSince) < wait || !p.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	p.aheadSince = now
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -72,8 +72,8 @@
 		}
 		p.sink.TableRead(routing.Document{Table: table, Raw: wire.Table}, m.Name)
 	}
-	if wire.ListRevision > have.ListRevision && !have.ReadsStore {
-		p.sink.ListRead(p.decodeItems(wire.Items), wire.ListRevision, true)
+	if wire.ListRevision > have.ListRevision {
+		p.sink.ListRead(p.decodeItems(wire.Items), wire.ListRevision, true, upstream.FromPeer)
 	}
 	return nil
 }
@@ -81,9 +81,11 @@
 func (p *Peers) decodeItems(wire []itemWire) []upstream.Item {
 	items := make([]upstream.Item, 0, len(wire))
 	for _, w := range wire {
-		item := upstream.Item{ID: w.ID, Revision: w.Revision, Raw: w.Entry}
-		// An entry that can't be read names no upstream; the others hold.
-		item.Entry, _ = p.options.Decoder.Entry(w.ID, w.Entry)
+		item := upstream.Item{ID: w.ID, Revision: w.Revision, Raw: w.Entry, Deleted: w.Deleted}
+		if !w.Deleted {
+			// An entry that can't be read names no upstream; the others hold.
+			item.Entry, _ = p.options.Decoder.Entry(w.ID, w.Entry)
+		}
 		items = append(items, item)
 	}
 	return items
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -20,11 +20,26 @@
 	Incarnation  uint64           `json:"incarnation,string"`
 	TableVersion uint64           `json:"table_version"`
 	ListRevision uint64           `json:"list_revision"`
-	ReadsStore   bool             `json:"reads_store,omitempty"`
+	StoreLost    bool             `json:"store_lost,omitempty"`
 	Stopping     bool             `json:"stopping,omitempty"`
 	Known        []netip.AddrPort `json:"known,omitempty"`
 	Notices      []noticeWire     `json:"notices,omitempty"`
 	Leaving      []leavingWire    `json:"leaving,omitempty"`
+	List         *listWire        `json:"list,omitempty"`
+	Loads        []loadWire       `json:"loads,omitempty"`
+}
+
+// listWire is what changed in the list of upstreams after a revision.
+type listWire struct {
+	After uint64     `json:"after"`
+	Items []itemWire `json:"items"`
+}
+
+// loadWire is the load of an engine as its data centre's instances know it.
+type loadWire struct {
+	Upstream   string `json:"upstream"`
+	Running    int    `json:"running"`
+	UsedTokens int    `json:"used_tokens"`
 }
 
 type noticeWire struct {
@@ -86,14 +101,15 @@
 type itemWire struct {
 	ID       string `json:"id"`
 	Revision uint64 `json:"revision"`
-	// Entry holds the entry as it was published.
-	Entry []byte `json:"entry"`
+	// Entry holds the entry as it was published; absent for one that is gone.
+	Entry   []byte `json:"entry,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 func encodeItems(items []upstream.Item) []itemWire {
 	wire := make([]itemWire, len(items))
 	for i, item := range items {
-		wire[i] = itemWire{item.ID, item.Revision, item.Raw}
+		wire[i] = itemWire{item.ID, item.Revision, item.Raw, item.Deleted}
 	}
 	return wire
 }
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -142,7 +142,7 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{beliefs: map[string]*Belief{}} }
 
-// Revision is that of the list as last applied.
+// Revision is that of the newest change up to which all are known.
 func (d *Directory) Revision() uint64 { return d.revision }
 
 // ListLost notes that the list could not be read at this time.
@@ -151,23 +151,20 @@
 // Replace takes the whole list as of a revision: entries that it lacks are
 // deleted, unless they are newer.
 func (d *Directory) Replace(now time.Time, items []Item, revision uint64) []Change {
-	if revision < d.revision {
-		return nil
-	}
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.ID] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.beliefs)) {
-		if b := d.beliefs[id]; !listed[id] && b.Revision <= revision {
+		if b := d.beliefs[id]; !listed[id] && b.Revision <= revision && b.raw != nil {
 			items = append(items, Item{ID: id, Revision: revision, Deleted: true})
 		}
 	}
-	return d.Apply(now, items, revision)
+	return d.Apply(now, items)
 }
 
-// Apply takes changes of the list up to a revision.
-func (d *Directory) Apply(now time.Time, items []Item, revision uint64) []Change {
+// Apply takes changes of the list.
+func (d *Directory) Apply(now time.Time, items []Item) []Change {
 	var changes []Change
 	for _, item := range items {
 		if c, ok := d.applyItem(now, item); ok {
@@ -175,10 +172,12 @@
 			changes = append(changes, c)
 		}
 	}
-	d.revision = max(d.revision, revision)
 	return changes
 }
 
+// Advance notes that all changes up to a revision are known.
+func (d *Directory) Advance(revision uint64) { d.revision = max(d.revision, revision) }
+
 func (d *Directory) applyItem(now time.Time, item Item) (Change, bool) {
 	b := d.beliefs[item.ID]
 	if b != nil && item.Revision < b.Revision {
