A deletion told by two readers counts once; runs move within their data centre

A move that was given up ended its request at the scheduler. And five runs of an engine don't leave it in 1.8 s when each copy crosses data centres. Change: a change at a revision already known is left out; a relocation given up keeps the request's place; a destination in the source's data centre goes first as long as the run fits there.

--- a/decide/move.go
+++ b/decide/move.go
@@ -16,11 +16,11 @@
 	s.dropMove(e.ID)
 	source := s.upstreams[s.placed[e.ID]]
 	if source == nil {
-		return []Action{Refuse{ID: e.ID, Reason: verdict.NotFound, Why: "the request is not placed"}}
+		return []Action{Refuse{ID: e.ID, Reason: verdict.NotFound, Why: "the request's upstream is gone"}}
 	}
 	f := source.find(e.ID)
 	if f == nil {
-		return []Action{Refuse{ID: e.ID, Reason: verdict.NotFound, Why: "the request is not placed"}}
+		return []Action{Refuse{ID: e.ID, Reason: verdict.NotFound, Why: "the request is over at " + source.Name}}
 	}
 	r := f.Request
 	r.Avoid = append([]string{source.Name}, e.Avoid...)
@@ -49,13 +49,13 @@
 	var own forecast
 	own.addFlight(float64(f.PromptTokens), f.made(now, step), f.lengths)
 	for _, u := range candidates {
-		if !u.fresh(now) || !u.hasSlot() {
+		if !u.fresh(now) || !u.hasSlot() || u.health.share(now) == 0 {
 			continue
 		}
 		u.refresh(now, crowd{size: 1}, curve)
 		free := u.capacity() - u.with(&own, hurried)
 		score := free
-		if source != nil && u.DataCentre == source.DataCentre {
+		if source != nil && u.DataCentre == source.DataCentre && free > 0 {
 			score += nearBonus * u.capacity()
 		}
 		if score > most {
@@ -66,8 +66,9 @@
 }
 
 // nearBonus is the share of an engine's memory that a destination in the
-// source's data centre may have less of and still be chosen.
-const nearBonus = 0.1
+// source's data centre may have less of and still be chosen, as long as the run
+// fits: a whole engine's runs can leave it in time within the data centre only.
+const nearBonus = 1
 
 func (s *Scheduler) endMove(now time.Time, e Relocated) {
 	name, ok := s.moves[e.ID]
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -232,7 +232,11 @@
 // outcome of a request that gets none. A placed request must end with End.
 func (c *Controller) Place(ctx context.Context, r decide.Request) (Placement, error) {
 	cmd := &placeCommand{event: decide.Arrived{Request: r}, id: r.ID, reply: make(chan decision, 1)}
-	return c.await(ctx, cmd)
+	place, err := c.await(ctx, cmd)
+	if err != nil && verdict.Of(err).Reason == verdict.CallerGone {
+		c.End(r.ID, 0, verdict.Of(err))
+	}
+	return place, err
 }
 
 // Relocate asks where a placed request can go on, and waits for the decision.
@@ -257,8 +261,7 @@
 	case <-ctx.Done():
 	case <-c.stopped:
 	}
-	c.End(cmd.id, 0, verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.CallerGone})
-	return Placement{}, verdict.Fail(verdict.NotRun, verdict.CallerGone, "given up before the request had a place")
+	return Placement{}, verdict.Fail(verdict.NotRun, verdict.CallerGone, "given up before there was a place")
 }
 
 // subscribe returns the channel that tells when the upstream of a place
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -359,9 +359,19 @@
 // broadcast sends a datagram to the group.
 func (p *Peers) broadcast(now time.Time, w datagramWire) {
 	p.lastLife = now
-	content := p.encode(w, maxKnown)
+	near := p.encode(w, maxKnown)
+	far := near
+	if w.List != nil {
+		// Other data centres have readers of their own.
+		w.List = nil
+		far = p.encode(w, maxKnown)
+	}
 	for _, m := range p.members.Group() {
-		p.write(content, m.Addr)
+		if m.DataCentre == p.options.DataCentre {
+			p.write(near, m.Addr)
+		} else {
+			p.write(far, m.Addr)
+		}
 	}
 }
 
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -180,7 +180,8 @@
 
 func (d *Directory) applyItem(now time.Time, item Item) (Change, bool) {
 	b := d.beliefs[item.ID]
-	if b != nil && item.Revision < b.Revision {
+	if b != nil && item.Revision <= b.Revision {
+		// The same change comes from several readers.
 		return Change{}, false
 	}
 	switch {
