--- /dev/null
+++ b/decide/move_test.go
@@ -0,0 +1,147 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/verdict"
+)
+
+// declared returns a scheduler in data centre a, whose engines declare their
+// memory and send no reports.
+func declared(leaving string, engines map[string]string) *decide.Scheduler {
+	s := decide.New("a")
+	s.Step(epoch, changed(leaving, engines))
+	return s
+}
+
+func changed(leaving string, engines map[string]string) decide.UpstreamsChanged {
+	var list []decide.Upstream
+	for name, dataCentre := range engines {
+		list = append(list, decide.Upstream{
+			Name: name, Pool: "drafting", DataCentre: dataCentre, Incarnation: 1, Slots: 8, CapacityTokens: engineTokens,
+			StepTime: 10 * time.Millisecond, Leaving: name == leaving,
+		})
+	}
+	return decide.UpstreamsChanged{Upstreams: list}
+}
+
+func arrive(s *decide.Scheduler, n int, prompt int) (place decide.Place, refused bool) {
+	id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(n)}
+	r := decide.Request{ID: id, Team: "reef", Class: draftClass, PromptTokens: prompt, MaxOutputTokens: 100, StartBy: epoch.Add(time.Second)}
+	for _, action := range s.Step(epoch, decide.Arrived{Request: r}) {
+		switch a := action.(type) {
+		case decide.Place:
+			return a, false
+		case decide.Refuse:
+			return decide.Place{}, true
+		}
+	}
+	return decide.Place{}, false
+}
+
+// TestPlacedByDeclaredMemory plays more drafts than the engines hold: none is
+// sent to an engine beyond its memory.
+func TestPlacedByDeclaredMemory(t *testing.T) {
+	s := declared("", map[string]string{"e1": "a", "e2": "a"})
+	used := map[string]int{}
+	for n := range 20 {
+		place, _ := arrive(s, n, 500)
+		if place.Upstream.Name != "" {
+			used[place.Upstream.Name] += 500
+		}
+	}
+	assert.Assert(t, used["e1"] > 0 && used["e2"] > 0, "%v", used)
+	for name, tokens := range used {
+		assert.Assert(t, tokens <= engineTokens, "%s holds %d", name, tokens)
+	}
+}
+
+// TestNearEnginesFirst plays a light load: a stream in its own data centre
+// outlives the partition from others.
+func TestNearEnginesFirst(t *testing.T) {
+	s := declared("", map[string]string{"e1": "a", "e2": "b", "e3": "c"})
+	near := 0
+	for n := range 40 {
+		place, _ := arrive(s, n, 100)
+		if place.Upstream.Name == "e1" {
+			near++
+		}
+		s.Step(epoch, decide.Ended{ID: place.ID, Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed}})
+	}
+	assert.Assert(t, near > 30, "%d of 40 were placed in the own data centre", near)
+}
+
+// TestRelocate plays an engine that leaves with runs on it.
+func TestRelocate(t *testing.T) {
+	engines := map[string]string{"e1": "a", "e2": "a", "e3": "b"}
+	tests := map[string]struct {
+		// full engines hold runs that leave no room.
+		full  []string
+		avoid []string
+		want  string
+	}{
+		"the own data centre":             {nil, nil, "e2"},
+		"another one if the own is full":  {[]string{"e2"}, nil, "e3"},
+		"another one after a failed copy": {nil, []string{"e2"}, "e3"},
+		"nowhere":                         {nil, []string{"e2", "e3"}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := declared("", map[string]string{"e1": "a"})
+			run, _ := arrive(s, 1, 300)
+			assert.Equal(t, run.Upstream.Name, "e1")
+			s.Step(epoch, changed("e1", engines))
+			for n, full := range test.full {
+				id := ident.Request{Home: ident.Home{Incarnation: 8}, Sequence: uint64(n)}
+				r := decide.Request{ID: id, Class: draftClass, PromptTokens: engineTokens - 150, MaxOutputTokens: 100}
+				s.Step(epoch, decide.Noticed{Notice: decide.Notice{Kind: decide.NoticePlaced, Request: r, Upstream: full}})
+			}
+			got := ""
+			for _, action := range s.Step(epoch, decide.Relocating{ID: run.ID, Avoid: test.avoid}) {
+				if place, ok := action.(decide.Place); ok {
+					got = place.Upstream.Name
+				}
+			}
+			assert.Equal(t, got, test.want)
+		})
+	}
+}
+
+// TestMovesCountAtTheirDestination plays an engine that leaves with more runs
+// than one other can take: each is counted where it goes before it is there.
+func TestMovesCountAtTheirDestination(t *testing.T) {
+	s := declared("", map[string]string{"e1": "a"})
+	var runs []decide.Place
+	for n := range 4 {
+		place, _ := arrive(s, n, 380)
+		if place.Upstream.Name != "" {
+			runs = append(runs, place)
+		}
+	}
+	assert.Assert(t, len(runs) >= 3, "%d runs", len(runs))
+	s.Step(epoch, changed("e1", map[string]string{"e1": "a", "e2": "a", "e3": "a"}))
+	to := map[string]int{}
+	for _, run := range runs {
+		for _, action := range s.Step(epoch, decide.Relocating{ID: run.ID}) {
+			if place, ok := action.(decide.Place); ok {
+				to[place.Upstream.Name]++
+			}
+		}
+	}
+	assert.Assert(t, to["e2"] > 0 && to["e3"] > 0, "%v", to)
+
+	s.Step(epoch, decide.Relocated{ID: runs[0].ID, Moved: true})
+	s.Step(epoch, decide.Relocated{ID: runs[1].ID, Moved: false})
+	held := 0
+	for _, load := range s.Loads(epoch, "a") {
+		held += load.Running
+	}
+	assert.Equal(t, held, len(runs)+len(runs)-2, "a move that is over counts once")
+	assert.Equal(t, fmt.Sprint(s.Waiting()), "0")
+}
--- a/event/event.go
+++ b/event/event.go
@@ -58,10 +58,9 @@
 	GenerationCancelled ID = 503
 	GenerationOrphaned  ID = 504
 	RequestPlaced       ID = 505
-	RequestRefused      ID = 506
-	AttemptEnded        ID = 507
-	RunMoved            ID = 508
-	RequestClosed       ID = 509
+	AttemptEnded        ID = 506
+	RunMoved            ID = 507
+	RequestClosed       ID = 508
 
 	LedgerHandedOver ID = 601
 	LedgerTaken      ID = 602
@@ -97,7 +96,6 @@
 	StoreLost:           "store_lost",
 	StoreBack:           "store_back",
 	RequestPlaced:       "request_placed",
-	RequestRefused:      "request_refused",
 	AttemptEnded:        "attempt_ended",
 	RunMoved:            "run_moved",
 	RequestClosed:       "request_closed",
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -71,6 +71,7 @@
 // call sends the request to one upstream and reads the whole answer.
 func (g *Gateway) call(ctx context.Context, q *request, place dispatch.Placement) (*whole, error) {
 	q.upstream = place.Name
+	g.placed(q, place)
 	header := g.Protocol.UpstreamHeader(q.caller, q.order(place.Name), time.Now())
 	response, err := g.send(ctx, place.Addr, q.out, header)
 	if err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"mangoloft/config"
 	"mangoloft/decide"
+	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/ident"
 	"mangoloft/routing"
@@ -242,7 +243,7 @@
 	}
 	content, jsonErr := json.Marshal(refusalWire{o.Detail, o.Reason.String(), o.Verdict.String()})
 	if jsonErr != nil {
-		g.Log.Emit(event.RequestRefused, "request", q.ask.ID, "error", jsonErr.Error())
+		o.Detail += "; the body could not be encoded: " + jsonErr.Error()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
@@ -253,6 +254,14 @@
 	g.closed(q, status, o)
 }
 
+// placed logs where a request is sent and why, with the age of what decided.
+func (g *Gateway) placed(q *request, place dispatch.Placement) {
+	snapshot := g.Dispatcher.Snapshot()
+	g.Log.Emit(event.RequestPlaced, "request", q.ask.ID, "internal_id", q.id.String(), "route", q.route.Name, "team", q.team, "service", q.service,
+		"upstream", place.Name, "address", place.Addr.String(), "born", int64(place.Incarnation), "why", place.Why,
+		"table_version", q.table.Version, "list_revision", snapshot.ListRevision, "waited_ms", time.Since(q.received).Milliseconds())
+}
+
 // closed logs the end of a request.
 func (g *Gateway) closed(q *request, status int, o verdict.Outcome) {
 	var route string
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -88,6 +88,7 @@
 				return nil, firstCause(lastErr, err)
 			}
 			s.place = place
+			s.g.placed(s.request, place)
 		}
 		answer, err := s.attempt(ctx, from)
 		if err == nil || answer != nil {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -26,6 +26,9 @@
 	lifeInterval = 1 * time.Second
 	// joinInterval is the time between two tries to find a first member.
 	joinInterval = 300 * time.Millisecond
+	// joinTime is how long after its start an instance waits for others before
+	// it reads the store.
+	joinTime = 500 * time.Millisecond
 	// silentInterval is the time between two tries to reach silent members.
 	silentInterval = 2 * time.Second
 	// maxNotices bounds the notices of one datagram, which then stays under
@@ -118,6 +121,7 @@
 
 	// What follows belongs to the goroutine of Run.
 	members    *Table
+	startedAt  time.Time
 	aheadSince time.Time
 	lastLife   time.Time
 	lastJoin   time.Time
@@ -144,8 +148,6 @@
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
 		members: NewTable(o.Listen, o.DataCentre),
 	}
-	// Until it knows others, an instance reads for itself.
-	p.reads.Store(true)
 	return p, nil
 }
 
@@ -244,6 +246,7 @@
 // Run sends and takes datagrams until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.pulls.Wait()
+	p.startedAt = time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -283,7 +286,7 @@
 }
 
 func (p *Peers) nextTick() time.Duration {
-	if p.members.Count() == 0 {
+	if p.members.Count() == 0 || time.Since(p.startedAt) < 2*joinTime {
 		return joinInterval
 	}
 	return lifeInterval / 2
@@ -294,7 +297,9 @@
 		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.HeardAt).Milliseconds())
 	}
 	p.alive.Store(int64(p.members.Count()))
-	p.reads.Store(p.members.Reads(p.options.State().StoreLost))
+	// An instance that knows no others reads for itself, but not before others
+	// of a fleet that starts could have answered.
+	p.reads.Store(p.members.Reads(p.options.State().StoreLost) && now.Sub(p.startedAt) >= joinTime)
 	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentInterval {
 		p.lastJoin = now
 		for _, seed := range p.options.Seeds() {
--- /dev/null
+++ b/gossip/peers_test.go
@@ -0,0 +1,179 @@
+package gossip_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mangoloft/config"
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/gossip"
+	"mangoloft/ident"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+// node is an instance that gossips.
+type node struct {
+	peers *gossip.Peers
+
+	mu      sync.Mutex
+	state   gossip.State
+	notices []decide.Notice
+	leaving []string
+	items   []upstream.Item
+}
+
+func (n *node) Noticed(notice decide.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notices = append(n.notices, notice)
+}
+
+func (n *node) Leaving(id string, _ int64, _ time.Time, _ upstream.Source) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = append(n.leaving, id)
+}
+
+func (n *node) TableRead(d routing.Document, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.state.TableVersion, n.state.Table = d.Table.Version, d.Raw
+}
+
+func (n *node) ListRead(items []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.items = append(n.items, items...)
+	n.state.ListRevision = max(n.state.ListRevision, revision)
+}
+
+func (n *node) Reported(string, decide.Report) {}
+
+func (n *node) Loads(context.Context, string) []decide.Load { return nil }
+
+func (n *node) current() gossip.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state
+}
+
+// documents reads a table whose text is its version's digit.
+type documents struct{}
+
+func (documents) Table(raw []byte) (*routing.Table, error) {
+	return &routing.Table{Version: uint64(raw[0] - '0')}, nil
+}
+
+func (documents) Entry(id string, _ []byte) (*upstream.Entry, error) {
+	return &upstream.Entry{ID: id}, nil
+}
+
+// freePorts returns an address whose port is free for both TCP and UDP.
+func listen(t *testing.T, host string) (netip.AddrPort, net.Listener) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", host+":0")
+	assert.NilError(t, err)
+	return listener.Addr().(*net.TCPAddr).AddrPort(), listener
+}
+
+// startNode starts an instance at the host, whose datagram port all share.
+func startNode(t *testing.T, host string, port uint16, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	n := &node{}
+	control, listener := listen(t, host)
+	at := netip.AddrPortFrom(netip.MustParseAddr(host), port)
+	log := event.NewLog(&bytes.Buffer{}, host, time.Now)
+	peers, err := gossip.Listen(gossip.Options{
+		Name: host, DataCentre: "a", Listen: at, Control: control, Incarnation: ident.NewIncarnation(time.Now()),
+		Seeds: func() []netip.AddrPort { return seeds }, State: n.current, Decoder: documents{}, Log: log,
+	}, n)
+	assert.NilError(t, err)
+	n.peers = peers
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{Handler: peers.Handler(), ReadHeaderTimeout: time.Second}
+	var group sync.WaitGroup
+	group.Go(func() { _ = peers.Receive(ctx) })
+	group.Go(func() { _ = peers.Run(ctx) })
+	group.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+		group.Wait()
+		log.Close(time.Now().Add(time.Second))
+	})
+	return n
+}
+
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// TestInstancesFindEachOther starts three instances of which one is the seed,
+// together with a seed that nobody listens at.
+func TestInstancesFindEachOther(t *testing.T) {
+	port := freePort(t)
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.9:1"), netip.MustParseAddrPort("127.0.0.1:1")}
+	first := startNode(t, "127.0.0.1", port, seeds...)
+	second := startNode(t, "127.0.0.2", port, seeds...)
+	third := startNode(t, "127.0.0.3", port, seeds...)
+	for _, n := range []*node{first, second, third} {
+		eventually(t, "two others", func() bool { return n.peers.Alive() == 2 })
+	}
+	eventually(t, "one reader", func() bool { return first.peers.Reads() && !second.peers.Reads() && !third.peers.Reads() })
+
+	id := ident.Request{Home: ident.Home{Peer: netip.MustParseAddrPort("127.0.0.2:1"), Incarnation: 5}, Sequence: 7}
+	request := decide.Request{ID: id, Team: "reef", Class: config.Class{Name: "r", Pool: "p", Kind: config.Stream}, PromptTokens: 40, MaxOutputTokens: 9}
+	second.peers.Notice(decide.Notice{Kind: decide.NoticePlaced, Request: request, Upstream: "u1"})
+	second.peers.Leaving("u2", 1, time.Time{})
+	for _, n := range []*node{first, third} {
+		eventually(t, "the notice", func() bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.notices) == 1 && n.notices[0].Request.ID == id && n.notices[0].Request.PromptTokens == 40 && len(n.leaving) == 1
+		})
+	}
+}
+
+// TestStateOfOthers holds that an instance which can't read the store gets the
+// table and the list from one that can.
+func TestStateOfOthers(t *testing.T) {
+	port := freePort(t)
+	seed := netip.MustParseAddrPort("127.0.0.1:1")
+	reader := startNode(t, "127.0.0.1", port, seed)
+	other := startNode(t, "127.0.0.2", port, seed)
+	eventually(t, "each other", func() bool { return other.peers.Alive() == 1 && reader.peers.Alive() == 1 })
+	reader.mu.Lock()
+	reader.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListRevision: 8, Items: []upstream.Item{{ID: "u1", Revision: 8, Raw: []byte("x")}}}
+	reader.mu.Unlock()
+	reader.peers.TableChanged()
+	eventually(t, "the table", func() bool { return other.current().TableVersion == 3 })
+	eventually(t, "the list", func() bool { return other.current().ListRevision == 8 })
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	assert.Equal(t, other.items[0].ID, "u1")
+}
