Streams go to the engine that reads their prompt first

An engine reads prompts one after the other. And in a partition each request tried three unreachable engines for 0.6 s each. Change: placing keeps how much of its prompts each engine has yet to read, and takes the engine at which the stream begins first, weighed against crowding and another data centre; the speed is learned from first events. An upstream that can't be reached is left out at once, and a connection is waited for 0.3 s.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -34,6 +34,9 @@
 	// tokens is how many it had at tokensAt.
 	tokens   int
 	tokensAt time.Time
+	// readBy is how many prompt tokens its engine had to read until it could
+	// begin, its own the last; 0 when that is not known.
+	readBy float64
 }
 
 // made estimates the tokens that the flight has at a time.
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -32,9 +32,13 @@
 }
 
 func arrive(s *decide.Scheduler, n int, prompt int) (place decide.Place, refused bool) {
+	return arriveAt(s, epoch, n, prompt)
+}
+
+func arriveAt(s *decide.Scheduler, now time.Time, n int, prompt int) (place decide.Place, refused bool) {
 	id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(n)}
-	r := decide.Request{ID: id, Team: "reef", Class: draftClass, PromptTokens: prompt, MaxOutputTokens: 100, StartBy: epoch.Add(time.Second)}
-	for _, action := range s.Step(epoch, decide.Arrived{Request: r}) {
+	r := decide.Request{ID: id, Team: "reef", Class: draftClass, PromptTokens: prompt, MaxOutputTokens: 100, StartBy: now.Add(time.Second)}
+	for _, action := range s.Step(now, decide.Arrived{Request: r}) {
 		switch a := action.(type) {
 		case decide.Place:
 			return a, false
@@ -66,17 +70,58 @@
 // outlives the partition from others.
 func TestNearEnginesFirst(t *testing.T) {
 	s := declared("", map[string]string{"e1": "a", "e2": "b", "e3": "c"})
-	near := 0
+	near, now := 0, epoch
 	for n := range 40 {
-		place, _ := arrive(s, n, 100)
+		now = now.Add(100 * time.Millisecond)
+		place, _ := arriveAt(s, now, n, 100)
 		if place.Upstream.Name == "e1" {
 			near++
 		}
-		s.Step(epoch, decide.Ended{ID: place.ID, Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed}})
+		s.Step(now, decide.Ended{ID: place.ID, Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed}})
 	}
 	assert.Assert(t, near > 30, "%d of 40 were placed in the own data centre", near)
 }
 
+// TestPromptsAreSpread plays a burst of long prompts: they wait for each other
+// at an engine that reads them one after the other, so the longest wait is that
+// of an even spread, whatever data centre they come from.
+func TestPromptsAreSpread(t *testing.T) {
+	s := decide.New("a")
+	var list []decide.Upstream
+	for name, dataCentre := range map[string]string{"e1": "a", "e2": "a", "e3": "b", "e4": "b"} {
+		list = append(list, decide.Upstream{
+			Name: name, Pool: "drafting", DataCentre: dataCentre, Incarnation: 1, Slots: 32, CapacityTokens: 100_000, StepTime: 10 * time.Millisecond,
+		})
+	}
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: list})
+	prompts := map[string]int{}
+	for n := range 16 {
+		place, _ := arriveAt(s, epoch.Add(time.Duration(n)*time.Millisecond), n, 3000)
+		prompts[place.Upstream.Name]++
+	}
+	for name, count := range prompts {
+		assert.Assert(t, count <= 5, "%s has to read %d prompts before its last stream begins", name, count)
+	}
+	assert.Equal(t, len(prompts), 4)
+}
+
+// TestUnreachableEnginesAreLeftOut plays the partition of a data centre: its
+// instances can reach only the engines beside them, and try each other engine
+// once.
+func TestUnreachableEnginesAreLeftOut(t *testing.T) {
+	s := declared("", map[string]string{"e1": "a", "e2": "b", "e3": "b", "e4": "c", "e5": "c"})
+	for _, name := range []string{"e2", "e3", "e4", "e5"} {
+		s.Step(epoch, decide.Failed{Upstream: name, Reason: verdict.UpstreamUnreachable})
+	}
+	for n := range 4 {
+		place, _ := arriveAt(s, epoch.Add(10*time.Millisecond), n, 300)
+		assert.Equal(t, place.Upstream.Name, "e1")
+	}
+	s.Step(epoch, decide.Failed{Upstream: "e1", Reason: verdict.UpstreamUnreachable})
+	place, _ := arriveAt(s, epoch.Add(20*time.Millisecond), 5, 300)
+	assert.Equal(t, place.Upstream.Name, "e1", "the last one is not given up")
+}
+
 // TestRelocate plays an engine that leaves with runs on it.
 func TestRelocate(t *testing.T) {
 	engines := map[string]string{"e1": "a", "e2": "a", "e3": "b"}
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -30,8 +30,15 @@
 		// A request that was moved is placed a second time.
 		s.withdraw(id)
 		if u := s.upstreams[n.Upstream]; u != nil {
+			if n.Tokens > 0 {
+				// A run that moved brings its prompt's memory with it.
+				f := &flight{Request: n.Request, upstream: u.Name, foreign: true, lengths: s.lengthsOf(n.Request), sentAt: now, tokensAt: now}
+				u.place(f)
+				s.placed[id] = u.Name
+				s.advance(now, id, n.Tokens)
+				return
+			}
 			s.board(now, u, n.Request, s.lengthsOf(n.Request), true)
-			s.advance(now, id, n.Tokens)
 		}
 	case NoticeProgressed:
 		s.advance(now, id, n.Tokens)
@@ -46,8 +53,15 @@
 
 // board counts a request at an upstream.
 func (s *Scheduler) board(now time.Time, u *upstream, r Request, lengths Distribution, foreign bool) {
-	s.pool(u.Pool).placed(now, r.PromptTokens)
-	u.place(&flight{Request: r, upstream: u.Name, foreign: foreign, lengths: lengths, sentAt: now, tokensAt: now})
+	p := s.pool(u.Pool)
+	p.placed(now, r.PromptTokens)
+	f := &flight{Request: r, upstream: u.Name, foreign: foreign, lengths: lengths, sentAt: now, tokensAt: now}
+	read := u.prefill.add(now, float64(r.PromptTokens), p.reading.get())
+	if !foreign {
+		// Others tell too late when theirs began.
+		f.readBy = read
+	}
+	u.place(f)
 	s.placed[r.ID] = u.Name
 }
 
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -10,6 +10,7 @@
 	// placements counts those of all instances, as far as they are known.
 	placements   rate
 	promptTokens float64
+	reading      readingSpeed
 	// reported and known count, over the reports, all generations and those
 	// known here: their ratio tells how much is placed without notice.
 	reported, known float64
--- /dev/null
+++ b/decide/prefill.go
@@ -0,0 +1,98 @@
+package decide
+
+import (
+	"math"
+	"time"
+)
+
+// prefill is what is known of the prompts that an engine has yet to read. It
+// reads them one after the other, between the tokens of what runs there, so a
+// prompt that comes behind some others waits for all of them: on a crowded
+// engine that, and not memory, decides when a stream begins.
+type prefill struct {
+	// tokens were left to read at a time.
+	tokens float64
+	at     time.Time
+}
+
+// left returns the tokens that are left to read.
+func (p *prefill) left(now time.Time, perSecond float64) float64 {
+	return max(0, p.tokens-now.Sub(p.at).Seconds()*perSecond)
+}
+
+// add counts a prompt, and returns how many tokens are read by its end.
+func (p *prefill) add(now time.Time, prompt, perSecond float64) float64 {
+	p.tokens, p.at = p.left(now, perSecond)+prompt, now
+	return p.tokens
+}
+
+// readingSpeed learns how many prompt tokens an engine of a pool reads in a
+// second while it serves others.
+type readingSpeed struct{ perSecond float64 }
+
+const (
+	// startReading is assumed until streams have begun. Too low a speed only
+	// spreads the first prompts more evenly.
+	startReading = 5000
+	// readingMemory is how many beginnings weigh as much as all before.
+	readingMemory = 30
+	minReading    = 500
+	maxReading    = 200_000
+)
+
+func (s *readingSpeed) get() float64 {
+	if s.perSecond == 0 {
+		return startReading
+	}
+	return s.perSecond
+}
+
+// observe takes the time in which an engine read so many tokens.
+func (s *readingSpeed) observe(tokens float64, took time.Duration) {
+	if took <= 0 || tokens <= 0 {
+		return
+	}
+	seen := min(maxReading, max(minReading, tokens/took.Seconds()))
+	s.perSecond = s.get() + (seen-s.get())/readingMemory
+}
+
+const (
+	// farCost is how much later a stream may begin in the own data centre than
+	// in another and still be placed there: there it outlives a partition.
+	farCost = 200 * time.Millisecond
+	// crowdCost is added for an engine whose memory is full, and nothing for one
+	// that is half full: what runs there is at risk of preemption, and a
+	// crowded engine can't be left in time when it is reclaimed.
+	crowdCost = 800 * time.Millisecond
+	// tieCost spreads the streams that several instances place at once.
+	tieCost = 30 * time.Millisecond
+	// returningPenalty is added while an engine returns from an ejection, in
+	// proportion to the share that is kept from it.
+	returningPenalty = 3 * time.Second
+)
+
+// startCost weighs an engine with so much memory left free against others: the
+// time to the stream's first token, and what else speaks against it, in time.
+func (s *Scheduler) startCost(now time.Time, w *waiting, u *upstream, free float64) time.Duration {
+	reading := s.pool(u.Pool).reading.get()
+	cost := time.Duration((u.prefill.left(now, reading) + float64(w.PromptTokens)) / reading * float64(time.Second))
+	if u.DataCentre != s.dataCentre {
+		cost += farCost
+	}
+	full := 1 - free/u.capacity()
+	cost += time.Duration(math.Max(0, 2*full-1) * float64(crowdCost))
+	cost += time.Duration((1 - u.health.share(now)) * float64(returningPenalty))
+	return cost + time.Duration(lot(w.ID, u.hash)*float64(tieCost))
+}
+
+// cheapest keeps the engine that costs least.
+type cheapest struct {
+	best *upstream
+	cost time.Duration
+}
+
+func (c *cheapest) offer(u *upstream, cost time.Duration) {
+	if c.best == nil || cost < c.cost {
+		c.best, c.cost = u, cost
+	}
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -77,7 +77,7 @@
 	case Ended:
 		s.end(now, e)
 	case Failed:
-		s.fail(now, e.Upstream)
+		s.fail(now, e.Upstream, e.Reason)
 		return nil
 	case Relocating:
 		return s.relocate(now, e)
@@ -159,6 +159,9 @@
 	if f == nil || tokens <= f.tokens {
 		return false
 	}
+	if f.tokens == 0 && f.readBy > 0 {
+		s.pool(u.Pool).reading.observe(f.readBy, now.Sub(f.sentAt))
+	}
 	s.lengths.Passed(f.Request, f.tokens, tokens)
 	f.tokens, f.tokensAt = tokens, now
 	u.stale = true
@@ -212,9 +215,14 @@
 	return nil
 }
 
-func (s *Scheduler) fail(now time.Time, name string) {
+func (s *Scheduler) fail(now time.Time, name string, reason verdict.Reason) {
 	u := s.upstreams[name]
-	if u == nil || !u.health.fail(now) {
+	if u == nil {
+		return
+	}
+	// One that can't be reached takes nobody's work, whoever else can't be.
+	unreachable := reason == verdict.UpstreamUnreachable && u.health.share(now) > 0
+	if !u.health.fail(now) && !unreachable {
 		return
 	}
 	ejected, all := 1, 0
@@ -227,7 +235,7 @@
 			ejected++
 		}
 	}
-	if float64(ejected) <= maxEjectedShare*float64(all) {
+	if unreachable && ejected < all || float64(ejected) <= maxEjectedShare*float64(all) {
 		u.health.eject(now)
 	}
 }
@@ -308,9 +316,9 @@
 	deviations := margin(now, w.arrivedAt, w.deadline)
 	var own forecast
 	own.addFlight(float64(w.PromptTokens), 0, lengths)
-	draw := lots{id: w.ID}
+	draw, least := lots{id: w.ID}, cheapest{}
 	room := 0
-	looked := sample(candidates, w.ID, w.looks)
+	looked := s.sample(candidates, w.ID, w.looks)
 	w.looks++
 	for _, u := range looked {
 		if !u.fresh(now) {
@@ -330,31 +338,26 @@
 			continue
 		}
 		room++
-		weight := free * u.health.share(now)
-		if u.DataCentre == s.dataCentre && free >= nearRoom*u.capacity() {
-			weight *= nearWeight
+		if u.CapacityTokens > 0 {
+			least.offer(u, s.startCost(now, w, u, free))
+			continue
 		}
-		draw.offer(u, weight)
+		draw.offer(u, free*u.health.share(now))
 	}
-	if draw.best == nil {
+	u := draw.best
+	if least.best != nil {
+		u = least.best
+	}
+	if u == nil {
 		return choice{}, false
 	}
-	u := draw.best
 	why := fmt.Sprintf(
-		"room at %d of %d; here %d tokens stay free of %d at the peak with %.2f deviations, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
-		room, len(looked), int(u.capacity()-u.with(&own, deviations)), int(u.capacity()), deviations,
+		"cost %v, room at %d of %d; here %d tokens stay free of %d at the peak with %.2f deviations, with %d known, %.1f others and %.1f unseen; output forecast %.0f tokens; waited %v",
+		least.cost.Round(time.Millisecond), room, len(looked), int(u.capacity()-u.with(&own, deviations)), int(u.capacity()), deviations,
 		u.baseLoad.known, u.baseLoad.others.count, u.baseLoad.unseen.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
 	return choice{u, lengths, why}, true
 }
 
-const (
-	// nearRoom is the share of an engine's memory that has to stay free for it
-	// to be preferred for being in the own data centre: a stream there outlives
-	// the data centre's partition from others. nearWeight is by how much.
-	nearRoom   = 0.3
-	nearWeight = 20
-)
-
 // busyShare is the share of an upstream's slots in use from which calls go to
 // another data centre.
 const busyShare = 0.7
@@ -464,32 +467,56 @@
 // maxLooked bounds the upstreams that are forecast for one decision.
 const maxLooked = 12
 
-// sample returns some of the upstreams, others for each further look.
-func sample(all []*upstream, id ident.Request, look uint64) []*upstream {
+// farLooked is how many of them are in other data centres.
+const farLooked = 3
+
+// sample returns some of the upstreams, others for each further look, most of
+// them in the own data centre.
+func (s *Scheduler) sample(all []*upstream, id ident.Request, look uint64) []*upstream {
 	if len(all) <= maxLooked {
 		return all
 	}
-	type drawn struct {
+	var near, far []*upstream
+	for _, u := range all {
+		if u.DataCentre == s.dataCentre {
+			near = append(near, u)
+		} else {
+			far = append(far, u)
+		}
+	}
+	if len(near) == 0 || len(far) == 0 {
+		return drawn(all, maxLooked, id, look)
+	}
+	some := drawn(near, maxLooked-farLooked, id, look)
+	return append(some, drawn(far, maxLooked-len(some), id, look)...)
+}
+
+// drawn returns so many of the upstreams by lot.
+func drawn(all []*upstream, most int, id ident.Request, look uint64) []*upstream {
+	if len(all) <= most {
+		return slices.Clone(all)
+	}
+	type ticket struct {
 		upstream *upstream
 		lot      float64
 	}
-	var least [maxLooked]drawn
+	var least [maxLooked]ticket
 	count := 0
 	for _, u := range all {
-		d := drawn{u, lot(id, ^u.hash+look)}
-		if count == maxLooked && d.lot >= least[count-1].lot {
+		t := ticket{u, lot(id, ^u.hash+look)}
+		if count == most && t.lot >= least[count-1].lot {
 			continue
 		}
-		count = min(count+1, maxLooked)
+		count = min(count+1, most)
 		i := count - 1
-		for ; i > 0 && least[i-1].lot > d.lot; i-- {
+		for ; i > 0 && least[i-1].lot > t.lot; i-- {
 			least[i] = least[i-1]
 		}
-		least[i] = d
+		least[i] = t
 	}
 	some := make([]*upstream, count)
-	for i, d := range least[:count] {
-		some[i] = d.upstream
+	for i, t := range least[:count] {
+		some[i] = t.upstream
 	}
 	return some
 }
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -20,6 +20,7 @@
 	departed []*flight
 	goneAt   []time.Time
 	pace     paceModel
+	prefill  prefill
 	// overhead is the memory that a known generation takes beyond its tokens,
 	// as whole blocks do.
 	overhead float64
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,7 +20,7 @@
 	// dialLimit bounds the making of a connection to an upstream. A connection
 	// between data centres takes some milliseconds; a lost opening packet is
 	// sent again after a second, which is later than another upstream's answer.
-	dialLimit = 600 * time.Millisecond
+	dialLimit = 300 * time.Millisecond
 	// maxAnswerBytes bounds a plain answer, which is held whole.
 	maxAnswerBytes = 8 << 20
 	// keepAlive is how often a silent connection is probed: a peer that lost it
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,9 +55,12 @@
 	// mayHaveRun says that an attempt may have had an effect.
 	mayHaveRun bool
 	avoid      []string
-	// delivered counts the events that were passed on.
-	delivered int
-	upstream  string
+	// delivered counts the events that were passed on, firstAt and lastAt are
+	// when the first and the last were, and pause is the longest between two.
+	delivered       int
+	firstAt, lastAt time.Time
+	pause           time.Duration
+	upstream        string
 }
 
 // ServeHTTP implements http.Handler.
@@ -262,6 +265,25 @@
 		"table_version", q.table.Version, "list_revision", snapshot.ListRevision, "waited_ms", time.Since(q.received).Milliseconds())
 }
 
+// passed notes that an event was passed on.
+func (q *request) passed(now time.Time) {
+	q.delivered++
+	if q.firstAt.IsZero() {
+		q.firstAt = now
+	} else {
+		q.pause = max(q.pause, now.Sub(q.lastAt))
+	}
+	q.lastAt = now
+}
+
+// firstEvent returns the time to the first event; zero when none came.
+func (q *request) firstEvent() time.Duration {
+	if q.firstAt.IsZero() {
+		return 0
+	}
+	return q.firstAt.Sub(q.received)
+}
+
 // closed logs the end of a request.
 func (g *Gateway) closed(q *request, status int, o verdict.Outcome) {
 	var route string
@@ -271,5 +293,5 @@
 	}
 	g.Log.Emit(event.RequestClosed, "request", q.ask.ID, "route", route, "table_version", version, "team", q.team, "service", q.service,
 		"upstream", q.upstream, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
-		"events", q.delivered, "ms", time.Since(q.received).Milliseconds())
+		"events", q.delivered, "first_event_ms", q.firstEvent().Milliseconds(), "longest_pause_ms", q.pause.Milliseconds(), "ms", time.Since(q.received).Milliseconds())
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -264,8 +264,9 @@
 	if e.id != noID {
 		s.last = e.id
 	}
-	s.delivered++
-	if now := time.Now(); now.Sub(s.progressAt) >= progressInterval {
+	now := time.Now()
+	s.passed(now)
+	if now.Sub(s.progressAt) >= progressInterval {
 		s.progressAt = now
 		s.g.Dispatcher.Progress(s.id, s.delivered*s.tokens)
 	}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -21,7 +21,7 @@
 
 const (
 	// flushInterval gathers notices into one datagram.
-	flushInterval = 50 * time.Millisecond
+	flushInterval = 15 * time.Millisecond
 	// lifeInterval is the longest time between two datagrams to a member.
 	lifeInterval = 1 * time.Second
 	// joinInterval is the time between two tries to find a first member.
