--- a/entry/run.go
+++ b/entry/run.go
@@ -20,6 +20,7 @@
 	"mangoloft/gateway"
 	"mangoloft/gossip"
 	"mangoloft/ident"
+	"mangoloft/telemetry"
 )
 
 const (
@@ -61,6 +62,7 @@
 	follower *catalog.Follower
 	gateway  *gateway.Gateway
 	callers  *callers
+	figures  *telemetry.Figures
 	stopping atomic.Bool
 }
 
@@ -107,14 +109,34 @@
 		Reads: i.peers.Reads, TableKnown: func() bool { return i.control.Snapshot().Document.Table != nil },
 		ListRevision: func() uint64 { return i.control.Snapshot().ListRevision },
 	}
+	i.figures = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.control, Protocol: p.Protocol, Engines: p.Engines, Log: i.log,
+		Home: i.home, Dispatcher: i.control, Protocol: p.Protocol, Engines: p.Engines, Log: i.log, Figures: i.figures,
 		MaxBodies: int64(bodiesShare * s.Limits.MemoryMB * (1 << 20)),
 	})
+	i.figures.Observe(i.source())
 	i.callers, err = listenCallers(s.Listen.Callers, i.gateway, i.idleLimit)
 	return err
 }
 
+// source is what the figures show of the instance at any moment.
+func (i *instance) source() telemetry.Source {
+	return telemetry.Source{
+		Open: i.gateway.Open, Peers: i.peers.Alive, Backlog: i.control.Backlog,
+		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListRevision },
+		LinesDropped: i.log.Dropped, StoreLost: i.follower.Lost, Ready: i.ready, Upstreams: i.upstreams,
+	}
+}
+
+// upstreams counts the upstreams by state.
+func (i *instance) upstreams() map[string]int {
+	counts := map[string]int{}
+	for _, b := range i.control.Snapshot().Upstreams {
+		counts[b.State.String()]++
+	}
+	return counts
+}
+
 // state is what other instances may ask for.
 func (i *instance) state() gossip.State {
 	snapshot := i.control.Snapshot()
@@ -161,7 +183,7 @@
 	}
 	group.Add(func() error { return ended(i.callers.server.Serve(i.callers.listener)) }, func(error) { i.callers.server.Close() })
 	for addr, handler := range map[netip.AddrPort]http.Handler{
-		s.Listen.Readiness: http.HandlerFunc(i.serveReadiness), s.Listen.Control: i.peers.Handler(),
+		s.Listen.Readiness: http.HandlerFunc(i.serveReadiness), s.Listen.Control: i.peers.Handler(), s.Listen.Metrics: i.figures,
 	} {
 		if !addr.IsValid() {
 			continue
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/ident"
+	"mangoloft/telemetry"
 	"mangoloft/upstream"
 	"mangoloft/verdict"
 )
@@ -36,6 +37,7 @@
 	Protocol   Protocol
 	Engines    Engines
 	Log        *event.Log
+	Figures    *telemetry.Figures
 	// MaxBodies bounds the bytes of all bodies that are held at once.
 	MaxBodies int64
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"mangoloft/gateway"
 	"mangoloft/ident"
 	"mangoloft/routing"
+	"mangoloft/telemetry"
 	"mangoloft/upstream"
 )
 
@@ -240,7 +241,7 @@
 	control.ListRead(items, uint64(len(items)), true, upstream.FromList)
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	server := httptest.NewServer(gateway.New(gateway.Options{
-		Home: home, Dispatcher: control, Protocol: protocol{}, Engines: e, Log: log, MaxBodies: 1 << 20,
+		Home: home, Dispatcher: control, Protocol: protocol{}, Engines: e, Log: log, Figures: telemetry.New(), MaxBodies: 1 << 20,
 	}))
 	t.Cleanup(func() {
 		server.Close()
@@ -353,7 +354,7 @@
 
 func TestNoTableYet(t *testing.T) {
 	control := dispatch.New("a", event.NewLog(io.Discard, "x", time.Now))
-	g := gateway.New(gateway.Options{Dispatcher: control, Protocol: protocol{}, Log: event.NewLog(io.Discard, "x", time.Now), MaxBodies: 1 << 20})
+	g := gateway.New(gateway.Options{Dispatcher: control, Protocol: protocol{}, Log: event.NewLog(io.Discard, "x", time.Now), Figures: telemetry.New(), MaxBodies: 1 << 20})
 	w := httptest.NewRecorder()
 	g.ServeHTTP(w, httptest.NewRequest("GET", "/safe/x", nil))
 	assert.Equal(t, w.Code, 503)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -260,6 +260,7 @@
 // placed logs where a request is sent and why, with the age of what decided.
 func (g *Gateway) placed(q *request, place dispatch.Placement) {
 	snapshot := g.Dispatcher.Snapshot()
+	g.Figures.Sent(q.service)
 	g.Log.Emit(event.RequestPlaced, "request", q.ask.ID, "internal_id", q.id.String(), "route", q.route.Name, "team", q.team, "service", q.service,
 		"upstream", place.Name, "address", place.Addr.String(), "born", int64(place.Incarnation), "why", place.Why,
 		"table_version", q.table.Version, "list_revision", snapshot.ListRevision, "waited_ms", time.Since(q.received).Milliseconds())
@@ -286,10 +287,14 @@
 
 // closed logs the end of a request.
 func (g *Gateway) closed(q *request, status int, o verdict.Outcome) {
-	var route string
+	var route, kind string
 	var version uint64
 	if q.route != nil {
-		route, version = q.route.Name, q.table.Version
+		route, kind, version = q.route.Name, q.route.Kind.String(), q.table.Version
+	}
+	g.Figures.Closed(kind, status, o, time.Since(q.received))
+	if q.delivered > 0 {
+		g.Figures.Streamed(q.firstEvent(), q.pause)
 	}
 	g.Log.Emit(event.RequestClosed, "request", q.ask.ID, "route", route, "table_version", version, "team", q.team, "service", q.service,
 		"upstream", q.upstream, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,58 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/telemetry"
+	"mangoloft/verdict"
+)
+
+func TestFigures(t *testing.T) {
+	f := telemetry.New()
+	f.Closed("unsafe", 503, verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.Overloaded}, 3*time.Millisecond)
+	f.Streamed(400*time.Millisecond, 60*time.Millisecond)
+	f.Sent("pool")
+	f.SendFailed("pool", verdict.UpstreamLost)
+	f.Moved("moved")
+	zero := func() int { return 0 }
+	f.Observe(telemetry.Source{
+		Open: func() int { return 2 }, Peers: zero, Backlog: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
+		LinesDropped: func() uint64 { return 0 }, StoreLost: func() bool { return true }, Ready: func() bool { return false },
+		Upstreams: func() map[string]int { return map[string]int{"ready": 3} },
+	})
+	var out bytes.Buffer
+	f.Write(&out)
+	for _, line := range []string{
+		`mangoloft_requests_total{kind="unsafe",status="503",verdict="not_run",reason="overloaded"} 1`,
+		`mangoloft_refusals_total{reason="overloaded"} 1`,
+		`mangoloft_sends_total{service="pool"} 1`,
+		`mangoloft_failed_sends_total{service="pool",reason="upstream_lost"} 1`,
+		`mangoloft_run_moves_total{outcome="moved"} 1`,
+		`mangoloft_first_event_seconds_count 1`,
+		`mangoloft_open_requests 2`,
+		`mangoloft_table_version 7`,
+		`mangoloft_store_lost 1`,
+		`mangoloft_ready 0`,
+		`mangoloft_upstreams{state="ready"} 3`,
+	} {
+		assert.Assert(t, strings.Contains(out.String(), line+"\n"), "%s is missing in\n%s", line, out.String())
+	}
+	for _, name := range telemetry.Names() {
+		assert.Assert(t, strings.Contains(out.String(), name), name)
+	}
+}
+
+// TestPage holds that the page explains every figure.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	assert.NilError(t, err)
+	for _, name := range telemetry.Names() {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
+	}
+}
