--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/jsonc"
+)
+
+const sample = `{
+  // An instance on a small machine.
+  "instance": "edge-a-1",
+  "data_centre": "a",
+  "listen": {
+    "callers": "10.1.0.19:8740", "readiness": "10.1.0.19:8749", "control": "10.1.0.19:8748",
+    "peers": "10.1.0.19:7200", "metrics": "10.1.0.19:9100",
+  },
+  "seeds": ["10.1.0.19:8748", "10.2.0.13:8748"],
+  "store": {"address": "10.200.1.7:8742"},
+  "limits": {"memory_mb": 120, "descriptors": 2870},
+  "stop": {"grace_seconds": 8},
+  "retries": {"share": 0.2, "slack": 122, "window_seconds": 10},
+}`
+
+func TestParse(t *testing.T) {
+	s, err := parse("settings.jsonc", []byte(sample))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Listen.Peers.Port(), uint16(7200))
+	assert.Equal(t, len(s.Seeds), 2)
+	assert.Equal(t, s.Retries.Slack, 122.0)
+}
+
+func TestParseFaults(t *testing.T) {
+	tests := map[string]struct {
+		old, replacement string
+		want             []string
+	}{
+		"an unknown field":    {`"seeds"`, `"seed"`, []string{`found unknown field "seed"`}},
+		"no name":             {`"edge-a-1"`, `""`, []string{"settings.jsonc:3:15: instance:"}},
+		"a port that is none": {`10.1.0.19:7200`, `10.1.0.19:99999`, []string{"listen.peers"}},
+		"a host name":         {`10.200.1.7:8742`, `store:8742`, []string{"store.address"}},
+		"no grace":            {`"grace_seconds": 8`, `"grace_seconds": 0`, []string{"stop.grace_seconds"}},
+		"a share below 0":     {`"share": 0.2`, `"share": -1`, []string{"retries.share"}},
+		"a word for a number": {`"memory_mb": 120`, `"memory_mb": "much"`, []string{"limits.memory_mb"}},
+		"two at once":         {`"instance": "edge-a-1",`, `"instance": "", "odd": 1,`, []string{"instance", "odd"}},
+		"cut off":             {`"stop"`, ``, []string{"settings.jsonc:"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := parse("settings.jsonc", []byte(strings.Replace(sample, test.old, test.replacement, 1)))
+			var faults jsonc.Faults
+			assert.Assert(t, errors.As(err, &faults), "%v", err)
+			for _, want := range test.want {
+				assert.Assert(t, strings.Contains(err.Error(), want), "%v", err)
+			}
+		})
+	}
+}
+
+// TestTemplate holds that the deployment's template has just the fields of the
+// settings. Its placeholders are filled in here by what stands in the sample.
+func TestTemplate(t *testing.T) {
+	content, err := os.ReadFile("../platform/settings.jsonc")
+	assert.NilError(t, err)
+	filled := strings.NewReplacer(
+		"{{node-name|json}}", `"edge-a-1"`, "{{zone|json}}", `"a"`, "{{listen.frontend|json}}", `"10.1.0.19:8740"`,
+		"{{listen.ready|json}}", `"10.1.0.19:8749"`, "{{listen.control|json}}", `"10.1.0.19:8748"`, "{{ip}}", "10.1.0.19",
+		"{{internal-ports.0}}", "7200", "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", `"10.1.0.19:8748", "10.2.0.13:8748"`,
+		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{limits.memory-mb|json}}", "120", "{{limits.max-fds|json}}", "2870",
+		"{{bounds.grace-s|json}}", "8", "{{bounds.retry-budget-ratio|json}}", "0.2", "{{bounds.retry-slack|json}}", "122",
+		"{{bounds.budget-window-s|json}}", "10",
+	).Replace(string(content))
+	assert.Assert(t, !strings.Contains(filled, "{{"), filled)
+	got, err := parse("settings.jsonc", []byte(filled))
+	assert.NilError(t, err)
+	want, err := parse("settings.jsonc", []byte(sample))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want, compareAddrs)
+}
+
+// FuzzParse holds that no settings file ends the process.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte(`{"listen":{"callers":1}}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		if s, err := parse("f", content); err == nil {
+			assert.Assert(t, s.Listen.Callers.IsValid() && s.Stop.GraceSeconds > 0)
+		}
+	})
+}
