Time-outs of routes and callers that hang up blame no upstream

Change: a send ended from this side says so (wait_expired, caller_gone) and speaks against an upstream only at the caller's own deadline. Test seen failing first.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,9 @@
 	}
 	response, err := g.transport.RoundTrip(request)
 	switch {
+	case err != nil && ctx.Err() != nil:
+		// The upstream did nothing wrong: nobody waits any more.
+		return nil, gaveUp(ctx, connected.Load())
 	case err != nil && !connected.Load():
 		return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
 	case err != nil:
@@ -75,6 +79,18 @@
 	return response, nil
 }
 
+// gaveUp says why a send was ended from this side.
+func gaveUp(ctx context.Context, connected bool) error {
+	v := verdict.NotRun
+	if connected {
+		v = verdict.MayHaveRun
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Fail(v, verdict.WaitExpired, "the deadline passed while the upstream had the request")
+	}
+	return verdict.Fail(v, verdict.CallerGone, "the caller hung up")
+}
+
 // targetURL keeps the path byte for byte. The url package would write some of
 // them another way.
 func targetURL(addr netip.AddrPort, target string) *url.URL {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -352,6 +352,37 @@
 	assert.Equal(t, live.ran(), 5)
 }
 
+// TestSlowRouteBlamesNobody holds that an upstream is not left out for being
+// slower than a route's time-out, or for callers that hang up: the others would
+// have to carry its work.
+func TestSlowRouteBlamesNobody(t *testing.T) {
+	slow := startBackend(t, "slow", func(b *backend, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unsafe/slow" {
+			hangs(b, w, r)
+			return
+		}
+		answers(b, w, r)
+	})
+	other := startBackend(t, "other", answers)
+	f := startFront(t, &engines{}, slow, other)
+	var group sync.WaitGroup
+	for range 12 {
+		group.Go(func() {
+			r := f.request(t, "POST", "/unsafe/slow", "", nil)
+			if response, err := http.DefaultClient.Do(r); err == nil {
+				response.Body.Close()
+			}
+		})
+	}
+	group.Wait()
+	before := slow.ran()
+	for range 20 {
+		_, _, err := f.do(t, "POST", "/unsafe/x", "", nil)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, slow.ran() > before, "it gets no work any more")
+}
+
 func TestNoTableYet(t *testing.T) {
 	control := dispatch.New("a", event.NewLog(io.Discard, "x", time.Now))
 	g := gateway.New(gateway.Options{Dispatcher: control, Protocol: protocol{}, Log: event.NewLog(io.Discard, "x", time.Now), Figures: telemetry.New(), MaxBodies: 1 << 20})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -125,7 +125,7 @@
 	}
 	if err != nil || status >= http.StatusInternalServerError {
 		q.avoid = append(q.avoid, place.Name)
-		if o.Reason != verdict.CallerGone && o.Reason != verdict.UpstreamLeaving {
+		if q.blames(o.Reason) {
 			g.Dispatcher.Failed(place.Name, o.Reason)
 		}
 		g.Figures.SendFailed(q.service, o.Reason)
@@ -134,6 +134,19 @@
 	}
 }
 
+// blames reports whether the end of a send speaks against the upstream. One
+// that is slower than a route's time-out may be as fast as it should be; one
+// that is silent until the caller's own deadline is not.
+func (q *request) blames(r verdict.Reason) bool {
+	switch r {
+	case verdict.CallerGone, verdict.UpstreamLeaving:
+		return false
+	case verdict.WaitExpired:
+		return q.deadline.Equal(q.ask.Deadline)
+	}
+	return true
+}
+
 // deliver passes an upstream's whole answer on.
 func (g *Gateway) deliver(w http.ResponseWriter, q *request, a *whole) {
 	header := w.Header()
