--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -90,8 +90,11 @@
 func (f *Follower) FollowTable(ctx context.Context) error {
 	var revision uint64
 	var backoff time.Duration
+	// none says that the store had no table when it was last asked. Those who
+	// read for the data centre ask on, and tell the others.
+	none := false
 	for ctx.Err() == nil {
-		if !f.Reads() && f.TableKnown() {
+		if !f.Reads() && (f.TableKnown() || none) {
 			revision = 0
 			pause(ctx, roleInterval)
 			continue
@@ -103,6 +106,11 @@
 		case errorx.IsOfType(err, ErrHistoryGone):
 			revision = 0
 			continue
+		case errorx.IsOfType(err, ErrNoTable):
+			none = true
+			f.Log.EmitSparingly(event.TableRefused, "error", err.Error())
+			pause(ctx, roleInterval)
+			continue
 		case err != nil:
 			backoff = f.failed(ctx, "table", &f.tableLost, backoff, err)
 			continue
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -158,6 +158,24 @@
 	assert.DeepEqual(t, si.versions, []uint64{2})
 }
 
+// TestNoTableYet holds that of a fleet that starts before its first table only
+// the readers ask on.
+func TestNoTableYet(t *testing.T) {
+	for name, reads := range map[string]bool{"a reader": true, "another": false} {
+		t.Run(name, func(t *testing.T) {
+			none := catalog.ErrNoTable.New("none")
+			st, si := &store{answers: []answer{{err: none}, {err: none}, {err: none}}}, &sink{}
+			log := event.NewLog(&bytes.Buffer{}, "i", time.Now)
+			f := &catalog.Follower{Store: st, Sink: si, Decoder: digits{}, Log: log, Reads: func() bool { return reads }, TableKnown: func() bool { return false }}
+			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			defer cancel()
+			assert.NilError(t, f.FollowTable(ctx))
+			log.Close(time.Now().Add(time.Second))
+			assert.Equal(t, len(st.asked) > 1, reads, "%v", st.asked)
+		})
+	}
+}
+
 var errDown = errors.New("down")
 
 func TestFollowTable(t *testing.T) {
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,37 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/soak"
+)
+
+// failedOnce holds the seeds that ever failed, with the cause. They stay.
+var failedOnce = map[string]uint64{}
+
+// TestSoak plays some seconds of faults with a fixed seed, and with every seed
+// that ever failed.
+func TestSoak(t *testing.T) {
+	bin := t.TempDir()
+	output, err := exec.Command("go", "build", "-o", bin, "mangoloft/cmd/mangoloft-edge").CombinedOutput()
+	assert.NilError(t, err, string(output))
+	seeds := map[string]uint64{"a seed": 7}
+	for cause, seed := range failedOnce {
+		seeds[cause] = seed
+	}
+	for name, seed := range seeds {
+		t.Run(name, func(t *testing.T) {
+			plan := soak.Plan{Seed: seed, Until: time.Now().Add(8 * time.Second), Instances: 4, Bin: bin, Dir: t.TempDir()}
+			figures, err := soak.Run(context.Background(), plan)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, figures.Violations, []string(nil))
+			assert.Assert(t, figures.Served > 0)
+			assert.Assert(t, len(figures.Faults) > 3, "%v", figures.Faults)
+		})
+	}
+}
