--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/event"
+	"mangoloft/pause"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -96,7 +97,7 @@
 	for ctx.Err() == nil {
 		if !f.Reads() && (f.TableKnown() || none) {
 			revision = 0
-			pause(ctx, roleInterval)
+			pause.For(ctx, roleInterval)
 			continue
 		}
 		raw, at, err := f.readTable(ctx, revision)
@@ -109,7 +110,7 @@
 		case errorx.IsOfType(err, ErrNoTable):
 			none = true
 			f.Log.EmitSparingly(event.TableRefused, "error", err.Error())
-			pause(ctx, roleInterval)
+			pause.For(ctx, roleInterval)
 			continue
 		case err != nil:
 			backoff = f.failed(ctx, "table", &f.tableLost, backoff, err)
@@ -120,7 +121,7 @@
 		if raw != nil {
 			f.offer(raw)
 		}
-		pause(ctx, watchPause)
+		pause.For(ctx, watchPause)
 	}
 	return nil
 }
@@ -149,7 +150,7 @@
 	for ctx.Err() == nil {
 		if !f.Reads() && f.ListRevision() != 0 {
 			revision = 0
-			pause(ctx, roleInterval)
+			pause.For(ctx, roleInterval)
 			continue
 		}
 		if revision == 0 {
@@ -172,7 +173,7 @@
 		revision, backoff = max(revision, at), 0
 		f.Sink.ListRead(items, at, whole, upstream.FromList)
 		whole = false
-		pause(ctx, watchPause)
+		pause.For(ctx, watchPause)
 	}
 	return nil
 }
@@ -196,15 +197,6 @@
 		f.Log.Emit(event.StoreLost, "what", what, "error", err.Error())
 	}
 	backoff = min(max(2*backoff, firstBackoff), longestBackoff)
-	pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+	pause.For(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 	return backoff
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -212,7 +212,9 @@
 		"an outage":          {[]answer{{items: []upstream.Item{u1}, revision: 5}, {err: errDown}, {items: []upstream.Item{u2}, revision: 8}}, []string{"list", "watch", "watch", "watch"}, []string{"whole u1", "changes u2"}, 1},
 		"the history is gone": {
 			[]answer{{items: []upstream.Item{u1}, revision: 5}, {err: catalog.ErrHistoryGone.New("gone")}, {err: errDown}, {items: []upstream.Item{u2}, revision: 8}},
-			[]string{"list", "watch", "list", "list", "watch"}, []string{"whole u1", "whole u2"}, 1,
+			[]string{"list", "watch", "list", "list", "watch"},
+			[]string{"whole u1", "whole u2"},
+			1,
 		},
 	}
 	for name, test := range tests {
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,6 +20,7 @@
 	"mangoloft/gateway"
 	"mangoloft/gossip"
 	"mangoloft/ident"
+	"mangoloft/pause"
 	"mangoloft/telemetry"
 )
 
@@ -275,7 +276,7 @@
 	i.gateway.Stop()
 	i.peers.Stop()
 	i.log.Emit(event.InstanceStopping, "open", i.gateway.Open(), "until", deadline.UTC().Format(time.RFC3339Nano))
-	if !sleep(base, min(noticeTime, time.Until(deadline))) {
+	if !pause.For(base, min(noticeTime, time.Until(deadline))) {
 		return nil
 	}
 	for time.Now().Before(deadline) {
@@ -283,20 +284,9 @@
 		if i.gateway.Open() == 0 && i.callers.idle.count() == 0 {
 			return nil
 		}
-		if !sleep(base, stopPoll) {
+		if !pause.For(base, stopPoll) {
 			return nil
 		}
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -144,7 +144,7 @@
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
-func unsigned(b *backend, w http.ResponseWriter, r *http.Request) { b.run(r) }
+func unsigned(b *backend, _ http.ResponseWriter, r *http.Request) { b.run(r) }
 
 func crossed(b *backend, w http.ResponseWriter, r *http.Request) {
 	b.run(r)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/dispatch"
+	"mangoloft/pause"
 	"mangoloft/upstream"
 )
 
@@ -186,7 +187,7 @@
 		case stop:
 			return err
 		case errorx.IsOfType(err, ErrNoRun) || errorx.IsOfType(err, ErrCopying):
-			if !pause(ctx, copyPause) {
+			if !pause.For(ctx, copyPause) {
 				return ctx.Err()
 			}
 		default:
@@ -214,14 +215,3 @@
 	defer m.mu.Unlock()
 	m.to, m.handle, m.over = to, h, took < quickCopy
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangoloft/bench"
+	"mangoloft/pause"
 	"mangoloft/platform/standin"
 )
 
@@ -21,13 +22,6 @@
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (w *world) someInstance(r *rand.Rand) *instance { return w.instances[r.IntN(len(w.instances))] }
 
 // someServer returns one by lot, in an order that the seed decides.
@@ -58,7 +52,7 @@
 	{"pause", func(w *world, ctx context.Context, r *rand.Rand) error {
 		i := w.someInstance(r)
 		i.signal(syscall.SIGSTOP)
-		sleep(ctx, someTime(r, 200*time.Millisecond, 3*time.Second))
+		pause.For(ctx, someTime(r, 200*time.Millisecond, 3*time.Second))
 		i.signal(syscall.SIGCONT)
 		return nil
 	}},
@@ -80,7 +74,7 @@
 	}},
 	{"store modes", func(w *world, ctx context.Context, r *rand.Rand) error {
 		w.store.SetMode([]standin.Mode{standin.Busy, standin.Throttles, standin.Slow}[r.IntN(3)])
-		sleep(ctx, someTime(r, 300*time.Millisecond, 2*time.Second))
+		pause.For(ctx, someTime(r, 300*time.Millisecond, 2*time.Second))
 		w.store.SetMode(standin.Answers)
 		return nil
 	}},
@@ -115,13 +109,13 @@
 	default:
 		p.Set(bench.AllSources, kinds[n])
 	}
-	sleep(ctx, someTime(r, 200*time.Millisecond, 3*time.Second))
+	pause.For(ctx, someTime(r, 200*time.Millisecond, 3*time.Second))
 	p.Heal()
 	return nil
 }
 
 // restart ends a process by a signal and starts it again.
-func (w *world) restart(ctx context.Context, i *instance, s syscall.Signal, pause time.Duration) error {
+func (w *world) restart(ctx context.Context, i *instance, s syscall.Signal, after time.Duration) error {
 	if !i.signal(s) {
 		return nil
 	}
@@ -132,7 +126,7 @@
 		i.signal(syscall.SIGKILL)
 		<-i.ended()
 	}
-	sleep(ctx, pause)
+	pause.For(ctx, after)
 	return i.start(w.plan.Bin, w.plan.Dir, &w.group)
 }
 
@@ -153,7 +147,7 @@
 		if err := w.store.Put("servers/"+h.ID, h.Entry()); err != nil {
 			return err
 		}
-		sleep(ctx, 1500*time.Millisecond)
+		pause.For(ctx, 1500*time.Millisecond)
 	}
 	w.mu.Lock()
 	if w.servers[h.ID] != h {
@@ -167,6 +161,6 @@
 	if r.IntN(2) == 0 {
 		w.store.Delete("servers/" + h.ID)
 	}
-	sleep(ctx, someTime(r, 100*time.Millisecond, time.Second))
+	pause.For(ctx, someTime(r, 100*time.Millisecond, time.Second))
 	return w.addServer(h.ID, h.Service, h.Model, h.Zone)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"mangoloft/pause"
 	"mangoloft/platform/standin"
 )
 
@@ -86,7 +87,7 @@
 	group.Wait()
 	stopWatching()
 	watch.Wait()
-	sleep(ctx, healTime)
+	pause.For(ctx, healTime)
 	if err := w.awaitService(ctx, startLimit); err != nil {
 		w.violation("after all faults have healed: %v", err)
 	}
@@ -95,7 +96,7 @@
 
 func (w *world) faultLine(ctx context.Context, r *rand.Rand) {
 	for {
-		sleep(ctx, someTime(r, 100*time.Millisecond, time.Second))
+		pause.For(ctx, someTime(r, 100*time.Millisecond, time.Second))
 		if ctx.Err() != nil {
 			return
 		}
@@ -117,7 +118,7 @@
 			client = newClient()
 		}
 		w.call(ctx, r, client, w.someInstance(r), fmt.Sprintf("s%d-c%d-%d", w.plan.Seed, n, count))
-		sleep(playing, someTime(r, time.Millisecond, 30*time.Millisecond))
+		pause.For(playing, someTime(r, time.Millisecond, 30*time.Millisecond))
 	}
 }
 
@@ -136,7 +137,7 @@
 			if time.Now().After(until) {
 				return fmt.Errorf("instance %s answers %d, %v", i.name, status, err)
 			}
-			sleep(ctx, 100*time.Millisecond)
+			pause.For(ctx, 100*time.Millisecond)
 		}
 	}
 	return nil
@@ -179,7 +180,7 @@
 			}
 			newest, starts = version, before
 		}
-		sleep(ctx, versionPoll)
+		pause.For(ctx, versionPoll)
 	}
 }
 
