--- a/soak/faults.go
+++ b/soak/faults.go
@@ -116,6 +116,10 @@
 
 // restart ends a process by a signal and starts it again.
 func (w *world) restart(ctx context.Context, i *instance, s syscall.Signal, after time.Duration) error {
+	if !i.restarting.TryLock() {
+		return nil
+	}
+	defer i.restarting.Unlock()
 	if !i.signal(s) {
 		return nil
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -82,6 +82,9 @@
 	settings      string
 	store         *bench.Proxy
 
+	// restarting is held by the one fault that restarts the process.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
@@ -138,7 +141,11 @@
 
 func zone(n int) string { return string(rune('a' + n%zones)) }
 
-func instanceIP(n int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(n + 1)}) }
+// instanceIP returns an address that other soaks on the machine don't use.
+func instanceIP(n int) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>8&0x3f), byte(pid), byte(n + 1)})
+}
 
 // addServer starts a server and lists it.
 func (w *world) addServer(id, service string, model bool, zone string) error {
