Prompts wait at the instances, not at the engines

Streams were sent to engines with more than a second of prompts to read, and engines of other data centres were taken for idle: their placements are not told there. Change: an engine gets no prompt while it has more than 0.4 s to read; streams wait in the fleet's order and are refused when they can't begin in time. Loads of other data centres carry what is unread, three times a second from one instance, and a placement is told to its engine's data centre.

--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -94,15 +94,75 @@
 		})
 	}
 	s.Step(epoch, decide.UpstreamsChanged{Upstreams: list})
-	prompts := map[string]int{}
-	for n := range 16 {
-		place, _ := arriveAt(s, epoch.Add(time.Duration(n)*time.Millisecond), n, 3000)
-		prompts[place.Upstream.Name]++
+	patient := draftClass
+	patient.Wait = time.Minute
+	prompts, last := map[string]int{}, epoch
+	count := func(now time.Time, actions []decide.Action) {
+		for _, action := range actions {
+			if place, ok := action.(decide.Place); ok {
+				prompts[place.Upstream.Name]++
+				last = now
+			}
+		}
+	}
+	const burst, prompt = 16, 3000
+	for n := range burst {
+		id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(n)}
+		count(epoch, s.Step(epoch, decide.Arrived{Request: decide.Request{ID: id, Class: patient, PromptTokens: prompt, StartBy: epoch.Add(time.Minute)}}))
 	}
-	for name, count := range prompts {
-		assert.Assert(t, count <= 5, "%s has to read %d prompts before its last stream begins", name, count)
+	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		count(now, s.Step(now, decide.Tick{}))
 	}
 	assert.Equal(t, len(prompts), 4)
+	for name, n := range prompts {
+		assert.Assert(t, n <= 5, "%s has to read %d prompts", name, n)
+	}
+	// Four engines read the burst at 5,000 tokens a second each.
+	assert.Assert(t, last.Sub(epoch) < burst*prompt/4/5000*time.Second, "the last prompt was placed after %v", last.Sub(epoch))
+}
+
+// TestRefusedWhenTooLate plays a load that the engines can't read in time: what
+// is placed begins in time, and the rest is told at once when to come back.
+func TestRefusedWhenTooLate(t *testing.T) {
+	s := declared("", map[string]string{"e1": "a"})
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: []decide.Upstream{{
+		Name: "e1", Pool: "drafting", DataCentre: "a", Incarnation: 1, Slots: 64, CapacityTokens: 1_000_000, StepTime: 10 * time.Millisecond,
+	}}})
+	class := draftClass
+	class.Wait = time.Second
+	sentAt, waited := map[ident.Request]time.Time{}, map[ident.Request]time.Duration{}
+	refused := 0
+	take := func(now time.Time, actions []decide.Action) {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case decide.Place:
+				waited[a.ID] = now.Sub(sentAt[a.ID])
+			case decide.Refuse:
+				refused++
+				assert.Assert(t, a.RetryAt.After(now), "a refusal tells when to come back")
+			}
+		}
+	}
+	n := 0
+	for now := epoch; now.Before(epoch.Add(20 * time.Second)); now = now.Add(20 * time.Millisecond) {
+		if now.Sub(epoch)%(100*time.Millisecond) == 0 { // 30,000 tokens a second come, 5,000 can be read.
+			id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(n)}
+			n++
+			sentAt[id] = now
+			take(now, s.Step(now, decide.Arrived{Request: decide.Request{ID: id, Class: class, PromptTokens: 3000, StartBy: now.Add(time.Second)}}))
+		}
+		take(now, s.Step(now, decide.Tick{}))
+	}
+	assert.Assert(t, len(waited) >= 28, "%d of the 33 prompts that can be read were placed", len(waited))
+	assert.Assert(t, refused > 100, "%d refused", refused)
+	late := 0
+	for _, wait := range waited {
+		if wait > 2*class.Wait {
+			late++
+		}
+	}
+	assert.Equal(t, late, 0)
+	assert.Assert(t, s.Waiting() < 40, "%d wait", s.Waiting())
 }
 
 // TestUnreachableEnginesAreLeftOut plays the partition of a data centre: its
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -10,7 +10,13 @@
 // it. Its end may have been lost, or the instance itself.
 const noticeSilence = 10 * time.Second
 
-func (s *Scheduler) tell(n Notice) { s.notices = append(s.notices, Notify{n}) }
+// tell gathers a notice, with the data centre of the upstream that it is about.
+func (s *Scheduler) tell(n Notice) {
+	if u := s.upstreams[n.Upstream]; u != nil {
+		n.DataCentre = u.DataCentre
+	}
+	s.notices = append(s.notices, Notify{n})
+}
 
 // takeNotice counts what another instance placed as if it had been placed
 // here, so that its memory and its end are forecast one by one and its length
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -71,6 +71,18 @@
 	returningPenalty = 3 * time.Second
 )
 
+// maxReadingTime is how long an engine may have to read before it gets more. What
+// would wait there waits here instead, in the order of all, for the first
+// engine that can take it, and can still be told at once when it can't be in
+// time.
+const maxReadingTime = 400 * time.Millisecond
+
+// busyReading reports whether an engine has enough to read.
+func (s *Scheduler) busyReading(now time.Time, u *upstream) bool {
+	reading := s.pool(u.Pool).reading.get()
+	return u.CapacityTokens > 0 && u.prefill.left(now, reading) > reading*maxReadingTime.Seconds()
+}
+
 // startCost weighs an engine with so much memory left free against others: the
 // time to the stream's first token, and what else speaks against it, in time.
 func (s *Scheduler) startCost(now time.Time, w *waiting, u *upstream, free float64) time.Duration {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -145,7 +145,7 @@
 
 func (s *Scheduler) progress(now time.Time, e Progressed) {
 	if s.advance(now, e.ID, e.Tokens) {
-		s.tell(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Tokens: e.Tokens})
+		s.tell(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens})
 	}
 }
 
@@ -180,7 +180,7 @@
 		return
 	}
 	if f.Class.Kind == config.Stream {
-		s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Tokens: e.Tokens, Completed: completed})
+		s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed})
 	}
 	if u := s.upstreams[f.upstream]; u != nil && completed {
 		u.health.succeed(now)
@@ -334,7 +334,7 @@
 			// It will never have more room than now, so waiting is in vain.
 			free = 1
 		}
-		if free < 0 || !u.hasSlot() || !u.holdsPace(w.Request) {
+		if free < 0 || !u.hasSlot() || !u.holdsPace(w.Request) || s.busyReading(now, u) {
 			continue
 		}
 		room++
--- a/decide/types.go
+++ b/decide/types.go
@@ -59,6 +59,8 @@
 	UsedTokens, CapacityTokens int
 	// StepTime is the duration of the latest iteration.
 	StepTime time.Duration
+	// UnreadTokens are those of prompts that it has yet to read.
+	UnreadTokens int
 	// Preemptions counts since the upstream's start.
 	Preemptions uint64
 }
@@ -172,7 +174,9 @@
 	// Request has only its id, unless the request waits or is being placed.
 	Request  Request
 	Upstream string
-	Tokens   int
+	// DataCentre is the upstream's; empty without one.
+	DataCentre string
+	Tokens     int
 	// Completed says that the output came to its regular end.
 	Completed bool
 }
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -92,6 +92,8 @@
 	Upstream   string
 	Running    int
 	UsedTokens int
+	// UnreadTokens are those of prompts that it has yet to read.
+	UnreadTokens int
 }
 
 // Loads returns the loads of a data centre's engines that run anything known.
@@ -102,7 +104,7 @@
 		if u.DataCentre != dataCentre || u.CapacityTokens == 0 {
 			continue
 		}
-		load := Load{Upstream: name}
+		load := Load{Upstream: name, UnreadTokens: int(u.prefill.left(now, s.pool(u.Pool).reading.get()))}
 		for _, f := range u.flights {
 			load.Running++
 			load.UsedTokens += int(float64(f.PromptTokens) + f.made(now, u.step()))
@@ -120,7 +122,12 @@
 		return
 	}
 	u.report, u.stale = r, true
-	u.health.succeed(now)
+	if u.CapacityTokens == 0 {
+		// Others' word on a load says nothing of the upstream's health.
+		u.health.succeed(now)
+	} else {
+		u.prefill = prefill{tokens: float64(r.UnreadTokens), at: now}
+	}
 	if r.StepTime > 0 && r.Running > 0 {
 		u.pace.observe(r.Running, r.StepTime)
 	}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -21,7 +21,7 @@
 	commandBacklog = 1024
 	// busyTick is how often time passes for requests that wait, idleTick
 	// otherwise.
-	busyTick = 50 * time.Millisecond
+	busyTick = 20 * time.Millisecond
 	idleTick = 500 * time.Millisecond
 	// assumedStep is the time of an engine's iteration until it is observed.
 	assumedStep = 10 * time.Millisecond
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -186,6 +186,17 @@
 	return before < 1
 }
 
+// First reports whether the instance has the lowest address of its data
+// centre's alive ones.
+func (t *Table) First() bool {
+	for _, m := range t.members {
+		if m.Alive && m.DataCentre == t.dataCentre && m.Addr.Compare(t.self) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Ahead returns a member that has a newer routing table, or a newer list when
 // that is wanted: one of the own data centre if there is one, and any of those
 // with the same chance.
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -53,7 +53,7 @@
 	farMembers = 3
 	// loadInterval is the time between two words on the load of a data centre's
 	// engines to the others.
-	loadInterval = 1 * time.Second
+	loadInterval = 300 * time.Millisecond
 	// receiveBacklog is how many datagrams may wait.
 	receiveBacklog = 256
 )
@@ -286,7 +286,7 @@
 }
 
 func (p *Peers) nextTick() time.Duration {
-	if p.members.Count() == 0 || time.Since(p.startedAt) < 2*joinTime {
+	if p.members.Count() == 0 || time.Since(p.startedAt) < 2*joinTime || len(p.members.Others()) > 0 && p.members.First() {
 		return joinInterval
 	}
 	return lifeInterval / 2
@@ -347,9 +347,14 @@
 		rest.List = &listWire{After: after, Items: encodeItems(items)}
 	}
 	wires := make([]noticeWire, len(notices))
+	far := map[string][]noticeWire{}
 	for i, n := range notices {
 		wires[i] = encodeNotice(now, n)
+		if n.DataCentre != "" && n.DataCentre != p.options.DataCentre {
+			far[n.DataCentre] = append(far[n.DataCentre], wires[i])
+		}
 	}
+	p.tellFar(far)
 	if len(wires) == 0 {
 		p.broadcast(now, rest)
 		return
@@ -361,6 +366,22 @@
 	}
 }
 
+// tellFar tells the data centres outside the group what is placed at their
+// upstreams.
+func (p *Peers) tellFar(notices map[string][]noticeWire) {
+	others := p.members.Others()
+	for dataCentre, wires := range notices {
+		for chunk := range slices.Chunk(wires, maxNotices) {
+			content := p.encode(datagramWire{Notices: chunk}, 0)
+			for _, m := range others {
+				if m.DataCentre == dataCentre {
+					p.write(content, m.Addr)
+				}
+			}
+		}
+	}
+}
+
 // broadcast sends a datagram to the group.
 func (p *Peers) broadcast(now time.Time, w datagramWire) {
 	p.lastLife = now
@@ -394,15 +415,15 @@
 }
 
 // tellLoads tells the members outside the group what their own notices don't:
-// the load of this data centre's engines. One reader of the store does it.
+// the load of this data centre's engines. The first of its instances does it.
 func (p *Peers) tellLoads(ctx context.Context) {
 	others := p.members.Others()
-	if len(others) == 0 || !p.reads.Load() {
+	if len(others) == 0 || !p.members.First() {
 		return
 	}
 	var w datagramWire
 	for _, load := range p.sink.Loads(ctx, p.options.DataCentre) {
-		w.Loads = append(w.Loads, loadWire(load))
+		w.Loads = append(w.Loads, loadWire{load.Upstream, load.Running, load.UsedTokens, load.UnreadTokens})
 	}
 	if len(w.Loads) == 0 {
 		return
@@ -486,7 +507,7 @@
 		p.sink.ListRead(p.decodeItems(w.List.Items), revision, false, upstream.FromPeer)
 	}
 	for _, l := range w.Loads {
-		p.sink.Reported(l.Upstream, decide.Report{TakenAt: now, Running: l.Running, UsedTokens: l.UsedTokens})
+		p.sink.Reported(l.Upstream, decide.Report{TakenAt: now, Running: l.Running, UsedTokens: l.UsedTokens, UnreadTokens: l.Unread})
 	}
 	p.catchUp(ctx, now)
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -40,6 +40,7 @@
 	Upstream   string `json:"upstream"`
 	Running    int    `json:"running"`
 	UsedTokens int    `json:"used_tokens"`
+	Unread     int    `json:"unread"`
 }
 
 type noticeWire struct {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -206,7 +206,7 @@
 	for _, e := range w.ledger.Executions() {
 		runs[e.Request]++
 		if e.Team != team {
-			w.violation("request %s ran for team %q", e.Request, e.Team)
+			w.violation("request %s ran for team %q at %s, path %s", e.Request, e.Team, e.Server, e.Path)
 		}
 		if route := w.sent[e.Request].route; route != "" && (e.Service == "llm") != (route == "draft" || route == "tag") {
 			w.violation("request %s of route %s ran at service %s", e.Request, route, e.Service)
