A run that its destination refuses goes on where it was stopped

Change: the engine that stopped the run is asked, which keeps its memory; a try of which nothing was sent draws no retry; three quarters of the budget are used; a caller that has gone gets no answer. Test seen failing first.

--- a/entry/run.go
+++ b/entry/run.go
@@ -38,6 +38,9 @@
 	outputLimit = 200 * time.Millisecond
 	// reloadInterval is the time between two looks at the settings file.
 	reloadInterval = 1 * time.Second
+	// retryPart is the part of the fleet's retry budget that is used. The rest
+	// is for instances that start again and forget what they sent.
+	retryPart = 0.75
 	// bodiesShare is the share of the memory that bodies of requests may fill.
 	bodiesShare = 0.25
 )
@@ -217,7 +220,7 @@
 	defer ticker.Stop()
 	for {
 		r := i.settings.Load().Retries
-		i.control.LimitRetries(r.Share/2, r.Slack/float64(2*(i.peers.Alive()+1)))
+		i.control.LimitRetries(retryPart*r.Share, retryPart*r.Slack/float64(i.peers.Alive()+1))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -507,6 +507,50 @@
 	assert.DeepEqual(t, e.copies, []string{"a1 false", "a1 true"})
 }
 
+// TestRefusedDestination holds that a run whose destination refuses it goes on
+// at the engine that stopped it, which keeps its memory.
+func TestRefusedDestination(t *testing.T) {
+	stopped := make(chan struct{})
+	var mu sync.Mutex
+	began := ""
+	do := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		first := began == ""
+		if first {
+			began = b.name
+		}
+		source := began == b.name
+		mu.Unlock()
+		switch {
+		case first:
+			b.run(r)
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("X-Signed", b.name)
+			fmt.Fprint(w, "id: 0\ndata: a1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-stopped
+			panic(http.ErrAbortHandler)
+		case source:
+			streams(3, true)(b, w, r)
+		default:
+			sheds(b, w, r)
+		}
+	}
+	b0, b1 := startBackend(t, "b0", do), startBackend(t, "b1", do)
+	f := startFront(t, &engines{stop: func(string) { close(stopped) }}, b0, b1)
+	response, err := http.DefaultClient.Do(f.request(t, "POST", "/long/x", "", nil))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	leaving := b0
+	if b1.ran() > 0 {
+		leaving = b1
+	}
+	f.control.ListRead([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(content), "id: "), 4, string(content))
+}
+
 // TestCallerHangsUp holds that the upstream is let go of.
 func TestCallerHangsUp(t *testing.T) {
 	ended := make(chan struct{})
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -74,6 +74,17 @@
 	return s.move.handle != (Handle{})
 }
 
+// stopping reports whether the engine was told to stop the run, whose stream
+// then ends without its last event.
+func (s *stream) stopping() bool {
+	if s.move == nil {
+		return false
+	}
+	s.move.mu.Lock()
+	defer s.move.mu.Unlock()
+	return s.move.stopped
+}
+
 // takeMove ends a move after the stream broke. It reports whether the run can
 // go on from a copy, whose place the stream then has.
 func (s *stream) takeMove() (Handle, bool) {
@@ -90,7 +101,10 @@
 	outcome := "failed"
 	if moved {
 		outcome = "moved"
-		s.place = m.to
+		s.place, s.stopped = m.to, dispatch.Placement{}
+		if m.stopped {
+			s.stopped = m.source
+		}
 	}
 	s.logMove(m.source.Name, m.to.Name, outcome, nil, time.Since(m.began))
 	return m.handle, moved
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -85,7 +85,7 @@
 	}
 	q.sends++
 	q.attempts++
-	q.mayHaveRun = true
+	q.mayHaveRun, q.unsent = true, false
 	body, err := readWhole(response)
 	if err != nil {
 		return nil, err
@@ -96,7 +96,8 @@
 // note counts a send that failed.
 func (q *request) note(err error) {
 	o := verdict.Of(err)
-	if o.Reason != verdict.UpstreamUnreachable {
+	q.unsent = o.Reason == verdict.UpstreamUnreachable
+	if !q.unsent {
 		q.sends++
 	}
 	if o.Verdict != verdict.NotRun {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,6 +52,8 @@
 	// attempts counts the upstreams that may have run the request, sends all
 	// that it was sent to.
 	attempts, sends int
+	// unsent says that nothing of it was sent at the last try.
+	unsent bool
 	// mayHaveRun says that an attempt may have had an effect.
 	mayHaveRun bool
 	avoid      []string
@@ -195,7 +197,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.ask.PromptTokens, MaxOutputTokens: q.ask.MaxOutputTokens,
-		Avoid: q.avoid, Unsent: q.sends == 0,
+		Avoid: q.avoid, Unsent: q.sends == 0 || q.unsent,
 	}
 	if class.Wait > 0 {
 		r.StartBy = q.received.Add(class.Wait)
@@ -220,7 +222,7 @@
 	o := verdict.Of(err)
 	status := http.StatusBadGateway
 	switch {
-	case o.Reason == verdict.CallerGone && !q.mayHaveRun && time.Now().Before(q.deadline):
+	case o.Reason == verdict.CallerGone:
 		g.closed(q, 0, o)
 		return
 	case q.mayHaveRun && !time.Now().Before(q.deadline):
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,6 +40,9 @@
 	place dispatch.Placement
 	// move is the run's way to another engine, while there is one.
 	move *mover
+	// stopped is the engine at which the run was stopped for a move. It keeps
+	// the run's memory in case the destination refuses it.
+	stopped dispatch.Placement
 }
 
 // errCallerGone is returned when the caller did not take an event.
@@ -98,8 +101,12 @@
 		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 			return nil, err
 		}
-		var moved bool
-		if from, moved = s.takeMove(); moved {
+		if handle, moved := s.takeMove(); moved {
+			from = handle
+			continue
+		}
+		if from != (Handle{}) && verdict.Of(err).Verdict == verdict.NotRun && s.stopped.Name != "" {
+			s.place, s.stopped = s.stopped, dispatch.Placement{}
 			continue
 		}
 		from = Handle{}
@@ -141,7 +148,7 @@
 		return nil, err
 	}
 	s.sends++
-	s.mayHaveRun = true
+	s.mayHaveRun, s.unsent = true, false
 	if from == (Handle{}) {
 		// A run that goes on from its own memory is no further attempt.
 		s.attempts++
@@ -200,7 +207,7 @@
 				s.startMove(ctx, belief)
 			}
 		case f := <-feed:
-			if f.err == io.EOF {
+			if f.err == io.EOF && !(s.stopping() && unframed(response)) {
 				return nil
 			}
 			if f.err != nil {
@@ -213,6 +220,11 @@
 	}
 }
 
+// unframed reports whether the end of an answer is that of its connection.
+func unframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 func readFeed(ctx context.Context, body io.Reader, feed chan<- fed) {
 	events := newEventReader(body)
 	for {
