What an engine has to read is known from the streams that have not begun

Change: owners tell when a stream begins, so the prompts of those that have not are what is unread; the learned speed only turns that into a time. The tests play engines that read.

--- a/decide/memory.go
+++ b/decide/memory.go
@@ -35,8 +35,10 @@
 	tokens   int
 	tokensAt time.Time
 	// readBy is how many prompt tokens its engine had to read until it could
-	// begin, its own the last; 0 when that is not known.
-	readBy float64
+	// begin, its own the last. It is taken to have begun at beginsBy, whoever
+	// told so.
+	readBy   float64
+	beginsBy time.Time
 }
 
 // made estimates the tokens that the flight has at a time.
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -62,11 +62,7 @@
 	p := s.pool(u.Pool)
 	p.placed(now, r.PromptTokens)
 	f := &flight{Request: r, upstream: u.Name, foreign: foreign, lengths: lengths, sentAt: now, tokensAt: now}
-	read := u.prefill.add(now, float64(r.PromptTokens), p.reading.get())
-	if !foreign {
-		// Others tell too late when theirs began.
-		f.readBy = read
-	}
+	s.expectBegin(now, u, f)
 	u.place(f)
 	s.placed[r.ID] = u.Name
 }
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -5,25 +5,40 @@
 	"time"
 )
 
-// prefill is what is known of the prompts that an engine has yet to read. It
-// reads them one after the other, between the tokens of what runs there, so a
+// unread returns how many prompt tokens an engine has yet to read. It reads
+// prompts one after the other, between the tokens of what runs there, so a
 // prompt that comes behind some others waits for all of them: on a crowded
 // engine that, and not memory, decides when a stream begins.
-type prefill struct {
-	// tokens were left to read at a time.
-	tokens float64
-	at     time.Time
+//
+// Whoever placed a stream tells when it began, so what has not begun is what is
+// unread. Where only others' word on the load is known, their count holds, and
+// what was sent since.
+func (u *upstream) unread(now time.Time) float64 {
+	since := time.Time{}
+	tokens := 0.0
+	if u.reported(now) {
+		since, tokens = u.report.TakenAt, float64(u.report.UnreadTokens)
+	}
+	for _, f := range u.flights {
+		if f.tokens == 0 && now.Before(f.beginsBy) && f.sentAt.After(since) {
+			tokens += float64(f.PromptTokens)
+		}
+	}
+	return tokens
 }
 
-// left returns the tokens that are left to read.
-func (p *prefill) left(now time.Time, perSecond float64) float64 {
-	return max(0, p.tokens-now.Sub(p.at).Seconds()*perSecond)
-}
+// The word that a stream began may be lost, so it is taken to have begun after
+// so many times the time that its engine should need, and a little more.
+const (
+	beginFactor = 3
+	beginMargin = 1 * time.Second
+)
 
-// add counts a prompt, and returns how many tokens are read by its end.
-func (p *prefill) add(now time.Time, prompt, perSecond float64) float64 {
-	p.tokens, p.at = p.left(now, perSecond)+prompt, now
-	return p.tokens
+// expectBegin notes how much the flight's engine has to read until it begins.
+func (s *Scheduler) expectBegin(now time.Time, u *upstream, f *flight) {
+	f.readBy = u.unread(now) + float64(f.PromptTokens)
+	expected := time.Duration(f.readBy / s.pool(u.Pool).reading.get() * float64(time.Second))
+	f.beginsBy = now.Add(beginFactor*expected + beginMargin)
 }
 
 // readingSpeed learns how many prompt tokens an engine of a pool reads in a
@@ -80,14 +95,14 @@
 // busyReading reports whether an engine has enough to read.
 func (s *Scheduler) busyReading(now time.Time, u *upstream) bool {
 	reading := s.pool(u.Pool).reading.get()
-	return u.CapacityTokens > 0 && u.prefill.left(now, reading) > reading*maxReadingTime.Seconds()
+	return u.CapacityTokens > 0 && u.unread(now) > reading*maxReadingTime.Seconds()
 }
 
 // startCost weighs an engine with so much memory left free against others: the
 // time to the stream's first token, and what else speaks against it, in time.
 func (s *Scheduler) startCost(now time.Time, w *waiting, u *upstream, free float64) time.Duration {
 	reading := s.pool(u.Pool).reading.get()
-	cost := time.Duration((u.prefill.left(now, reading) + float64(w.PromptTokens)) / reading * float64(time.Second))
+	cost := time.Duration((u.unread(now) + float64(w.PromptTokens)) / reading * float64(time.Second))
 	if u.DataCentre != s.dataCentre {
 		cost += farCost
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -159,7 +159,7 @@
 	if f == nil || tokens <= f.tokens {
 		return false
 	}
-	if f.tokens == 0 && f.readBy > 0 {
+	if f.tokens == 0 && f.readBy > 0 && !f.foreign {
 		s.pool(u.Pool).reading.observe(f.readBy, now.Sub(f.sentAt))
 	}
 	s.lengths.Passed(f.Request, f.tokens, tokens)
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -20,7 +20,6 @@
 	departed []*flight
 	goneAt   []time.Time
 	pace     paceModel
-	prefill  prefill
 	// overhead is the memory that a known generation takes beyond its tokens,
 	// as whole blocks do.
 	overhead float64
@@ -104,7 +103,7 @@
 		if u.DataCentre != dataCentre || u.CapacityTokens == 0 {
 			continue
 		}
-		load := Load{Upstream: name, UnreadTokens: int(u.prefill.left(now, s.pool(u.Pool).reading.get()))}
+		load := Load{Upstream: name, UnreadTokens: int(u.unread(now))}
 		for _, f := range u.flights {
 			load.Running++
 			load.UsedTokens += int(float64(f.PromptTokens) + f.made(now, u.step()))
@@ -125,8 +124,6 @@
 	if u.CapacityTokens == 0 {
 		// Others' word on a load says nothing of the upstream's health.
 		u.health.succeed(now)
-	} else {
-		u.prefill = prefill{tokens: float64(r.UnreadTokens), at: now}
 	}
 	if r.StepTime > 0 && r.Running > 0 {
 		u.pace.observe(r.Running, r.StepTime)
