Engines of other data centres are not all taken at once

Change: in a large fleet an engine elsewhere is taken only on a fresh report of one that has nothing to read, and by lot. The soak ends its processes on SIGTERM too.

--- a/cmd/mangoloft-soak/main.go
+++ b/cmd/mangoloft-soak/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -27,7 +28,7 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if a.Dir == "" {
 		a.Dir = filepath.Join(os.TempDir(), "mangoloft-soak")
--- a/decide/move_test.go
+++ b/decide/move_test.go
@@ -202,6 +202,34 @@
 	assert.Assert(t, r.s.Waiting() < 40, "%d wait", r.s.Waiting())
 }
 
+// TestNewFarEngine plays an engine that becomes ready in another data centre of
+// a large fleet, while all wait: of many instances that see it free at once
+// only some send to it.
+func TestNewFarEngine(t *testing.T) {
+	engines := map[string]string{"near": "a", "far": "b"}
+	sent := 0
+	const instances = 100
+	for i := range instances {
+		s := readingEngines(engines)
+		s.Step(epoch, decide.Reported{Upstream: "far", Report: decide.Report{TakenAt: epoch, Running: 0}})
+		place := func(n, prompt int) string {
+			id := ident.Request{Home: ident.Home{Incarnation: ident.Incarnation(i)}, Sequence: uint64(n)}
+			for _, action := range s.Step(epoch, decide.Arrived{Request: decide.Request{ID: id, Class: draftClass, PromptTokens: prompt, StartBy: epoch.Add(time.Second)}}) {
+				if a, ok := action.(decide.Place); ok {
+					return a.Upstream.Name
+				}
+			}
+			return ""
+		}
+		place(1, 20_000) // The near one has much to read.
+		if place(2, 3000) == "far" {
+			sent++
+		}
+	}
+	assert.Assert(t, sent < instances/4, "%d of %d send to the one engine that is free", sent, instances)
+	assert.Assert(t, sent > 0, "nobody uses it")
+}
+
 // TestUnreachableEnginesAreLeftOut plays the partition of a data centre: its
 // instances can reach only the engines beside them, and try each other engine
 // once.
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -98,6 +98,22 @@
 	return u.CapacityTokens > 0 && u.unread(now) > reading*maxReadingTime.Seconds()
 }
 
+// farChance is the chance per look that a waiting stream takes an engine of
+// another data centre of which only reports are known: every instance there is
+// sees the same report, and all would send to the engine that has just become
+// free.
+const farChance = 0.1
+
+// blindly reports whether the engine is known by reports only and this look
+// should not be at it: it has no report, something to read, or the lot is
+// against it.
+func (s *Scheduler) blindly(now time.Time, w *waiting, u *upstream) bool {
+	if !s.reportsFar || u.DataCentre == s.dataCentre {
+		return false
+	}
+	return !u.reported(now) || u.unread(now) > 0 || lot(w.ID, u.hash+w.looks) > farChance
+}
+
 // startCost weighs an engine with so much memory left free against others: the
 // time to the stream's first token, and what else speaks against it, in time.
 func (s *Scheduler) startCost(now time.Time, w *waiting, u *upstream, free float64) time.Duration {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -32,6 +32,9 @@
 	moves   map[ident.Request]string
 	queue   queue
 	retries retryBudget
+	// reportsFar says that other data centres tell the loads of their engines
+	// instead of each placement, as they do in a large fleet.
+	reportsFar bool
 	// notices gathers what to tell other instances after a step.
 	notices []Action
 }
@@ -130,6 +133,7 @@
 		return
 	}
 	u.take(now, e.Report)
+	s.reportsFar = s.reportsFar || u.CapacityTokens > 0
 	known, _ := u.knownAt(e.Report.TakenAt)
 	s.pool(u.Pool).observe(e.Report.Running+e.Report.Waiting, known)
 }
@@ -334,7 +338,7 @@
 			// It will never have more room than now, so waiting is in vain.
 			free = 1
 		}
-		if free < 0 || !u.hasSlot() || !u.holdsPace(w.Request) || s.busyReading(now, u) {
+		if free < 0 || !u.hasSlot() || !u.holdsPace(w.Request) || s.busyReading(now, u) || s.blindly(now, w, u) {
 			continue
 		}
 		room++
