The platform's names leave the soak

Cause: soak/ built requests and configurations with the platform's own names; the grep of platform/names_test.go found them. Change: platform/standin makes headers, configurations and entries.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -80,7 +80,7 @@
 	}},
 	{"store forgets", func(w *world, _ context.Context, _ *rand.Rand) error { w.store.Forget(); return nil }},
 	{"bad entries", func(w *world, _ context.Context, r *rand.Rand) error {
-		w.store.PutRaw("servers/odd", []byte([]string{"{", `{"service":"llm"}`, `[]`, "\xff\xfe"}[r.IntN(4)]))
+		w.store.ListOdd("odd", []byte([]string{"{", `{"service":"llm"}`, `[]`, "\xff\xfe"}[r.IntN(4)]))
 		return nil
 	}},
 	{"server cut", func(w *world, ctx context.Context, r *rand.Rand) error {
@@ -148,7 +148,7 @@
 	w.mu.Unlock()
 	if notice {
 		h.Drain()
-		if err := w.store.Put("servers/"+h.ID, h.Entry()); err != nil {
+		if err := w.store.List(h.Server); err != nil {
 			return err
 		}
 		pause.For(ctx, 1500*time.Millisecond)
@@ -163,7 +163,7 @@
 	h.Stop()
 	h.proxy.Close()
 	if r.IntN(2) == 0 {
-		w.store.Delete("servers/" + h.ID)
+		w.store.Unlist(h.ID)
 	}
 	pause.For(ctx, someTime(r, 100*time.Millisecond, time.Second))
 	return w.addServer(h.ID, h.Service, h.Model, h.Zone)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -110,12 +110,12 @@
 	w.storeHTTP = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	w.group.Go(func() { _ = w.storeHTTP.Serve(listener) })
 	for n := range engines {
-		if err := w.addServer(fmt.Sprintf("e%d", n), "llm", true, zone(n)); err != nil {
+		if err := w.addServer(fmt.Sprintf("e%d", n), modelService, true, zone(n)); err != nil {
 			return err
 		}
 	}
 	for n := range plains {
-		if err := w.addServer(fmt.Sprintf("p%d", n), "shop", false, zone(n)); err != nil {
+		if err := w.addServer(fmt.Sprintf("p%d", n), plainService, false, zone(n)); err != nil {
 			return err
 		}
 	}
@@ -165,7 +165,7 @@
 	w.mu.Lock()
 	w.servers[id] = &host{s, proxy}
 	w.mu.Unlock()
-	return w.store.Put("servers/"+id, s.Entry())
+	return w.store.List(s)
 }
 
 func (w *world) serverAt(addr netip.AddrPort) *standin.Server {
@@ -188,30 +188,25 @@
 	w.version += 1 + uint64(w.random.IntN(3))
 	version := w.version
 	w.mu.Unlock()
-	route := func(name, kind, service string, attempts int, resume bool, timeout int) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": hostName, "prefix": "/" + name + "/", "route-type": kind, "service": service, "max-attempts": attempts,
-			"stream-resume": resume, "timeout-ms": timeout, "target-latency-ms": 500,
-		}
-	}
-	return w.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []any{
-			route("draft", "streaming", "llm", 1, false, 20000), route("tag", "streaming", "llm", 2, true, 6000),
-			route("push", "unsafe", "shop", 1, false, 3000), route("read", "safe", "shop", 2, false, 3000),
-		},
-		"services": []any{
-			map[string]any{"name": "llm", "engine": map[string]any{"slots": serverSlots, "kv-capacity": 60000, "stride": 4, "moves": true}},
-			map[string]any{"name": "shop"},
+	return w.store.Publish(standin.Configuration{
+		Version: version, Host: hostName, Model: modelService, Plain: plainService, Slots: serverSlots, MemoryTokens: engineMemory, Team: team, Key: apiKey,
+		Routes: []standin.Route{
+			{Name: "draft", Kind: "streaming", Service: modelService, Attempts: 1, Timeout: 20 * time.Second, Target: target},
+			{Name: "tag", Kind: "streaming", Service: modelService, Attempts: 2, Resumable: true, Timeout: 6 * time.Second, Target: target},
+			{Name: "push", Kind: "unsafe", Service: plainService, Attempts: 1, Timeout: 3 * time.Second, Target: target},
+			{Name: "read", Kind: "safe", Service: plainService, Attempts: 2, Timeout: 3 * time.Second, Target: target},
 		},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": "reef", "api-keys": []string{apiKey}}},
 	})
 }
 
 const (
-	apiKey = "soak-key"
-	team   = "reef"
+	apiKey       = "soak-key"
+	team         = "reef"
+	modelService = "llm"
+	plainService = "shop"
+	// engineMemory is a model server's, in tokens.
+	engineMemory = 60_000
+	target       = 500 * time.Millisecond
 )
 
 func (w *world) newInstance(n int, gossip uint16) (*instance, error) {
--- a/soak/requests.go
+++ b/soak/requests.go
@@ -7,9 +7,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"mangoloft/platform/standin"
 )
 
 // sentRequest is what is known of a request that was sent.
@@ -36,10 +37,7 @@
 	}
 	request.GetBody = nil
 	request.Host = hostName
-	request.Header = http.Header{
-		"Attempt-Id": {id}, "Credential": {apiKey}, "Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}, "Token-Usage": {fmt.Sprintf("200,%d", tokens)},
-		"Tenant": {"forged"}, "Kv-From": {"127.0.0.1:1/forged"},
-	}
+	request.Header = standin.Call{ID: id, Key: apiKey, Within: deadline, PromptTokens: 200, OutputTokens: tokens, Forged: true}.Header()
 	w.mu.Lock()
 	w.sent[id] = sentRequest{route: route}
 	w.figures.Requests++
@@ -56,7 +54,7 @@
 		w.refused(response)
 		return
 	}
-	if echoed := response.Header.Get("Attempt-Id"); echoed != id {
+	if echoed := standin.AnsweredID(response.Header); echoed != id {
 		w.violation("request %s got the answer to %q", id, echoed)
 	}
 	if tokens > 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -151,7 +151,7 @@
 		return 0, err
 	}
 	request.Host = hostName
-	request.Header = http.Header{"Attempt-Id": {id}, "Credential": {apiKey}, "Deadline-Ms": {"2000"}}
+	request.Header = standin.Call{ID: id, Key: apiKey, Within: 2 * time.Second}.Header()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -208,7 +208,7 @@
 		if e.Team != team {
 			w.violation("request %s ran for team %q at %s, path %s", e.Request, e.Team, e.Server, e.Path)
 		}
-		if route := w.sent[e.Request].route; route != "" && (e.Service == "llm") != (route == "draft" || route == "tag") {
+		if route := w.sent[e.Request].route; route != "" && (e.Service == modelService) != (route == "draft" || route == "tag") {
 			w.violation("request %s of route %s ran at service %s", e.Request, route, e.Service)
 		}
 	}
