--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -48,7 +48,11 @@
 }
 
 func (protocol) Answer(status int, h http.Header) gateway.Answer {
-	return gateway.Answer{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	a := gateway.Answer{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	if h.Get("X-Load") != "" {
+		a.Load = &gateway.Load{Running: 3, Slots: 8}
+	}
+	return a
 }
 
 func (protocol) CallerHeader(h http.Header) http.Header {
@@ -195,6 +199,7 @@
 type front struct {
 	url     string
 	control *dispatch.Controller
+	reports *reports
 }
 
 const key = "key-1"
@@ -207,21 +212,31 @@
 			Timeout: 500 * time.Millisecond, Target: 200 * time.Millisecond,
 		}
 	}
+	desk := route("desk", routing.Unsafe, 1, false)
+	desk.Shares = []routing.Share{{Service: "desk", Weight: 1}}
 	long := route("long", routing.Streaming, 1, false)
 	long.Timeout = time.Minute
 	return routing.New(routing.Table{
 		Version: 1, HasTeams: true, Limits: routing.Limits{BodyBytes: 64},
 		Routes: []routing.Route{
 			route("safe", routing.Safe, 2, false), route("unsafe", routing.Unsafe, 1, false),
-			route("resumable", routing.Streaming, 2, true), long,
+			route("resumable", routing.Streaming, 2, true), long, desk,
 		},
-		Services: map[string]*routing.Service{"pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, MemoryTokens: 10000, EventTokens: 1, Moves: true}}},
+		Services: map[string]*routing.Service{"desk": {Name: "desk"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, MemoryTokens: 10000, EventTokens: 1, Moves: true}}},
 	}, []routing.Team{{Name: "reef"}}, map[string][]string{"reef": {key}})
 }
 
+// serviceOf returns the pool, but for a backend that is named for a service.
+func serviceOf(b *backend) string {
+	if b.name == "desk" {
+		return b.name
+	}
+	return "pool"
+}
+
 func item(b *backend, revision uint64, draining bool) upstream.Item {
 	return upstream.Item{ID: b.name, Revision: revision, Raw: []byte("x"), Entry: &upstream.Entry{
-		ID: b.name, Service: "pool", Addr: b.addr, DataCentre: "a", Slots: 8, Born: 1, Draining: draining,
+		ID: b.name, Service: serviceOf(b), Addr: b.addr, DataCentre: "a", Slots: 8, Born: 1, Draining: draining,
 	}}
 }
 
@@ -240,8 +255,9 @@
 	}
 	control.ListRead(items, uint64(len(items)), true, upstream.FromList)
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
+	told := &reports{Dispatcher: control}
 	server := httptest.NewServer(gateway.New(gateway.Options{
-		Home: home, Dispatcher: control, Protocol: protocol{}, Engines: e, Log: log, Figures: telemetry.New(), MaxBodies: 1 << 20,
+		Home: home, Dispatcher: told, Protocol: protocol{}, Engines: e, Log: log, Figures: telemetry.New(), MaxBodies: 1 << 20,
 	}))
 	t.Cleanup(func() {
 		server.Close()
@@ -249,7 +265,7 @@
 		group.Wait()
 		log.Close(time.Now().Add(time.Second))
 	})
-	f := &front{url: server.URL, control: control}
+	f := &front{url: server.URL, control: control, reports: told}
 	for control.Snapshot().ListRevision == 0 && len(backends) > 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -383,6 +399,42 @@
 	assert.Assert(t, slow.ran() > before, "it gets no work any more")
 }
 
+// reports counts the loads that the scheduler is told.
+type reports struct {
+	gateway.Dispatcher
+	mu    sync.Mutex
+	names []string
+}
+
+func (r *reports) Reported(name string, report decide.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = append(r.names, name)
+}
+
+// TestLoadsOfEnginesAreNotTaken holds that an engine's count of requests is not
+// taken for its load: it says nothing of memory.
+func TestLoadsOfEnginesAreNotTaken(t *testing.T) {
+	loaded := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", "3")
+		answers(b, w, r)
+	}
+	tests := map[string]struct {
+		path string
+		want int
+	}{"an engine": {"/unsafe/x", 0}, "a plain service": {"/desk/x", 1}}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFront(t, &engines{}, startBackend(t, "b0", loaded), startBackend(t, "desk", loaded))
+			_, _, err := f.do(t, "POST", test.path, "", nil)
+			assert.NilError(t, err)
+			f.reports.mu.Lock()
+			defer f.reports.mu.Unlock()
+			assert.Equal(t, len(f.reports.names), test.want)
+		})
+	}
+}
+
 func TestNoTableYet(t *testing.T) {
 	control := dispatch.New("a", event.NewLog(io.Discard, "x", time.Now))
 	g := gateway.New(gateway.Options{Dispatcher: control, Protocol: protocol{}, Log: event.NewLog(io.Discard, "x", time.Now), Figures: telemetry.New(), MaxBodies: 1 << 20})
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -112,12 +112,20 @@
 	if answer.Misdirected {
 		g.Dispatcher.Misdirected(place.Name, int64(place.Incarnation))
 	}
-	if answer.Load != nil && !answer.Misdirected {
+	if answer.Load != nil && !answer.Misdirected && !q.atEngine() {
 		g.Dispatcher.Reported(place.Name, decide.Report{TakenAt: time.Now(), Running: answer.Load.Running, Waiting: answer.Load.Waiting})
 	}
 	return judge(response, answer, q.ask.ID)
 }
 
+// atEngine reports whether the request's service is one of model engines. Their
+// counts of requests say nothing of memory and of what is unread, which other
+// instances tell.
+func (q *request) atEngine() bool {
+	service := q.table.Services[q.service]
+	return service != nil && service.Engine != nil
+}
+
 // attemptEnded logs a send and tells the scheduler of failures.
 func (g *Gateway) attemptEnded(q *request, place dispatch.Placement, answer *whole, err error) {
 	o, status := verdict.Of(err), 0
