--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -90,7 +90,7 @@
 // would wait there waits here instead, in the order of all, for the first
 // engine that can take it, and can still be told at once when it can't be in
 // time.
-const maxReadingTime = 400 * time.Millisecond
+const maxReadingTime = 800 * time.Millisecond
 
 // busyReading reports whether an engine has enough to read.
 func (s *Scheduler) busyReading(now time.Time, u *upstream) bool {
