--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,11 @@
 build:
 	go build -o bin/ ./cmd/...
 
-# Starts a whole fleet on the loopback interface, shows it at work, and ends by itself.
+# Starts a whole fleet on the loopback interface, shows it at work, and ends by
+# itself; then one of the Halvorsen platform's program.
 run: build
 	bin/mangobench demo
+	bin/mangoloft-soak --calm --seconds 3
 
 # Plays faults against entry instances of the Halvorsen platform.
 soak: build
--- a/cmd/mangoloft-soak/main.go
+++ b/cmd/mangoloft-soak/main.go
@@ -21,6 +21,7 @@
 	Seeds     int     `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
 	Seconds   float64 `arg:"--seconds" default:"20" help:"how long faults are played for each"`
 	Instances int     `arg:"--instances" default:"4" help:"entry instances"`
+	Calm      bool    `arg:"--calm" help:"play no faults"`
 	Bin       string  `arg:"--bin" default:"bin" help:"the directory with mangoloft-edge"`
 	Dir       string  `arg:"--dir" help:"where settings and logs go; kept when a seed fails"`
 }
@@ -41,7 +42,7 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(2)
 		}
-		plan := soak.Plan{Seed: seed, Until: time.Now().Add(time.Duration(a.Seconds * float64(time.Second))), Instances: a.Instances, Bin: a.Bin, Dir: dir}
+		plan := soak.Plan{Seed: seed, Until: time.Now().Add(time.Duration(a.Seconds * float64(time.Second))), Instances: a.Instances, Calm: a.Calm, Bin: a.Bin, Dir: dir}
 		if err := soak.Print(ctx, plan, os.Stdout); err != nil {
 			fmt.Println("FAILED", err, "logs in", dir)
 			failed++
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -406,7 +406,7 @@
 	names []string
 }
 
-func (r *reports) Reported(name string, report decide.Report) {
+func (r *reports) Reported(name string, _ decide.Report) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.names = append(r.names, name)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,7 +80,11 @@
 		r := rand.New(rand.NewPCG(w.plan.Seed, uint64(100+n)))
 		group.Go(func() { w.caller(playing, ctx, r, n) })
 	}
-	for n := range faultLines {
+	lines := faultLines
+	if w.plan.Calm {
+		lines = 0
+	}
+	for n := range lines {
 		r := rand.New(rand.NewPCG(w.plan.Seed, uint64(200+n)))
 		group.Go(func() { w.faultLine(playing, r) })
 	}
