Engines' own reports tell of their leaving while the store is silent

Watches that began before the silence waited ten seconds for an answer that never came.

Ruled out: the moves themselves, which succeed when the notice is known.

Change: package reports. A report that the list lacks makes readers read anew. A watch waits 5 s instead of 10.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,7 +53,7 @@
 
 const (
 	// watchWait is how long the store may hold a watch.
-	watchWait = 10 * time.Second
+	watchWait = 5 * time.Second
 	// watchPause is the time between two watches, so that changes which come
 	// together are read together.
 	watchPause = 100 * time.Millisecond
@@ -82,6 +82,49 @@
 	ListRevision func() uint64
 
 	tableLost, listLost atomic.Bool
+	tableRead, listRead call
+}
+
+// call is one that may be given up for a new one.
+type call struct {
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	stale  bool
+}
+
+// start returns the context for a call. What was doubted before is forgotten:
+// the call is newer.
+func (c *call) start(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.stale = false
+	return ctx
+}
+
+// end ends the call and reports whether it was doubted.
+func (c *call) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel()
+	c.cancel = nil
+	return c.stale
+}
+
+func (c *call) doubt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.stale = true
+		c.cancel()
+	}
+}
+
+// Doubt makes a reader read anew at once, instead of waiting for changes over a
+// connection that may be dead: an upstream says what the list should have said.
+func (f *Follower) Doubt() {
+	f.tableRead.doubt()
+	f.listRead.doubt()
 }
 
 // Lost reports whether the store could not be read at the last try.
@@ -100,10 +143,13 @@
 			pause.For(ctx, roleInterval)
 			continue
 		}
-		raw, at, err := f.readTable(ctx, revision)
-		switch {
-		case errors.Is(err, context.Canceled):
+		raw, at, err := f.readTable(f.tableRead.start(ctx), revision)
+		switch doubted := f.tableRead.end(); {
+		case ctx.Err() != nil:
 			return nil
+		case doubted && err != nil:
+			revision = 0
+			continue
 		case errorx.IsOfType(err, ErrHistoryGone):
 			revision = 0
 			continue
@@ -157,10 +203,13 @@
 			revision = f.ListRevision()
 		}
 		whole = whole || revision == 0
-		items, at, err := f.readList(ctx, revision, whole)
-		switch {
-		case errors.Is(err, context.Canceled):
+		items, at, err := f.readList(f.listRead.start(ctx), revision, whole)
+		switch doubted := f.listRead.end(); {
+		case ctx.Err() != nil:
 			return nil
+		case doubted && err != nil:
+			whole = true
+			continue
 		case errorx.IsOfType(err, ErrHistoryGone):
 			whole = true
 			continue
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -226,3 +226,37 @@
 		})
 	}
 }
+
+// TestDoubtReadsAnew plays a store that went silent: what a watch waits for
+// never comes, and an upstream says what the list should have said.
+func TestDoubtReadsAnew(t *testing.T) {
+	u1, u2 := upstream.Item{ID: "u1", Revision: 3}, upstream.Item{ID: "u2", Revision: 8}
+	st := &store{answers: []answer{{items: []upstream.Item{u1}, revision: 5}}}
+	si, log := &sink{}, event.NewLog(&bytes.Buffer{}, "i", time.Now)
+	f := &catalog.Follower{Store: st, Sink: si, Decoder: digits{}, Log: log, Reads: func() bool { return true }, TableKnown: func() bool { return false }, ListRevision: func() uint64 { return 0 }}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = f.FollowList(ctx) })
+	asks := func(n int) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			st.mu.Lock()
+			defer st.mu.Unlock()
+			if len(st.asked) == n {
+				return poll.Success()
+			}
+			return poll.Continue("asked %v", st.asked)
+		}
+	}
+	poll.WaitOn(t, asks(2), poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	st.mu.Lock()
+	st.answers = []answer{{items: []upstream.Item{u2}, revision: 8}}
+	st.mu.Unlock()
+	f.Doubt()
+	poll.WaitOn(t, asks(4), poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	cancel()
+	group.Wait()
+	log.Close(time.Now().Add(time.Second))
+	assert.DeepEqual(t, st.asked, []string{"list", "watch", "list", "watch"})
+	assert.DeepEqual(t, si.lists, []string{"whole u1", "whole u2"})
+	assert.Equal(t, si.lost, 0)
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,9 @@
 	"mangoloft/gossip"
 	"mangoloft/ident"
 	"mangoloft/pause"
+	"mangoloft/reports"
 	"mangoloft/telemetry"
+	"mangoloft/upstream"
 )
 
 const (
@@ -64,6 +67,7 @@
 	control  *dispatch.Controller
 	peers    *gossip.Peers
 	follower *catalog.Follower
+	reports  *reports.Poller
 	gateway  *gateway.Gateway
 	callers  *callers
 	figures  *telemetry.Figures
@@ -113,6 +117,7 @@
 		Reads: i.peers.Reads, TableKnown: func() bool { return i.control.Snapshot().Document.Table != nil },
 		ListRevision: func() uint64 { return i.control.Snapshot().ListRevision },
 	}
+	i.reports = &reports.Poller{Engines: p.Engines, Sink: i.control, Log: i.log, Polls: i.peers.First, Urgent: i.follower.Lost, Listed: i.engines, Doubt: i.follower.Doubt}
 	i.figures = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
 		Home: i.home, Dispatcher: i.control, Protocol: p.Protocol, Engines: p.Engines, Log: i.log, Figures: i.figures,
@@ -141,6 +146,18 @@
 	return counts
 }
 
+// engines returns the model engines of the instance's data centre.
+func (i *instance) engines() []upstream.Belief {
+	snapshot := i.control.Snapshot()
+	if snapshot.Document.Table == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(snapshot.Upstreams), func(b upstream.Belief) bool {
+		service := snapshot.Document.Table.Services[b.Service]
+		return service == nil || service.Engine == nil || b.DataCentre != i.settings.Load().DataCentre
+	})
+}
+
 // state is what other instances may ask for.
 func (i *instance) state() gossip.State {
 	snapshot := i.control.Snapshot()
@@ -177,7 +194,7 @@
 	base, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	actors := []func(context.Context) error{
-		i.control.Run, i.peers.Receive, i.peers.Run, i.follower.FollowTable, i.follower.FollowList, i.callers.sweep,
+		i.control.Run, i.peers.Receive, i.peers.Run, i.follower.FollowTable, i.follower.FollowList, i.reports.Run, i.callers.sweep,
 		func(base context.Context) error { return i.reload(base, reloads) },
 		func(base context.Context) error { return i.stop(ctx, base) },
 		i.retryBudget,
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,7 @@
 	UpstreamGone        ID = 403
 	UpstreamUnreachable ID = 404
 	UpstreamBelief      ID = 405
+	ReportFailed        ID = 406
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -91,6 +92,7 @@
 	UpstreamGone:        "upstream_gone",
 	UpstreamUnreachable: "upstream_unreachable",
 	UpstreamBelief:      "upstream_belief",
+	ReportFailed:        "report_failed",
 	TableAccepted:       "table_accepted",
 	TableRefused:        "table_refused",
 	StoreLost:           "store_lost",
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -74,8 +74,8 @@
 	stop func(run string)
 }
 
-func (e *engines) Report(context.Context, netip.AddrPort) (gateway.Report, error) {
-	return gateway.Report{Draining: true, LeavesAt: time.Now().Add(time.Minute)}, nil
+func (e *engines) Report(context.Context, netip.AddrPort) (upstream.Report, error) {
+	return upstream.Report{Draining: true, LeavesAt: time.Now().Add(time.Minute)}, nil
 }
 
 func (e *engines) Copy(_ context.Context, from netip.AddrPort, run string, _ netip.AddrPort, stop bool) (gateway.Copy, error) {
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"mangoloft/upstream"
 )
 
 // Ask is what a caller says of its request beside method, path and body.
@@ -75,14 +77,6 @@
 	CallerHeader(h http.Header) http.Header
 }
 
-// Report is an engine's report of itself.
-type Report struct {
-	Draining bool
-	// LeavesAt is when it is gone; zero when not told.
-	LeavesAt time.Time
-	Born     int64
-}
-
 // Copy is a copy of a run's memory at another engine.
 type Copy struct {
 	Handle Handle
@@ -102,7 +96,7 @@
 
 // Engines speaks to model engines beside requests.
 type Engines interface {
-	Report(ctx context.Context, engine netip.AddrPort) (Report, error)
+	Report(ctx context.Context, engine netip.AddrPort) (upstream.Report, error)
 	// Copy copies the memory of a run to another engine, and returns once the
 	// copy is complete. With stop the run ends first.
 	Copy(ctx context.Context, engine netip.AddrPort, run string, to netip.AddrPort, stop bool) (Copy, error)
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -117,6 +117,7 @@
 	received chan datagramWire
 	alive    atomic.Int64
 	reads    atomic.Bool
+	first    atomic.Bool
 	stopping atomic.Bool
 
 	// What follows belongs to the goroutine of Run.
@@ -154,6 +155,9 @@
 // Reads reports whether the instance should read the store for its data centre.
 func (p *Peers) Reads() bool { return p.reads.Load() }
 
+// First reports whether the instance acts for its data centre where one does.
+func (p *Peers) First() bool { return p.first.Load() }
+
 // Alive returns how many other instances are alive.
 func (p *Peers) Alive() int { return int(p.alive.Load()) }
 
@@ -300,6 +304,7 @@
 	// An instance that knows no others reads for itself, but not before others
 	// of a fleet that starts could have answered.
 	p.reads.Store(p.members.Reads(p.options.State().StoreLost) && now.Sub(p.startedAt) >= joinTime)
+	p.first.Store(p.members.First())
 	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentInterval {
 		p.lastJoin = now
 		for _, seed := range p.options.Seeds() {
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -77,6 +77,15 @@
 // String returns the source's name.
 func (s Source) String() string { return sourceNames[s] }
 
+// Report is a model engine's report of itself.
+type Report struct {
+	Draining bool
+	// LeavesAt is when it is gone; zero when not told.
+	LeavesAt time.Time
+	// Born is the start of the incarnation in Unix milliseconds.
+	Born int64
+}
+
 // Belief is what is believed of one upstream.
 type Belief struct {
 	Entry
