A cut-off data centre is left out as a whole

Change: when two upstreams of another data centre can't be reached within 2 s, all of it is left out for 1 s, doubling to 4 s; one answer brings it back.

--- /dev/null
+++ b/decide/reach_test.go
@@ -0,0 +1,94 @@
+package decide_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/config"
+	"mangoloft/decide"
+	"mangoloft/ident"
+	"mangoloft/verdict"
+)
+
+// workTime is how long a call takes, so that those of the own data centre's
+// upstreams are not idle.
+const workTime = 400 * time.Millisecond
+
+// dialTime is how long a caller waits at an upstream that can't be reached.
+const dialTime = 300 * time.Millisecond
+
+// call plays one call to a plain service at a data centre from which only the
+// upstreams of its own answer. It returns how long the call waited for others.
+func call(s *decide.Scheduler, now time.Time, n int, cut map[string]bool) time.Duration {
+	var waited time.Duration
+	var avoid []string
+	for {
+		id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(n)}
+		class := config.Class{Name: "read", Pool: "drafting", Kind: config.Read, Wait: time.Second}
+		r := decide.Request{ID: id, Class: class, StartBy: now.Add(time.Second), Avoid: avoid, Unsent: true}
+		placed := false
+		for _, action := range s.Step(now.Add(waited), decide.Arrived{Request: r}) {
+			place, ok := action.(decide.Place)
+			if !ok {
+				continue
+			}
+			placed = true
+			if !cut[place.Upstream.DataCentre] {
+				return waited
+			}
+			waited += dialTime
+			s.Step(now.Add(waited), decide.Failed{Upstream: place.Upstream.Name, Reason: verdict.UpstreamUnreachable})
+			s.Step(now.Add(waited), decide.Ended{ID: id, Outcome: verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.UpstreamUnreachable}})
+			avoid = append(avoid, place.Upstream.Name)
+		}
+		if !placed {
+			return waited
+		}
+	}
+}
+
+// TestCutOffDataCentre plays the calls at a data centre that is cut off from
+// two others for six seconds: 95 in 100 wait for none of them, and once the cut
+// is over the others get calls again.
+func TestCutOffDataCentre(t *testing.T) {
+	s := decide.New("a")
+	var list []decide.Upstream
+	for dataCentre, upstreams := range map[string]int{"a": 1, "b": 3, "c": 3} {
+		for n := range upstreams {
+			list = append(list, decide.Upstream{Name: fmt.Sprint(dataCentre, n), Pool: "drafting", DataCentre: dataCentre, Incarnation: 1, Slots: 6})
+		}
+	}
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: list})
+	cut := map[string]bool{"b": true, "c": true}
+	late, calls := 0, 0
+	now := epoch
+	for ; now.Before(epoch.Add(6 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		calls++
+		if call(s, now, calls, cut) > 0 {
+			late++
+		}
+		if done := calls - int(workTime/(50*time.Millisecond)); done > 0 {
+			s.Step(now, decide.Ended{
+				ID:      ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(done)},
+				Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed},
+			})
+		}
+	}
+	assert.Assert(t, late*20 <= calls, "%d of %d calls waited for a data centre that is cut off", late, calls)
+
+	after := map[string]int{}
+	for ; now.Before(epoch.Add(30 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		calls++
+		id := ident.Request{Home: ident.Home{Incarnation: 7}, Sequence: uint64(calls)}
+		r := decide.Request{ID: id, Class: config.Class{Name: "read", Pool: "drafting", Kind: config.Read}, Unsent: true}
+		for _, action := range s.Step(now, decide.Arrived{Request: r}) {
+			if place, ok := action.(decide.Place); ok {
+				after[place.Upstream.DataCentre]++
+			}
+		}
+	}
+	assert.Assert(t, after["b"] > 0 && after["c"] > 0, "%v", after)
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -29,8 +29,10 @@
 	pools      map[string]*pool
 	placed     map[ident.Request]string
 	// moves holds where a request is being moved to.
-	moves   map[ident.Request]string
-	queue   queue
+	moves map[ident.Request]string
+	queue queue
+	// reaches holds the data centres of which upstreams could not be reached.
+	reaches map[string]*reach
 	retries retryBudget
 	// reportsFar says that other data centres tell the loads of their engines
 	// instead of each placement, as they do in a large fleet.
@@ -46,7 +48,7 @@
 func NewWith(dataCentre string, lengths Lengths) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, retries: newRetryBudget(),
+		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, reaches: map[string]*reach{}, retries: newRetryBudget(),
 	}
 }
 
@@ -163,6 +165,9 @@
 	if f == nil || tokens <= f.tokens {
 		return false
 	}
+	if f.tokens == 0 && !f.foreign {
+		s.reached(u)
+	}
 	if f.tokens == 0 && f.readBy > 0 && !f.foreign {
 		s.pool(u.Pool).reading.observe(f.readBy, now.Sub(f.sentAt))
 	}
@@ -188,6 +193,7 @@
 	}
 	if u := s.upstreams[f.upstream]; u != nil && completed {
 		u.health.succeed(now)
+		s.reached(u)
 	}
 }
 
@@ -224,6 +230,9 @@
 	if u == nil {
 		return
 	}
+	if reason == verdict.UpstreamUnreachable {
+		s.unreachable(now, u)
+	}
 	// One that can't be reached takes nobody's work, whoever else can't be.
 	unreachable := reason == verdict.UpstreamUnreachable && u.health.share(now) > 0
 	if !u.health.fail(now) && !unreachable {
@@ -282,7 +291,7 @@
 			live = append(live, u)
 		}
 	}
-	return live
+	return s.reachable(now, live)
 }
 
 // choice is an upstream for a request, and why it was chosen.
--- a/reports/poller_test.go
+++ b/reports/poller_test.go
@@ -61,7 +61,9 @@
 	}
 }
 
-func address(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80) }
+func address(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+}
 
 func belief(id string, n byte, state upstream.State) upstream.Belief {
 	return upstream.Belief{Entry: upstream.Entry{ID: id, Addr: address(n), Born: int64(n)}, State: state}
