mangobench account: what callers did not get, and why, from log lines

Cause: losses were counted with scripts that were thrown away each time.

Change: package account reads the log lines of all instances and puts each request under the cause that was logged, by kind of route and by size. request_closed and request_placed say what it needs: kind, targets, tokens.

--- /dev/null
+++ b/cmd/mangobench/account.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/account"
+)
+
+type accountCommand struct {
+	Logs []string `arg:"positional" help:"files with instances' log lines; standard input without one"`
+}
+
+func (c *accountCommand) run(context.Context, string) error {
+	logs := io.Reader(os.Stdin)
+	if len(c.Logs) > 0 {
+		var files []io.Reader
+		for _, name := range c.Logs {
+			file, err := os.Open(name)
+			if err != nil {
+				return errorx.Decorate(err, "open the log")
+			}
+			defer file.Close()
+			files = append(files, file)
+		}
+		logs = io.MultiReader(files...)
+	}
+	a, err := account.Read(logs)
+	if err != nil {
+		return err
+	}
+	return a.Print(os.Stdout)
+}
--- a/cmd/mangobench/main.go
+++ b/cmd/mangobench/main.go
@@ -20,6 +20,7 @@
 }
 
 type arguments struct {
+	Account *accountCommand `arg:"subcommand:account" help:"tell from instances' logs what callers didn't get, and why"`
 	Compare *compareCommand `arg:"subcommand:compare" help:"run several policies on the same load"`
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"start a fleet, show it at work, and end it"`
 	Leaving *leavingCommand `arg:"subcommand:leaving" help:"measure what a leaving engine still gets"`
