--- a/decide/move.go
+++ b/decide/move.go
@@ -31,45 +31,53 @@
 	copied := *f
 	u.place(&copied)
 	s.moves[e.ID] = u.Name
-	return []Action{Place{ID: e.ID, Upstream: u.Upstream, Why: fmt.Sprintf("most room for the run: %d tokens stay free", int(room))}}
+	// The first copy takes the memory there already.
+	s.tell(Notice{Kind: NoticePlaced, Request: f.Request, Upstream: u.Name, Tokens: f.tokens})
+	return []Action{Place{ID: e.ID, Upstream: u.Upstream, Why: fmt.Sprintf("room for the run: %d tokens stay free", int(room))}}
 }
 
-// destination returns the upstream with the most room left. The own data
-// centre of the source counts more, since a copy between data centres takes
-// twice as long.
+// destination returns an upstream where the run fits: one in the data centre of
+// the source if there is one, since a copy between data centres takes twice as
+// long. It is drawn, with a chance in proportion to the room that stays: all runs
+// of an upstream that leaves look at the same moment, each at its own instance,
+// and would else all choose the one with the most room.
 func (s *Scheduler) destination(now time.Time, f *flight, candidates []*upstream) (*upstream, float64) {
-	var best *upstream
-	room, most := 0.0, math.Inf(-1)
 	curve := s.lengths.Pool(f.Class.Pool)
-	step := time.Duration(0)
-	source := s.upstreams[f.upstream]
-	if source != nil {
-		step = source.step()
+	step, sourceCentre := time.Duration(0), ""
+	if source := s.upstreams[f.upstream]; source != nil {
+		step, sourceCentre = source.step(), source.DataCentre
 	}
 	var own forecast
 	own.addFlight(float64(f.PromptTokens), f.made(now, step), f.lengths)
+	near, far := lots{id: f.ID}, lots{id: f.ID}
+	var roomiest *upstream
+	rooms, most := map[*upstream]float64{}, math.Inf(-1)
 	for _, u := range candidates {
 		if !u.fresh(now) || !u.hasSlot() || u.health.share(now) == 0 {
 			continue
 		}
 		u.refresh(now, crowd{size: 1}, curve)
-		free := u.capacity() - u.with(&own, hurried)
-		score := free
-		if source != nil && u.DataCentre == source.DataCentre && free > 0 {
-			score += nearBonus * u.capacity()
+		room := u.capacity() - u.with(&own, hurried)
+		rooms[u] = room
+		if room > most {
+			roomiest, most = u, room
 		}
-		if score > most {
-			best, room, most = u, free, score
+		switch {
+		case room <= 0:
+		case u.DataCentre == sourceCentre:
+			near.offer(u, room)
+		default:
+			far.offer(u, room)
 		}
 	}
-	return best, room
+	for _, best := range []*upstream{near.best, far.best} {
+		if best != nil {
+			return best, rooms[best]
+		}
+	}
+	return roomiest, most
 }
 
-// nearBonus is the share of an engine's memory that a destination in the
-// source's data centre may have less of and still be chosen, as long as the run
-// fits: a whole engine's runs can leave it in time within the data centre only.
-const nearBonus = 1
-
 func (s *Scheduler) endMove(now time.Time, e Relocated) {
 	name, ok := s.moves[e.ID]
 	if !ok {
@@ -94,10 +102,21 @@
 	}
 }
 
-// dropMove forgets a move that did not come about.
+// dropMove forgets a move that did not come about, and tells that the run is
+// still where it was.
 func (s *Scheduler) dropMove(id ident.Request) {
-	if u := s.upstreams[s.moves[id]]; u != nil {
-		u.remove(id)
+	name, ok := s.moves[id]
+	if !ok {
+		return
 	}
 	delete(s.moves, id)
+	if u := s.upstreams[name]; u != nil {
+		u.remove(id)
+	}
+	s.tell(Notice{Kind: NoticeEnded, Request: Request{ID: id}, Upstream: name})
+	if source := s.upstreams[s.placed[id]]; source != nil {
+		if f := source.find(id); f != nil {
+			s.tell(Notice{Kind: NoticePlaced, Request: f.Request, Upstream: source.Name, Tokens: f.tokens})
+		}
+	}
 }
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -29,7 +29,8 @@
 		if len(s.queue.list) < maxQueue {
 			w := newWaiting(now, n.Request)
 			w.foreign = true
-			s.queue.add(w)
+			s.limitStart(w)
+			s.queue.add(now, w)
 		}
 	case NoticePlaced:
 		s.queue.remove(id)
@@ -72,7 +73,10 @@
 func (s *Scheduler) keep(now time.Time, w *waiting, u *upstream, lengths Distribution) {
 	w.kept++
 	w.keptUntil = now.Add(keepPlace)
-	u.place(&flight{Request: w.Request, upstream: u.Name, foreign: true, lengths: lengths, sentAt: now, tokensAt: now})
+	f := &flight{Request: w.Request, upstream: u.Name, foreign: true, lengths: lengths, sentAt: now, tokensAt: now}
+	// Its prompt has to be read too, before those that come after it.
+	s.expectBegin(now, u, f)
+	u.place(f)
 	s.placed[w.ID] = u.Name
 }
 
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -74,7 +74,7 @@
 const (
 	// farCost is how much later a stream may begin in the own data centre than
 	// in another and still be placed there: there it outlives a partition.
-	farCost = 200 * time.Millisecond
+	farCost = 400 * time.Millisecond
 	// crowdCost is added for an engine whose memory is full, and nothing for one
 	// that is half full: what runs there is at risk of preemption, and a
 	// crowded engine can't be left in time when it is reclaimed.
@@ -90,7 +90,7 @@
 // would wait there waits here instead, in the order of all, for the first
 // engine that can take it, and can still be told at once when it can't be in
 // time.
-const maxReadingTime = 800 * time.Millisecond
+const maxReadingTime = 400 * time.Millisecond
 
 // busyReading reports whether an engine has enough to read.
 func (s *Scheduler) busyReading(now time.Time, u *upstream) bool {
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -31,6 +31,9 @@
 	// deadline is when the target for waiting passes, expiresAt when the
 	// request is given up.
 	deadline, expiresAt time.Time
+	// latest is when the request has to be placed to be in time, as far as can
+	// be told.
+	latest time.Time
 	// looks counts the searches for a place.
 	looks uint64
 	// round is the request's place among those of its team.
@@ -47,23 +50,43 @@
 	if r.StartBy.IsZero() {
 		w.deadline = now.Add(untargetedWait)
 	}
+	w.latest = w.deadline
 	w.expiresAt = w.deadline.Add(max(r.Class.Wait, 0))
 	return w
 }
 
+// limitStart sets the latest time at which the request can be placed and its
+// first token still come in time.
+func (s *Scheduler) limitStart(w *waiting) {
+	if w.FirstBy.IsZero() {
+		return
+	}
+	reading := float64(w.PromptTokens)/s.pool(w.Class.Pool).reading.get() + maxReadingTime.Seconds()/2
+	w.latest = w.FirstBy.Add(-time.Duration(reading * float64(time.Second)))
+}
+
 // queue holds requests that no upstream has room for, here and, by notice, at
 // other instances, so that all keep to one order. It serves the teams in
 // turn, and within each turn the request with the least slack first, so that
 // a team with many requests waits behind itself.
 type queue struct{ list []*waiting }
 
-func (q *queue) add(w *waiting) {
+func (q *queue) add(now time.Time, w *waiting) {
 	q.list = append(q.list, w)
-	q.sort()
+	q.sort(now)
 }
 
-func (q *queue) sort() {
+// sort puts the queue in the order of service. A request that can't be in time
+// any more goes behind those that can: served first, it would make the next one
+// late too, and under overload all of them.
+func (q *queue) sort(now time.Time) {
 	byDeadline := func(a, b *waiting) int { return a.deadline.Compare(b.deadline) }
+	passed := func(w *waiting) int {
+		if now.After(w.latest) {
+			return 1
+		}
+		return 0
+	}
 	slices.SortStableFunc(q.list, byDeadline)
 	rounds := map[string]int{}
 	for _, w := range q.list {
@@ -71,7 +94,7 @@
 		rounds[w.Team]++
 	}
 	slices.SortStableFunc(q.list, func(a, b *waiting) int {
-		return cmp.Or(cmp.Compare(a.round, b.round), byDeadline(a, b))
+		return cmp.Or(cmp.Compare(passed(a), passed(b)), cmp.Compare(a.round, b.round), byDeadline(a, b))
 	})
 }
 
@@ -81,25 +104,33 @@
 	return len(q.list) < before
 }
 
-// ahead returns how many requests of the pool are served before the request.
-func (q *queue) ahead(w *waiting) int {
+// ahead returns how many requests of the pool are served before one that has
+// just come. Those that can't be in time any more are served after it.
+func (q *queue) ahead(now time.Time, w *waiting) int {
 	count, sameTeam := 0, 0
 	for _, other := range q.list {
-		if other.Class.Pool != w.Class.Pool {
-			continue
-		}
-		if other.Team == w.Team && !other.deadline.After(w.deadline) {
+		if other.Team == w.Team && q.precedes(now, other, w) {
 			sameTeam++
 		}
 	}
 	for _, other := range q.list {
-		if other.Class.Pool == w.Class.Pool && (other.round < sameTeam || other.round == sameTeam && !other.deadline.After(w.deadline)) {
+		if q.inTime(now, other, w) && (other.round < sameTeam || other.round == sameTeam && !other.deadline.After(w.deadline)) {
 			count++
 		}
 	}
 	return count
 }
 
+// inTime reports whether another request of the pool can still be in time.
+func (q *queue) inTime(now time.Time, other, w *waiting) bool {
+	return other.Class.Pool == w.Class.Pool && !now.After(other.latest)
+}
+
+// precedes reports whether a request of the same team comes first.
+func (q *queue) precedes(now time.Time, other, w *waiting) bool {
+	return q.inTime(now, other, w) && !other.deadline.After(w.deadline)
+}
+
 // earliest returns when a request with so many ahead starts at the earliest,
 // if placements go on at the rate; zero when the rate is not known.
 func earliest(now time.Time, ahead int, rate float64) time.Time {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -266,7 +266,7 @@
 		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool)}
 	}
 	w := newWaiting(now, r)
-	ahead := s.queue.ahead(w)
+	ahead := s.queue.ahead(now, w)
 	if ahead == 0 {
 		if place, ok := s.place(now, w, candidates); ok {
 			return []Action{place}
@@ -277,7 +277,8 @@
 		why := fmt.Sprintf("%d are ahead and the earliest start is %v after the target", ahead, start.Sub(w.deadline).Round(time.Millisecond))
 		return []Action{s.refuse(now, r, verdict.Overloaded, why)}
 	}
-	s.queue.add(w)
+	s.limitStart(w)
+	s.queue.add(now, w)
 	s.tell(Notice{Kind: NoticeWaiting, Request: r})
 	return nil
 }
@@ -398,10 +399,11 @@
 const returningCost = 100
 
 // serveQueue places what there is room for now, and gives up what has waited
-// too long. A request whose target has passed lets nobody go before it.
+// too long. A request with little time left lets nobody go before it.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
 	var actions []Action
 	blocked := map[string]int{}
+	s.queue.sort(now)
 	for _, w := range slices.Clone(s.queue.list) {
 		switch {
 		case w.foreign && now.Before(w.keptUntil):
@@ -428,7 +430,7 @@
 		}
 		if !ok {
 			blocked[w.Class.Pool]++
-			if now.After(w.deadline) {
+			if urgent(now, w) {
 				blocked[w.Class.Pool] = maxPassed
 			}
 		}
@@ -436,6 +438,15 @@
 	return actions
 }
 
+// urgentShare is the last part of its time for waiting in which a request lets
+// nobody go before it, so that small ones don't starve a large one.
+const urgentShare = 0.3
+
+func urgent(now time.Time, w *waiting) bool {
+	left := w.latest.Sub(now)
+	return left >= 0 && left.Seconds() < urgentShare*w.Class.Wait.Seconds()
+}
+
 // maxPassed is how many requests without room are passed over for later ones.
 const maxPassed = 8
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -41,6 +41,8 @@
 	Prefix []uint64
 	// StartBy is when the target for waiting passes; zero when the class has none.
 	StartBy time.Time
+	// FirstBy is when the first token is due; zero when there is no such target.
+	FirstBy time.Time
 	// MaxOutputTokens bounds the output; zero when the caller gave no bound.
 	MaxOutputTokens int
 	// Avoid names upstreams that this request has failed at.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -201,6 +201,7 @@
 	}
 	if class.Wait > 0 {
 		r.StartBy = q.received.Add(class.Wait)
+		r.FirstBy = q.received.Add(q.route.Target)
 	}
 	return r
 }
@@ -263,7 +264,8 @@
 func (g *Gateway) placed(q *request, place dispatch.Placement) {
 	snapshot := g.Dispatcher.Snapshot()
 	g.Figures.Sent(q.service)
-	g.Log.Emit(event.RequestPlaced, "request", q.ask.ID, "internal_id", q.id.String(), "route", q.route.Name, "team", q.team, "service", q.service,
+	g.Log.Emit(event.RequestPlaced, "request", q.ask.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service,
+		"prompt_tokens", q.ask.PromptTokens, "max_output_tokens", q.ask.MaxOutputTokens,
 		"upstream", place.Name, "address", place.Addr.String(), "born", int64(place.Incarnation), "why", place.Why,
 		"table_version", q.table.Version, "list_revision", snapshot.ListRevision, "waited_ms", time.Since(q.received).Milliseconds())
 }
@@ -291,14 +293,18 @@
 func (g *Gateway) closed(q *request, status int, o verdict.Outcome) {
 	var route, kind string
 	var version uint64
+	var target, pauseTarget time.Duration
 	if q.route != nil {
 		route, kind, version = q.route.Name, q.route.Kind.String(), q.table.Version
+		target, pauseTarget = q.route.Target, q.route.PauseTarget
 	}
 	g.Figures.Closed(kind, status, o, time.Since(q.received))
 	if q.delivered > 0 {
 		g.Figures.Streamed(q.firstEvent(), q.pause)
 	}
-	g.Log.Emit(event.RequestClosed, "request", q.ask.ID, "route", route, "table_version", version, "team", q.team, "service", q.service,
+	g.Log.Emit(event.RequestClosed, "request", q.ask.ID, "route", route, "kind", kind, "table_version", version, "team", q.team, "service", q.service,
 		"upstream", q.upstream, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
-		"events", q.delivered, "first_event_ms", q.firstEvent().Milliseconds(), "longest_pause_ms", q.pause.Milliseconds(), "ms", time.Since(q.received).Milliseconds())
+		"events", q.delivered, "first_event_ms", q.firstEvent().Milliseconds(), "longest_pause_ms", q.pause.Milliseconds(),
+		"target_ms", target.Milliseconds(), "pause_target_ms", pauseTarget.Milliseconds(),
+		"prompt_tokens", q.ask.PromptTokens, "max_output_tokens", q.ask.MaxOutputTokens, "ms", time.Since(q.received).Milliseconds())
 }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -304,7 +304,7 @@
 	// An instance that knows no others reads for itself, but not before others
 	// of a fleet that starts could have answered.
 	p.reads.Store(p.members.Reads(p.options.State().StoreLost) && now.Sub(p.startedAt) >= joinTime)
-	p.first.Store(p.members.First())
+	p.first.Store(p.members.First() && now.Sub(p.startedAt) >= joinTime)
 	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentInterval {
 		p.lastJoin = now
 		for _, seed := range p.options.Seeds() {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -52,7 +52,9 @@
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	MaxOutput    int               `json:"max_output,omitempty"`
 	// StartInMS is the time left to the target for waiting, in milliseconds.
-	StartInMS int64  `json:"start_in_ms,omitempty"`
+	StartInMS int64 `json:"start_in_ms,omitempty"`
+	// FirstInMS is the time left until the first token is due.
+	FirstInMS int64  `json:"first_in_ms,omitempty"`
 	WaitMS    int64  `json:"wait_ms,omitempty"`
 	Upstream  string `json:"upstream,omitempty"`
 	Tokens    int    `json:"tokens,omitempty"`
@@ -75,6 +77,9 @@
 	if !n.Request.StartBy.IsZero() {
 		w.StartInMS, w.WaitMS = n.Request.StartBy.Sub(now).Milliseconds(), n.Request.Class.Wait.Milliseconds()
 	}
+	if !n.Request.FirstBy.IsZero() {
+		w.FirstInMS = n.Request.FirstBy.Sub(now).Milliseconds()
+	}
 	return w
 }
 
@@ -88,6 +93,9 @@
 	if w.WaitMS != 0 {
 		r.StartBy = now.Add(time.Duration(w.StartInMS) * time.Millisecond)
 	}
+	if w.FirstInMS != 0 {
+		r.FirstBy = now.Add(time.Duration(w.FirstInMS) * time.Millisecond)
+	}
 	return decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}, nil
 }
 
