--- /dev/null
+++ b/gossip/wire_fuzz_test.go
@@ -0,0 +1,105 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/config"
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+// fuzzSink gives a real scheduler and directory what a datagram tells.
+type fuzzSink struct {
+	now       time.Time
+	scheduler *decide.Scheduler
+	directory *upstream.Directory
+}
+
+func (s *fuzzSink) Noticed(n decide.Notice) { s.scheduler.Step(s.now, decide.Noticed{Notice: n}) }
+
+func (s *fuzzSink) Leaving(id string, born int64, leavesAt time.Time, source upstream.Source) {
+	s.directory.Leaving(s.now, id, born, leavesAt, source)
+}
+
+func (s *fuzzSink) TableRead(routing.Document, string) {}
+
+func (s *fuzzSink) ListRead(items []upstream.Item, _ uint64, _ bool, _ upstream.Source) {
+	s.directory.Apply(s.now, items)
+}
+
+func (s *fuzzSink) Reported(name string, r decide.Report) {
+	s.scheduler.Step(s.now, decide.Reported{Upstream: name, Report: r})
+}
+
+func (s *fuzzSink) Loads(context.Context, string) []decide.Load { return nil }
+
+type noDocuments struct{}
+
+func (noDocuments) Table([]byte) (*routing.Table, error) { return nil, io.EOF }
+
+func (noDocuments) Entry(string, []byte) (*upstream.Entry, error) { return nil, io.EOF }
+
+// FuzzDatagram feeds any datagram to an instance: it takes none that would make
+// its decisions fail, and still places a request afterwards.
+func FuzzDatagram(f *testing.F) {
+	request := ident.Request{Home: ident.Home{Peer: netip.MustParseAddrPort("10.0.0.1:7200"), Incarnation: 7}, Sequence: 1}
+	for _, n := range []noticeWire{
+		{Kind: decide.NoticePlaced, ID: request.String(), Pool: "pool", PromptTokens: 100, MaxOutput: 10, Upstream: "e1"},
+		{Kind: decide.NoticePlaced, ID: request.String(), Pool: "pool", PromptTokens: -1 << 62, MaxOutput: -1, Upstream: "e1", Tokens: -5},
+		{Kind: decide.NoticeWaiting, ID: request.String(), Pool: "pool", StartInMS: 1 << 62, WaitMS: -1 << 62, FirstInMS: 1 << 62},
+		{Kind: 200, ID: request.String()},
+	} {
+		content, err := json.Marshal(datagramWire{
+			From: netip.MustParseAddrPort("10.0.0.1:7200"), Name: "b", Notices: []noticeWire{n},
+			Leaving: []leavingWire{{ID: "e1", Born: 1, LeavesInMS: -1}}, Loads: []loadWire{{"e1", -1, -1 << 62, 1 << 62}},
+		})
+		assert.NilError(f, err)
+		f.Add(content)
+	}
+	f.Add([]byte(`{"from":"","notices":[{}],"list":{"items":[{"id":"e1"}]}}`))
+	engine := decide.Upstream{Name: "e1", Pool: "pool", DataCentre: "a", Incarnation: 1, Slots: 8, CapacityTokens: 10_000, StepTime: 10 * time.Millisecond}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var w datagramWire
+		if json.Unmarshal(content, &w) != nil {
+			return
+		}
+		sink := &fuzzSink{now: time.Now(), scheduler: decide.New("a"), directory: upstream.NewDirectory()}
+		sink.scheduler.Step(sink.now, decide.UpstreamsChanged{Upstreams: []decide.Upstream{engine}})
+		log := event.NewLog(io.Discard, "a", time.Now)
+		defer log.Close(time.Now())
+		p, err := Listen(Options{
+			Name: "a", DataCentre: "a", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: log, Decoder: noDocuments{},
+			State: func() State { return State{TableVersion: 1, ListRevision: 1} },
+		}, sink)
+		assert.NilError(t, err)
+		defer p.conn.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		p.take(ctx, w)
+		p.pulls.Wait()
+
+		for range 3 {
+			sink.now = sink.now.Add(10 * time.Second)
+			sink.scheduler.Step(sink.now, decide.Tick{})
+		}
+		r := decide.Request{ID: request, PromptTokens: 100, MaxOutputTokens: 10, StartBy: sink.now.Add(time.Second)}
+		r.ID.Home.Incarnation++
+		r.Class.Pool, r.Class.Kind = "pool", config.Stream
+		placed := false
+		for _, action := range sink.scheduler.Step(sink.now, decide.Arrived{Request: r}) {
+			_, ok := action.(decide.Place)
+			placed = placed || ok
+		}
+		assert.Assert(t, placed, "an idle engine gets no request after the datagram %s", content)
+	})
+}
