--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -160,6 +162,15 @@
 
 // start runs an instance in front of the backend.
 func start(t *testing.T, w *world, backend http.HandlerFunc) *process {
+	t.Helper()
+	logs := &lockedBuffer{}
+	p := startLogging(t, w, backend, logs)
+	p.logs = logs
+	return p
+}
+
+// startLogging is start with another stream for the log.
+func startLogging(t *testing.T, w *world, backend http.HandlerFunc, logs io.Writer) *process {
 	t.Helper()
 	server := httptest.NewServer(backend)
 	t.Cleanup(server.Close)
@@ -177,12 +188,12 @@
 	s, err := Load(path)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &process{settings: s, path: path, logs: &lockedBuffer{}, stop: cancel, done: make(chan error, 1)}
+	p := &process{settings: s, path: path, stop: cancel, done: make(chan error, 1)}
 	var group sync.WaitGroup
 	group.Go(func() {
 		p.done <- Run(ctx, path, nil, Peripherals{
 			Store: func(func() netip.AddrPort) catalog.Store { return w }, Protocol: headers{}, Decoder: documents{},
-		}, p.logs)
+		}, logs)
 	})
 	t.Cleanup(func() { cancel(); group.Wait() })
 	return p
@@ -289,3 +300,41 @@
 	}
 	assert.Assert(t, p.logs.has(`"instance_stopped"`))
 }
+
+// stuck is a stream whose reader has stopped reading.
+type stuck struct{ released chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.released
+	return len(p), nil
+}
+
+// TestStoppedLogReader plays a burst of calls while nobody reads the log: each is
+// answered as fast as with a reader, and the lines that had no room are counted.
+func TestStoppedLogReader(t *testing.T) {
+	w := &world{version: 2}
+	logs := stuck{make(chan struct{})}
+	defer close(logs.released)
+	p := startLogging(t, w, echo, logs)
+	p.waitFor(t, "ready", func() bool { return p.ready(t) })
+	const calls, workers, limit = 500, 16, time.Second
+	var group sync.WaitGroup
+	slowest, failed := make([]time.Duration, workers), make([]string, workers)
+	for worker := range workers {
+		group.Go(func() {
+			for range calls {
+				began := time.Now()
+				if status, body := get(t, p.settings.Listen.Callers, "/v2/x"); status != http.StatusOK {
+					failed[worker] = body
+				}
+				slowest[worker] = max(slowest[worker], time.Since(began))
+			}
+		})
+	}
+	group.Wait()
+	assert.DeepEqual(t, failed, make([]string, workers))
+	assert.Assert(t, slices.Max(slowest) < limit, "one took %v", slices.Max(slowest))
+	_, body := get(t, p.settings.Listen.Metrics, "/metrics")
+	dropped := regexp.MustCompile(`(?m)^mangoloft_log_lines_dropped\S* ([0-9.e+]+)$`).FindStringSubmatch(body)
+	assert.Assert(t, dropped != nil && dropped[1] != "0", "%v in %s", dropped, body)
+}
