Short resumable streams stay at an engine that leaves

Change: a resumable stream whose longest possible rest should end before its engine is gone is not copied; if it doesn't end, it goes on elsewhere as after any loss.

Test seen failing before: TestShortRunsAreNotMoved.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,9 @@
 
 func (protocol) Ask(h http.Header, received time.Time) (gateway.Ask, error) {
 	ask := gateway.Ask{ID: h.Get("X-Id"), Credential: h.Get("X-Key"), PromptTokens: 10, MaxOutputTokens: 100, LastEvent: h.Get("X-Last")}
+	if most, err := strconv.Atoi(h.Get("X-Most")); err == nil {
+		ask.MaxOutputTokens = most
+	}
 	if d, err := time.ParseDuration(h.Get("X-Wait")); err == nil {
 		ask.Deadline = received.Add(d)
 	}
@@ -559,6 +563,50 @@
 	assert.DeepEqual(t, e.copies, []string{"a1 false", "a1 true"})
 }
 
+// TestShortRunsAreNotMoved holds that a resumable stream which should end before
+// its engine is gone takes no part in the copies of those that should not.
+func TestShortRunsAreNotMoved(t *testing.T) {
+	for name, test := range map[string]struct {
+		most   string
+		copies int
+	}{
+		"little left": {"20", 0},
+		"much left":   {"2000", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			do := func(b *backend, w http.ResponseWriter, r *http.Request) {
+				b.run(r)
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("X-Signed", b.name)
+				fmt.Fprint(w, "id: 0\ndata: a1\n\n")
+				_ = http.NewResponseController(w).Flush()
+				<-release
+				fmt.Fprint(w, "id: 1\ndata: a1\n\n")
+			}
+			e := &engines{stop: func(string) {}}
+			b0, b1 := startBackend(t, "b0", do), startBackend(t, "b1", do)
+			f := startFront(t, e, b0, b1)
+			response, err := http.DefaultClient.Do(f.request(t, "POST", "/resumable/x", "", map[string]string{"X-Most": test.most}))
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			leaving := b0
+			if b1.ran() > 0 {
+				leaving = b1
+			}
+			f.control.ListRead([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
+			time.Sleep(200 * time.Millisecond)
+			close(release)
+			content, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(string(content), "id: "), 2, string(content))
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			assert.Assert(t, len(e.copies) >= test.copies && (test.copies > 0 || len(e.copies) == 0), "%v", e.copies)
+		})
+	}
+}
+
 // TestRefusedDestination holds that a run whose destination refuses it goes on
 // at the engine that stopped it, which keeps its memory.
 func TestRefusedDestination(t *testing.T) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -25,6 +25,8 @@
 	copyLimit = 3 * time.Second
 	// copyPause is the time before a copy is tried again that can't begin yet.
 	copyPause = 50 * time.Millisecond
+	// slowToken is the time of one token on a crowded engine.
+	slowToken = 15 * time.Millisecond
 	// maxDestinations bounds the engines that one move tries.
 	maxDestinations = 4
 	reportLimit     = 500 * time.Millisecond
@@ -58,12 +60,29 @@
 	if service == nil || service.Engine == nil || !service.Engine.Moves {
 		return
 	}
+	if s.endsBefore(b.LeavesAt) {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	m := &mover{stream: s, source: s.place, cancel: cancel, began: time.Now()}
 	s.move = m
 	m.group.Go(func() { m.run(ctx, b.LeavesAt) })
 }
 
+// endsBefore reports whether the run should end at its engine before that is
+// gone, and may be begun anew or gone on with if it doesn't. Its copy would only
+// hold up those of longer runs, which go over the same link.
+func (s *stream) endsBefore(leavesAt time.Time) bool {
+	if !s.route.Resumable || s.delivered == 0 || s.ask.MaxOutputTokens == 0 {
+		return false
+	}
+	if leavesAt.IsZero() {
+		leavesAt = time.Now().Add(assumedLeave)
+	}
+	left := s.ask.MaxOutputTokens - s.delivered*s.tokens
+	return time.Duration(left)*slowToken < time.Until(leavesAt)-lastCopyMargin
+}
+
 // moving reports whether the run is stopped at its engine for a move.
 func (s *stream) moving() bool {
 	if s.move == nil {
