Upstreams and data centres that are left out are logged

left_out (407) and data_centre_back (408): a change of belief that only showed in where requests went. Seen failing first: TestCutIsTold did not build without the action.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -85,11 +85,11 @@
 	tableRead, listRead call
 }
 
-// call is one that may be given up for a new one.
+// call is a call to the store that may be given up for a new one.
 type call struct {
-	mu     sync.Mutex
-	cancel context.CancelFunc
-	stale  bool
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	doubted bool
 }
 
 // start returns the context for a call. What was doubted before is forgotten:
@@ -98,7 +98,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ctx, c.cancel = context.WithCancel(ctx)
-	c.stale = false
+	c.doubted = false
 	return ctx
 }
 
@@ -108,14 +108,14 @@
 	defer c.mu.Unlock()
 	c.cancel()
 	c.cancel = nil
-	return c.stale
+	return c.doubted
 }
 
 func (c *call) doubt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cancel != nil {
-		c.stale = true
+		c.doubted = true
 		c.cancel()
 	}
 }
--- a/decide/reach.go
+++ b/decide/reach.go
@@ -58,11 +58,19 @@
 		r = &reach{failed: map[string]time.Time{}}
 		s.reaches[u.DataCentre] = r
 	}
-	r.fail(now, u.Name)
+	if r.fail(now, u.Name) {
+		s.notices = append(s.notices, LeftOut{DataCentre: u.DataCentre, Until: r.until})
+	}
 }
 
 // reached notes that an upstream answered.
-func (s *Scheduler) reached(u *upstream) { delete(s.reaches, u.DataCentre) }
+func (s *Scheduler) reached(u *upstream) {
+	r := s.reaches[u.DataCentre]
+	delete(s.reaches, u.DataCentre)
+	if r != nil && r.outs > 0 {
+		s.notices = append(s.notices, LeftOut{DataCentre: u.DataCentre})
+	}
+}
 
 // reachable leaves out the upstreams of data centres that seem to be cut off,
 // as long as there are others.
--- a/decide/reach_test.go
+++ b/decide/reach_test.go
@@ -92,3 +92,30 @@
 	}
 	assert.Assert(t, after["b"] > 0 && after["c"] > 0, "%v", after)
 }
+
+// TestCutIsTold holds that leaving a data centre out is told, once, and that it is
+// back.
+func TestCutIsTold(t *testing.T) {
+	s := decide.New("a")
+	list := []decide.Upstream{engineOf("b0", 1000), engineOf("b1", 1000)}
+	for i := range list {
+		list[i].DataCentre = "b"
+	}
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: list})
+	told := func(now time.Time, e decide.Event) (out []decide.LeftOut) {
+		for _, action := range s.Step(now, e) {
+			if l, ok := action.(decide.LeftOut); ok && l.Upstream == "" {
+				out = append(out, l)
+			}
+		}
+		return out
+	}
+	assert.Equal(t, len(told(epoch, decide.Failed{Upstream: "b0", Reason: verdict.UpstreamUnreachable})), 0)
+	assert.DeepEqual(t, told(epoch, decide.Failed{Upstream: "b1", Reason: verdict.UpstreamUnreachable}),
+		[]decide.LeftOut{{DataCentre: "b", Until: epoch.Add(time.Second)}})
+	assert.Equal(t, len(told(epoch, decide.Failed{Upstream: "b1", Reason: verdict.UpstreamUnreachable})), 0)
+	now := epoch.Add(2 * time.Second)
+	r := runAt(0, 1, 100)
+	assert.Equal(t, len(told(now, decide.Arrived{Request: r})), 0)
+	assert.DeepEqual(t, told(now, decide.Progressed{ID: r.ID, Tokens: 4}), []decide.LeftOut{{DataCentre: "b"}})
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -37,7 +37,7 @@
 	// reportsFar says that other data centres tell the loads of their engines
 	// instead of each placement, as they do in a large fleet.
 	reportsFar bool
-	// notices gathers what to tell other instances after a step.
+	// notices gathers what to tell after a step, to other instances and the log.
 	notices []Action
 }
 
@@ -250,6 +250,7 @@
 	}
 	if unreachable && ejected < all || float64(ejected) <= maxEjectedShare*float64(all) {
 		u.health.eject(now)
+		s.notices = append(s.notices, LeftOut{Upstream: u.Name, DataCentre: u.DataCentre, Until: u.health.ejectedUntil})
 	}
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -186,6 +186,18 @@
 // Notify sends a notice to all other instances.
 type Notify struct{ Notice Notice }
 
+// LeftOut says that an upstream, or all of a data centre, gets nothing new for a
+// while because it fails or can't be reached.
+type LeftOut struct {
+	// Upstream is empty when all of the data centre is left out.
+	Upstream   string
+	DataCentre string
+	// Until is zero when a data centre is back before its time.
+	Until time.Time
+}
+
 func (Place) decideAction()  {}
 func (Notify) decideAction() {}
-func (Refuse) decideAction() {}
+
+func (LeftOut) decideAction() {}
+func (Refuse) decideAction()  {}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -156,10 +156,20 @@
 			c.reply(a.ID, decision{action: a})
 		case decide.Notify:
 			c.announcer.Notice(a.Notice)
+		case decide.LeftOut:
+			c.logLeftOut(now, a)
 		}
 	}
 }
 
+func (c *Controller) logLeftOut(now time.Time, a decide.LeftOut) {
+	if a.Until.IsZero() {
+		c.log.Emit(event.DataCentreBack, "data_centre", a.DataCentre)
+		return
+	}
+	c.log.Emit(event.LeftOut, "upstream", a.Upstream, "data_centre", a.DataCentre, "for_ms", a.Until.Sub(now).Milliseconds())
+}
+
 func (c *Controller) reply(id ident.Request, d decision) {
 	if reply, ok := c.waiting[id]; ok {
 		reply <- d
--- a/event/event.go
+++ b/event/event.go
@@ -53,6 +53,8 @@
 	UpstreamUnreachable ID = 404
 	UpstreamBelief      ID = 405
 	ReportFailed        ID = 406
+	LeftOut             ID = 407
+	DataCentreBack      ID = 408
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -93,6 +95,8 @@
 	UpstreamUnreachable: "upstream_unreachable",
 	UpstreamBelief:      "upstream_belief",
 	ReportFailed:        "report_failed",
+	LeftOut:             "left_out",
+	DataCentreBack:      "data_centre_back",
 	TableAccepted:       "table_accepted",
 	TableRefused:        "table_refused",
 	StoreLost:           "store_lost",
