A fleet of the bench is ready only when its instances know their upstreams

WaitReady looked at readiness and the other instances, which an instance can know by their heartbeats before it has read the instance list, once a second.

Change: WaitReady waits for the data centre's upstreams too, so no test begins sooner than before.

--- /dev/null
+++ b/bench/ready_test.go
@@ -0,0 +1,26 @@
+package bench_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/bench"
+)
+
+// TestReadyFleetKnowsItsUpstreams starts several fleets at once: an instance can
+// know the others by their heartbeats before it has read the instance list, and
+// would refuse what a test asks it then.
+func TestReadyFleetKnowsItsUpstreams(t *testing.T) {
+	t.Parallel()
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			fleet, ctx := startFleet(t, bench.Plan{DataCentres: 1, Entries: 3, Engines: 1, Services: 2})
+			status, err := fleet.Status(ctx, fleet.Entries[0])
+			assert.NilError(t, err)
+			assert.Equal(t, len(status.Upstreams), 3)
+		})
+	}
+}
--- a/bench/status.go
+++ b/bench/status.go
@@ -16,8 +16,9 @@
 	"github.com/joomcode/errorx"
 )
 
-// WaitReady waits until every entry instance is ready and knows all others of
-// its data centre.
+// WaitReady waits until every entry instance is ready and knows all others and
+// the upstreams of its data centre. It can know the others by their heartbeats
+// before it has read the instance list, which it does once a second.
 func (f *Fleet) WaitReady(ctx context.Context, until time.Time) error {
 	for _, p := range f.Entries {
 		for !f.ready(ctx, p) {
@@ -51,7 +52,10 @@
 	Ready         bool     `json:"ready"`
 	ConfigVersion uint64   `json:"config_version"`
 	Peers         []string `json:"peers"`
-	OpenRequests  int      `json:"open_requests"`
+	Upstreams     []struct {
+		Name string `json:"name"`
+	} `json:"upstreams"`
+	OpenRequests int `json:"open_requests"`
 }
 
 // Status asks an entry instance for its status.
@@ -75,6 +79,15 @@
 			return false
 		}
 	}
+	known := map[string]bool{}
+	for _, u := range status.Upstreams {
+		known[u.Name] = true
+	}
+	for _, u := range slices.Concat(f.Engines, f.Services) {
+		if u.DataCentre == p.DataCentre && !known[u.Name] {
+			return false
+		}
+	}
 	return true
 }
 
