An interrupted soak judges nothing

Cause: a run of 50 seeds that its time limit ended after 21 went on for every seed left and called each a failure: instances were asked through a context that had ended.

Change: such a seed ends with ErrInterrupted, and the command stops. Without the change the test gets a violation or a failure instead.

--- a/cmd/mangoloft-soak/main.go
+++ b/cmd/mangoloft-soak/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -43,7 +44,12 @@
 			os.Exit(2)
 		}
 		plan := soak.Plan{Seed: seed, Until: time.Now().Add(time.Duration(a.Seconds * float64(time.Second))), Instances: a.Instances, Calm: a.Calm, Bin: a.Bin, Dir: dir}
-		if err := soak.Print(ctx, plan, os.Stdout); err != nil {
+		err := soak.Print(ctx, plan, os.Stdout)
+		if errors.Is(err, soak.ErrInterrupted) {
+			fmt.Println("interrupted in seed", seed)
+			os.Exit(1)
+		}
+		if err != nil {
 			fmt.Println("FAILED", err, "logs in", dir)
 			failed++
 			continue
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -227,9 +228,16 @@
 	}
 }
 
+// ErrInterrupted says that a soak was told to end before it had.
+var ErrInterrupted = errors.New("interrupted")
+
 // Print runs a soak and writes its figures.
 func Print(ctx context.Context, plan Plan, out io.Writer) error {
 	f, err := Run(ctx, plan)
+	if ctx.Err() != nil {
+		// What is seen once the soak is told to end says nothing of the instances.
+		return ErrInterrupted
+	}
 	if err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bytes"
 	"context"
 	"os/exec"
 	"testing"
@@ -14,12 +15,29 @@
 // failedOnce holds the seeds that ever failed, with the cause. They stay.
 var failedOnce = map[string]uint64{}
 
-// TestSoak plays some seconds of faults with a fixed seed, and with every seed
-// that ever failed.
-func TestSoak(t *testing.T) {
+func buildEdge(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	output, err := exec.Command("go", "build", "-o", bin, "mangoloft/cmd/mangoloft-edge").CombinedOutput()
 	assert.NilError(t, err, string(output))
+	return bin
+}
+
+// TestInterruptedSoakJudgesNothing tells a soak to end while it runs: what callers
+// see then is no violation.
+func TestInterruptedSoakJudgesNothing(t *testing.T) {
+	plan := soak.Plan{Seed: 7, Until: time.Now().Add(time.Minute), Instances: 2, Bin: buildEdge(t), Dir: t.TempDir()}
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	var out bytes.Buffer
+	assert.ErrorIs(t, soak.Print(ctx, plan, &out), soak.ErrInterrupted)
+	assert.Equal(t, out.String(), "")
+}
+
+// TestSoak plays some seconds of faults with a fixed seed, and with every seed
+// that ever failed.
+func TestSoak(t *testing.T) {
+	bin := buildEdge(t)
 	seeds := map[string]uint64{"a seed": 7}
 	for cause, seed := range failedOnce {
 		seeds[cause] = seed
