--- a/soak/soak.go
+++ b/soak/soak.go
@@ -142,7 +142,9 @@
 			if time.Now().After(until) {
 				return fmt.Errorf("instance %s answers %d, %v", i.name, status, err)
 			}
-			pause.For(ctx, 100*time.Millisecond)
+			if !pause.For(ctx, 100*time.Millisecond) {
+				return ctx.Err()
+			}
 		}
 	}
 	return nil
