Charges: print the last replies of a failed case, and freeze a home past every deadline

Beside load the call reached the forwarder more than 2 s late, so the home woke before the deadline and rightly ran the charge. Change: the home now stays frozen until 17 s after the forwarder was frozen, and the forwarder is frozen only after it has received the call. The bound (no run) stays.

--- a/bench/charges.go
+++ b/bench/charges.go
@@ -155,7 +155,11 @@
 // chargeReply is a reply and the charge that it belongs to.
 type chargeReply struct {
 	charge string
-	reply  Reply
+	// instance is the name of the instance that the request was sent to.
+	instance string
+	// receivedAt is the time since the start of the history.
+	receivedAt time.Duration
+	reply      Reply
 }
 
 // NewChargeHistory returns an empty history.
@@ -222,10 +226,32 @@
 	defer h.mu.Unlock()
 	op.ClientId = len(h.ops)
 	h.ops = append(h.ops, op)
-	h.replies = append(h.replies, chargeReply{charge, reply})
+	h.replies = append(h.replies, chargeReply{charge, p.Name, time.Since(h.startedAt), reply})
 	return reply
 }
 
+// DescribeReplies describes the last n replies, one per line. Consecutive requests
+// that differ only in their instance and time count as one reply.
+func (h *ChargeHistory) DescribeReplies(n int) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var lines []string
+	previous, repeated := "", 0
+	for _, r := range h.replies {
+		line := fmt.Sprintf("%s: status %d, verdict %q, reason %q, message %q, ticket %q, error %v",
+			r.charge, r.reply.Status, r.reply.Verdict, r.reply.Reason, r.reply.Message, r.reply.Ticket, r.reply.Err)
+		suffix := fmt.Sprintf(" (%s at %s, after %s)", r.instance, r.receivedAt.Round(time.Millisecond), r.reply.Elapsed.Round(time.Millisecond))
+		if line == previous {
+			repeated++
+			lines[len(lines)-1] = fmt.Sprintf("%s, repeated %d times, last%s", line, repeated, suffix)
+			continue
+		}
+		previous, repeated = line, 0
+		lines = append(lines, line+suffix)
+	}
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
 // Check returns an error if the history contradicts the runs that the services
 // recorded. All requests must have ended.
 func (h *ChargeHistory) Check(runs []standin.Run) error {
--- a/bench/charges_test.go
+++ b/bench/charges_test.go
@@ -31,6 +31,13 @@
 // tests also pass on a busy machine.
 const silentHomeTimeout = 14 * time.Second
 
+// chargeCaseTimeout is the timeout of one case of TestCharges. It is shorter than
+// the timeout of the fleet, so that a failed case doesn't fail the others.
+const chargeCaseTimeout = 40 * time.Second
+
+// describedReplies is the number of replies that a failed case prints.
+const describedReplies = 20
+
 // runsOf returns the number of runs of the charge on all services.
 func runsOf(ctx context.Context, t *testing.T, fleet *bench.Fleet, charge string) int {
 	t.Helper()
@@ -97,7 +104,14 @@
 			assert.NilError(t, fleet.WaitReady(ctx, time.Now().Add(30*time.Second)))
 			ticket, err := caller.Mint(ctx, fleet.Entries[0], bench.PurchaseClass)
 			assert.NilError(t, err)
+			ctx, cancel := context.WithTimeout(ctx, chargeCaseTimeout)
+			defer cancel()
 			c := chargeCase{t, fleet, caller, bench.NewChargeHistory(), ticket, "headset: " + name}
+			defer func() {
+				if t.Failed() {
+					t.Logf("the last replies:\n%s", c.h.DescribeReplies(describedReplies))
+				}
+			}()
 			c.waitForLinks(ctx)
 			defer fleet.Entries[0].PeerProxy.Heal()
 			test(ctx, c)
@@ -155,6 +169,8 @@
 	assert.Equal(c, reply.Verdict+" "+reply.Reason, "may_have_run home_gone")
 	assert.Assert(c, reply.Elapsed < silentHomeTimeout, reply.Elapsed)
 	assert.NilError(c, home.Signal(syscall.SIGCONT))
+	ctx, cancel := context.WithTimeout(ctx, silentHomeTimeout)
+	defer cancel()
 	done := chargeUntilDone(ctx, c.h, c.caller, c.fleet.Entries[1:], c.charge, c.ticket, 0)
 	assert.Assert(c, done.Completed(), "%+v", done)
 	c.assertRuns(ctx, 1)
@@ -258,8 +274,17 @@
 	c.assertRuns(ctx, 1)
 }
 
-// frozenFor is longer than the time from the arrival of a call to its deadline.
-const frozenFor = 17 * time.Second
+const (
+	// callTimeout is the documented maximum time from the arrival of a call to its
+	// answer. A forwarded call must not run after it.
+	callTimeout = 15 * time.Second
+	// wakeMargin is the time from the latest possible deadline of the forwarded call
+	// to the time at which the home wakes.
+	wakeMargin = 2 * time.Second
+	// forwardingTime is more than the time in which an instance forwards a call that
+	// it has received.
+	forwardingTime = time.Second
+)
 
 // TestHomeThatWakesLateRunsNothing checks that a home runs no forwarded charge after
 // its deadline. The home is frozen before the request is forwarded, and resumes
@@ -272,14 +297,19 @@
 	ticket, err := caller.Mint(ctx, home, bench.PurchaseClass)
 	assert.NilError(t, err)
 	assert.NilError(t, home.Signal(syscall.SIGSTOP))
-	frozenAt := time.Now()
 	forwarder := fleet.Entries[1]
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { history.Call(ctx, caller, forwarder, "headset", ticket, 0) })
-	sleep(ctx, time.Second)
+	eventually(t, "the forwarder has received the call", func() bool {
+		status, err := fleet.Status(ctx, forwarder)
+		return err == nil && status.OpenRequests > 0
+	})
+	sleep(ctx, forwardingTime)
 	assert.NilError(t, forwarder.Signal(syscall.SIGSTOP))
-	sleep(ctx, time.Until(frozenAt.Add(frozenFor)))
+	// The forwarder received the call before now, so its deadline is at most
+	// callTimeout away.
+	sleep(ctx, callTimeout+wakeMargin)
 	assert.NilError(t, home.Signal(syscall.SIGCONT))
 	// Once later charges have completed, the home has processed the forwarded request.
 	for i := range 10 {
