Gateway: try again to connect to the upstreams of a service when none is left

The same refusal meets callers when a service restarts or a link is overloaded. Change: when no upstream is left and some could not be connected to, the request considers these again after 50 ms, doubling, within the first third of its time; the rest is for the caller, who may reach them through another instance. Such a try deposits nothing into the retry budget. Tests: TestUnreachableUpstreamsAreTriedAgain failed before (503 for all three kinds of routes), passes now; TestUnreachableUpstreamsAreGivenUp bounds the wait.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -281,7 +281,8 @@
 func (s *Scheduler) handleArrival(now time.Time, r Request) []Action {
 	s.release(now, r.ID)
 	s.cancelMove(r.ID)
-	if len(r.Excluded) == 0 {
+	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
+	if firstAttempt {
 		s.retries.deposit()
 	} else if !r.NeverSent && !s.retries.tryWithdraw() {
 		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is exhausted")}
--- a/decide/types.go
+++ b/decide/types.go
@@ -63,6 +63,9 @@
 	// NeverSent reports whether no upstream has received the request yet. Another
 	// attempt then doesn't count as a retry.
 	NeverSent bool
+	// Reconnecting reports whether the request was submitted before, and considers
+	// upstreams again to which it could not connect.
+	Reconnecting bool
 }
 
 // Report is an upstream's load at a time in the past.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -116,15 +116,19 @@
 func startBackend(t *testing.T, name string, respond behaviour) *backend {
 	t.Helper()
 	b := &backend{name: name}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Id", r.Header.Get("X-Id"))
-		respond(b, w, r)
-	}))
+	server := httptest.NewServer(b.handler(respond))
 	t.Cleanup(server.Close)
 	b.addr = server.Listener.Addr().(*net.TCPAddr).AddrPort()
 	return b
 }
 
+func (b *backend) handler(respond behaviour) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		respond(b, w, r)
+	})
+}
+
 func (b *backend) recordRun(r *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -383,6 +387,73 @@
 	assert.Equal(t, live.runCount(), 5)
 }
 
+// TestUnreachableUpstreamsAreTriedAgain checks that a request is served if the only
+// upstreams of its service accept connections again after some of its time.
+func TestUnreachableUpstreamsAreTriedAgain(t *testing.T) {
+	for path, method := range map[string]string{"/unsafe/x": "POST", "/safe/x": "GET", "/resumable/x": "POST"} {
+		t.Run(path, func(t *testing.T) {
+			respond := respondOK
+			if path == "/resumable/x" {
+				respond = streamEvents(3, true)
+			}
+			backends, start := []*backend{}, []func(){}
+			for i := range 2 {
+				b, startListening := restartingBackend(t, fmt.Sprint("b", i), respond)
+				backends, start = append(backends, b), append(start, startListening)
+			}
+			g := startGateway(t, &fakeEngines{}, backends...)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				time.Sleep(70 * time.Millisecond)
+				for _, startListening := range start {
+					startListening()
+				}
+			})
+			response, content, err := g.send(t, method, path, "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, 200, content)
+			assert.Equal(t, backends[0].runCount()+backends[1].runCount(), 1)
+		})
+	}
+}
+
+// TestUnreachableUpstreamsAreGivenUp checks that a request whose upstreams can't be
+// reached is refused while its caller has time to come back.
+func TestUnreachableUpstreamsAreGivenUp(t *testing.T) {
+	dead, _ := restartingBackend(t, "dead", respondOK)
+	g := startGateway(t, &fakeEngines{}, dead)
+	startedAt := time.Now()
+	response, content, err := g.send(t, "POST", "/unsafe/x", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 503, content)
+	assert.Assert(t, strings.Contains(content, `"verdict":"not_run"`), content)
+	assert.Assert(t, time.Since(startedAt) < 300*time.Millisecond, "refused after %v", time.Since(startedAt))
+}
+
+// restartingBackend returns a backend that refuses connections until
+// startListening is called.
+func restartingBackend(t *testing.T, name string, respond behaviour) (b *backend, startListening func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := listener.Addr().(*net.TCPAddr).AddrPort()
+	listener.Close()
+	b = &backend{name: name, addr: addr}
+	server := httptest.NewUnstartedServer(b.handler(respond))
+	t.Cleanup(server.Close)
+	return b, func() {
+		listener, err := net.Listen("tcp4", addr.String())
+		if err != nil {
+			t.Errorf("listen again: %v", err)
+			return
+		}
+		server.Listener.Close()
+		server.Listener = listener
+		server.Start()
+	}
+}
+
 // TestTimeoutDoesNotCountAgainstUpstream checks that an upstream is not ejected
 // for exceeding a route's timeout or for callers that disconnect. Otherwise the
 // other upstreams would have to carry its load.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -25,7 +25,7 @@
 	var lastResponse *plainResponse
 	var lastErr error
 	for q.hasAttemptsLeft() {
-		placement, err := g.Dispatcher.Place(ctx, q.placementRequest())
+		placement, err := g.place(ctx, q)
 		if err != nil {
 			lastErr = withPreviousError(lastErr, err)
 			break
@@ -139,6 +139,9 @@
 	}
 	if err != nil || status >= http.StatusInternalServerError {
 		q.excluded = append(q.excluded, placement.Name)
+		if o.Reason == verdict.UpstreamUnreachable {
+			q.unreachable = append(q.unreachable, placement.Name)
+		}
 		if q.countsAgainstUpstream(o.Reason) {
 			g.Dispatcher.ReportFailure(placement.Name, o.Reason)
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +18,7 @@
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/ident"
+	"mangoloft/pause"
 	"mangoloft/routing"
 	"mangoloft/verdict"
 )
@@ -34,6 +36,13 @@
 	// maxWaitShare is the share of a route's target latency that a request can
 	// wait for a placement and still meet the target.
 	maxWaitShare = 0.6
+	// reconnectDelay is the delay before a request tries again to connect to
+	// upstreams that it could not reach. It doubles with each further try.
+	reconnectDelay = 50 * time.Millisecond
+	// maxReconnectShare is the share of a request's time in which it can try to
+	// connect again. The caller needs the rest to come back through another
+	// instance, which may still reach the upstreams.
+	maxReconnectShare = 1.0 / 3
 )
 
 // request is the state of one request of a caller.
@@ -58,8 +67,12 @@
 	lastAttemptUnsent bool
 	// mayHaveRun reports whether an attempt may have had an effect.
 	mayHaveRun bool
-	// excluded contains the names of the upstreams on which an attempt failed.
-	excluded []string
+	// excluded contains the names of the upstreams on which an attempt failed, and
+	// unreachable those among them to which no connection could be made.
+	excluded, unreachable []string
+	// reconnects is the number of times that the unreachable upstreams were
+	// considered again.
+	reconnects int
 	// delivered counts the events that were forwarded to the caller.
 	delivered int
 	// firstEventAt and lastEventAt are the times of the first and the last of
@@ -204,7 +217,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent,
+		Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
 	}
 	if class.WaitTarget > 0 {
 		r.StartBy = q.received.Add(class.WaitTarget)
@@ -213,6 +226,30 @@
 	return r
 }
 
+// place requests a placement for the request. If no upstream is left because some
+// could not be reached, it considers these again after a delay: they may be
+// restarting, or the connections may have been lost on an overloaded link.
+func (g *Gateway) place(ctx context.Context, q *request) (dispatch.Placement, error) {
+	for {
+		placement, err := g.Dispatcher.Place(ctx, q.placementRequest())
+		if err == nil || verdict.OutcomeOf(err).Reason != verdict.NoUpstream || len(q.unreachable) == 0 {
+			return placement, err
+		}
+		delay := reconnectDelay << q.reconnects
+		if time.Now().Add(delay).After(q.reconnectUntil()) || !pause.Sleep(ctx, delay) {
+			return placement, err
+		}
+		q.excluded = slices.DeleteFunc(q.excluded, func(name string) bool { return slices.Contains(q.unreachable, name) })
+		q.unreachable = nil
+		q.reconnects++
+	}
+}
+
+// reconnectUntil returns the time until which the request tries to connect again.
+func (q *request) reconnectUntil() time.Time {
+	return q.received.Add(time.Duration(maxReconnectShare * float64(q.deadline.Sub(q.received))))
+}
+
 // attemptInfo returns the values that the gateway adds to the caller's headers
 // for the named upstream.
 func (q *request) attemptInfo(upstreamName string) AttemptInfo {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -99,7 +99,7 @@
 			if !s.hasAttemptsLeft() {
 				return nil, lastErr
 			}
-			placement, err := s.g.Dispatcher.Place(ctx, s.placementRequest())
+			placement, err := s.g.place(ctx, s.request)
 			if err != nil {
 				return nil, withPreviousError(lastErr, err)
 			}
