--- a/decide/move.go
+++ b/decide/move.go
@@ -55,7 +55,7 @@
 	local, remote := weightedRendezvous{id: f.ID}, weightedRendezvous{id: f.ID}
 	var freest *upstream
 	freeTokens, mostFree := map[*upstream]float64{}, math.Inf(-1)
-	for _, u := range candidates {
+	for _, u := range s.withKnownLoad(now, candidates) {
 		if !u.forecastable(now) || !u.hasSlot() || u.health.trafficShare(now) == 0 {
 			continue
 		}
--- a/decide/placement_test.go
+++ b/decide/placement_test.go
@@ -346,9 +346,49 @@
 	s.Step(epoch, decide.MoveEnded{ID: placements[0].ID, Moved: true})
 	s.Step(epoch, decide.MoveEnded{ID: placements[1].ID, Moved: false})
 	counted := 0
-	for _, load := range s.Loads(epoch, "a") {
+	// Loads contains only engines that accept requests.
+	s.Step(epoch, declaredUpstreams("", map[string]string{"e1": "a", "e2": "a", "e3": "a"}))
+	for _, load := range s.Loads(epoch, "a", 9) {
 		counted += load.Running
 	}
 	assert.Equal(t, counted, len(placements)+len(placements)-2, "a request must count once after its move, and twice during it")
 	assert.Equal(t, fmt.Sprint(s.Waiting()), "0")
 }
+
+// TestLoadsWithMostRoom checks which engines other data centres are told of: those
+// that accept requests and have the most room.
+func TestLoadsWithMostRoom(t *testing.T) {
+	engines := map[string]string{"e1": "a", "e2": "a", "e3": "a", "e4": "a", "far": "b"}
+	s := newDeclaredScheduler("e4", engines)
+	run := func(n int, upstream string, prompt, tokens int) {
+		id := ident.Request{Home: ident.Home{Incarnation: 8}, Sequence: uint64(n)}
+		r := decide.Request{ID: id, Class: draftClass, PromptTokens: prompt, MaxOutputTokens: 100}
+		s.Step(epoch, decide.NoticeReceived{Notice: decide.Notice{Kind: decide.NoticePlaced, Request: r, Upstream: upstream, Tokens: tokens}})
+	}
+	run(1, "e1", 10, 0) // not prefilled yet
+	run(2, "e2", 300, 1)
+	run(3, "e3", 100, 1)
+	var names []string
+	for _, load := range s.Loads(epoch, "a", 2) {
+		names = append(names, load.Upstream)
+	}
+	assert.DeepEqual(t, names, []string{"e3", "e2"})
+}
+
+// TestEnginesOfUnknownLoad checks that a stream is placed in another data centre only
+// on an engine whose load is known, unless no engine has a known load.
+func TestEnginesOfUnknownLoad(t *testing.T) {
+	engines := map[string]string{"far1": "b", "far2": "b"}
+	s := newDeclaredScheduler("", engines)
+	report := decide.Report{TakenAt: epoch, Running: 1, UsedTokens: 10}
+	s.Step(epoch, decide.ReportReceived{Upstream: "far2", Report: report})
+	for n := range 5 {
+		place, _ := arrive(s, n, 10)
+		assert.Equal(t, place.Upstream.Name, "far2")
+	}
+	// The reports have stopped, as when the relays can't be reached.
+	later := epoch.Add(10 * time.Second)
+	place, refused := arriveAt(s, later, 9, 10)
+	assert.Assert(t, !refused)
+	assert.Assert(t, place.Upstream.Name != "")
+}
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -110,14 +110,36 @@
 // the engine that has just become free.
 const remoteProbability = 0.1
 
+func (s *Scheduler) isLocal(u *upstream) bool { return u.DataCentre == s.dataCentre }
+
+// withKnownLoad removes the engines whose load is not known, unless no others are
+// left. The load is known from notices in the local data centre and in a small
+// fleet, and otherwise from a recent report. Other data centres report only their
+// engines with the most room.
+func (s *Scheduler) withKnownLoad(now time.Time, candidates []*upstream) []*upstream {
+	if !s.receivesPeerReports {
+		return candidates
+	}
+	var known []*upstream
+	for _, u := range candidates {
+		if s.isLocal(u) || u.hasRecentReport(now) {
+			known = append(known, u)
+		}
+	}
+	if len(known) == 0 {
+		return candidates
+	}
+	return known
+}
+
 // skipsRemote reports whether this attempt skips an engine in another data
 // centre because its load is known only from reports. The engine is skipped if
-// there is no recent report or a prefill backlog, and otherwise at random.
+// it has a prefill backlog, and otherwise at random.
 func (s *Scheduler) skipsRemote(now time.Time, w *waitingRequest, u *upstream) bool {
-	if !s.receivesPeerReports || u.DataCentre == s.dataCentre {
+	if !s.receivesPeerReports || s.isLocal(u) {
 		return false
 	}
-	return !u.hasRecentReport(now) || u.prefillBacklog(now) > 0 || hashFraction(w.ID, u.hash+w.attempts) > remoteProbability
+	return u.prefillBacklog(now) > 0 || hashFraction(w.ID, u.hash+w.attempts) > remoteProbability
 }
 
 // startCost returns the cost of placing the request on the engine, where the
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -364,6 +364,8 @@
 	margin := safetyMargin(now, w.arrivedAt, w.deadline)
 	var requestForecast forecast
 	requestForecast.addRequest(float64(w.PromptTokens), 0, lengths)
+	candidates = s.withKnownLoad(now, candidates)
+	hasLocal := slices.ContainsFunc(candidates, s.isLocal)
 	rendezvous, lowest := weightedRendezvous{id: w.ID}, lowestCost{}
 	fitCount := 0
 	sampled := s.sample(candidates, w.ID, w.attempts)
@@ -384,7 +386,7 @@
 			// engines with more free memory have preference.
 			free = 1
 		}
-		if free < 0 || !u.hasSlot() || !u.meetsPace(w.Request) || s.prefillBacklogged(now, u) || s.skipsRemote(now, w, u) {
+		if free < 0 || !u.hasSlot() || !u.meetsPace(w.Request) || s.prefillBacklogged(now, u) || hasLocal && s.skipsRemote(now, w, u) {
 			continue
 		}
 		fitCount++
@@ -553,7 +555,7 @@
 	}
 	var local, remote []*upstream
 	for _, u := range all {
-		if u.DataCentre == s.dataCentre {
+		if s.isLocal(u) {
 			local = append(local, u)
 		} else {
 			remote = append(remote, u)
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -109,13 +110,16 @@
 	PendingPrefillTokens int
 }
 
-// Loads returns the loads of those engines of a data centre that declare their
-// memory.
-func (s *Scheduler) Loads(now time.Time, dataCentre string) []Load {
+// Loads returns the loads of engines of a data centre that declare their memory and
+// accept requests. If there are more than limit, it returns those with the most
+// room: first the ones without a prefill backlog, then those with the least used
+// memory. Other data centres place streams only on these.
+func (s *Scheduler) Loads(now time.Time, dataCentre string, limit int) []Load {
 	var loads []Load
+	usedShares := map[string]float64{}
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.DataCentre != dataCentre || u.CapacityTokens == 0 {
+		if u.DataCentre != dataCentre || u.CapacityTokens == 0 || u.Leaving || u.health.trafficShare(now) == 0 {
 			continue
 		}
 		load := Load{Upstream: name, PendingPrefillTokens: int(u.prefillBacklog(now))}
@@ -124,8 +128,13 @@
 			load.UsedTokens += int(float64(f.PromptTokens) + f.generatedAt(now, u.stepTime()))
 		}
 		loads = append(loads, load)
+		usedShares[name] = float64(load.UsedTokens) / u.capacity()
 	}
-	return loads
+	hasBacklog := func(load Load) int { return min(load.PendingPrefillTokens, 1) }
+	slices.SortStableFunc(loads, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(hasBacklog(a), hasBacklog(b)), cmp.Compare(usedShares[a.Upstream], usedShares[b.Upstream]))
+	})
+	return loads[:min(limit, len(loads))]
 }
 
 // hasSlot reports whether the upstream has more slots than known requests.
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -105,11 +105,12 @@
 
 type loadsCommand struct {
 	dataCentre string
+	limit      int
 	reply      chan []decide.Load
 }
 
 func (cmd loadsCommand) apply(c *Controller, now time.Time) {
-	cmd.reply <- c.scheduler.Loads(now, cmd.dataCentre)
+	cmd.reply <- c.scheduler.Loads(now, cmd.dataCentre, cmd.limit)
 }
 
 type listUnreadableCommand struct{}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -353,11 +353,11 @@
 	c.send(updateListCommand{items, revision, complete, source})
 }
 
-// Loads returns the known loads of a data centre's engines, or nil if the
-// context ends first.
-func (c *Controller) Loads(ctx context.Context, dataCentre string) []decide.Load {
+// Loads returns the known loads of up to limit engines of a data centre, those with
+// the most room, or nil if the context ends first.
+func (c *Controller) Loads(ctx context.Context, dataCentre string, limit int) []decide.Load {
 	reply := make(chan []decide.Load, 1)
-	if !c.send(loadsCommand{dataCentre, reply}) {
+	if !c.send(loadsCommand{dataCentre, limit, reply}) {
 		return nil
 	}
 	select {
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -159,7 +159,7 @@
 	for _, version := range []uint64{5, 4, 5, 2} {
 		c.UpdateTable(table(version), "test")
 	}
-	c.Loads(ctx, "a") // Waits until all earlier commands are executed.
+	c.Loads(ctx, "a", 1) // Waits until all earlier commands are executed.
 	assert.Equal(t, c.Snapshot().Document.Table.Version, uint64(5))
 	announcer.mu.Lock()
 	defer announcer.mu.Unlock()
@@ -181,7 +181,7 @@
 			defer cancel()
 			c.UpdateList([]upstream.Item{engine("e1", 1, false)}, 1, true, upstream.FromList)
 			c.ReportLeaving("e1", 1, time.Now().Add(time.Second), test.source)
-			c.Loads(ctx, "a")
+			c.Loads(ctx, "a", 1)
 			announcer.mu.Lock()
 			defer announcer.mu.Unlock()
 			assert.Equal(t, len(announcer.leaving) == 1, test.announced)
--- a/entry/run.go
+++ b/entry/run.go
@@ -250,7 +250,7 @@
 	defer ticker.Stop()
 	for {
 		r := i.settings.Load().Retries
-		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(i.peers.Alive()+1))
+		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(i.peers.FleetSize()))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/event/event.go
+++ b/event/event.go
@@ -46,6 +46,9 @@
 	ListHeldBack ID = 305
 	PeerJoined   ID = 306
 	PeerLost     ID = 307
+	// DatagramDropped reports a datagram that was not sent or could not be decoded.
+	DatagramDropped ID = 308
+	StatePullFailed ID = 309
 
 	UpstreamJoined        ID = 401
 	UpstreamLeaving       ID = 402
@@ -107,6 +110,8 @@
 	RequestClosed:         "request_closed",
 	PeerJoined:            "peer_joined",
 	PeerLost:              "peer_lost",
+	DatagramDropped:       "datagram_dropped",
+	StatePullFailed:       "state_pull_failed",
 	SettingsReloaded:      "settings_reloaded",
 	RequestEnded:          "request_ended",
 	StreamResumed:         "stream_resumed",
--- /dev/null
+++ b/gossip/fleet_test.go
@@ -0,0 +1,307 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/decide"
+	"mangoloft/event"
+	"mangoloft/ident"
+	"mangoloft/routing"
+	"mangoloft/upstream"
+)
+
+// simulatedFleet is a fleet on a virtual clock and a network in memory.
+type simulatedFleet struct {
+	nodes  []*simulatedNode
+	byAddr map[netip.AddrPort]*simulatedNode
+}
+
+// simulatedNode is an instance of a simulatedFleet. It is its own network connection
+// and sink.
+type simulatedNode struct {
+	fleet      *simulatedFleet
+	addr       netip.AddrPort
+	dataCentre string
+	peers      *Peers
+	inbox      chan []byte
+	closed     chan struct{}
+	down       atomic.Bool
+
+	// sent and sentBytes count the datagrams that the node sent, remoteBytes those
+	// bytes that it sent to other data centres.
+	sent, sentBytes, remoteBytes atomic.Int64
+
+	mu       sync.Mutex
+	revision uint64
+	notices  int
+	reports  map[string]bool
+}
+
+func (n *simulatedNode) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	select {
+	case content := <-n.inbox:
+		return copy(b, content), netip.AddrPort{}, nil
+	case <-n.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+func (n *simulatedNode) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	n.sent.Add(1)
+	n.sentBytes.Add(int64(len(b)))
+	receiver := n.fleet.byAddr[to]
+	if receiver == nil || receiver.down.Load() || n.down.Load() {
+		return len(b), nil
+	}
+	if receiver.dataCentre != n.dataCentre {
+		n.remoteBytes.Add(int64(len(b)))
+	}
+	select {
+	case receiver.inbox <- slices.Clone(b):
+	default: // Datagrams are lost if the receiver is too slow.
+	}
+	return len(b), nil
+}
+
+func (n *simulatedNode) Close() error {
+	close(n.closed)
+	return nil
+}
+
+func (n *simulatedNode) HandleNotice(decide.Notice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.notices++
+}
+
+func (n *simulatedNode) HandleReport(name string, _ decide.Report) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reports[name] = true
+}
+
+func (n *simulatedNode) UpdateList(_ []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.revision = max(n.revision, revision)
+}
+
+func (n *simulatedNode) ReportLeaving(string, int64, time.Time, upstream.Source) {}
+
+func (n *simulatedNode) UpdateTable(routing.Document, string) {}
+
+func (n *simulatedNode) Loads(_ context.Context, dataCentre string, limit int) []decide.Load {
+	loads := make([]decide.Load, limit)
+	for i := range loads {
+		loads[i] = decide.Load{Upstream: fmt.Sprintf("i-%s-%08d", dataCentre, i), Running: 10, UsedTokens: 20_000}
+	}
+	return loads
+}
+
+func (n *simulatedNode) state() State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return State{TableVersion: 1, ListRevision: n.revision}
+}
+
+// runFleet starts a fleet with the same number of instances in each data centre and
+// calls test once they have had time to find each other.
+func runFleet(t *testing.T, dataCentres, perDataCentre int, test func(*testing.T, *simulatedFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &simulatedFleet{byAddr: map[netip.AddrPort]*simulatedNode{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		log := event.NewLog(io.Discard, "fleet", time.Now)
+		var group sync.WaitGroup
+		defer func() {
+			cancel()
+			group.Wait()
+			log.Close(time.Now())
+		}()
+		for i := range dataCentres * perDataCentre {
+			dataCentre, number := i%dataCentres, i/dataCentres
+			n := &simulatedNode{
+				fleet: fleet, dataCentre: fmt.Sprint("dc", dataCentre), revision: 1, reports: map[string]bool{},
+				addr:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dataCentre), byte(number / 256), byte(number % 256)}), 7200),
+				inbox: make(chan []byte, 4096), closed: make(chan struct{}),
+			}
+			fleet.nodes = append(fleet.nodes, n)
+			fleet.byAddr[n.addr] = n
+		}
+		seeds := []netip.AddrPort{fleet.nodes[1].addr, fleet.nodes[len(fleet.nodes)/2].addr, fleet.nodes[len(fleet.nodes)-1].addr}
+		for i, n := range fleet.nodes {
+			n.peers = newPeers(Options{
+				Name: fmt.Sprint("n", i), DataCentre: n.dataCentre, Listen: n.addr, Incarnation: 1,
+				Seeds: func() []netip.AddrPort { return seeds }, State: n.state, Log: log,
+			}, n, n)
+			group.Go(func() { _ = n.peers.Receive(ctx) })
+			group.Go(func() { _ = n.peers.Run(ctx) })
+		}
+		time.Sleep(joinTime)
+		test(t, fleet)
+	})
+}
+
+// joinTime is the time in which all instances must have found each other. On the
+// platform, traffic starts 10 s after the instances.
+const joinTime = 10 * time.Second
+
+var noticeOfRemoteRun = decide.Notice{
+	Kind: decide.NoticePlaced, Upstream: "e1", DataCentre: "dc1",
+	Request: decide.Request{ID: ident.Request{Home: ident.Home{Peer: netip.MustParseAddrPort("10.0.0.1:1"), Incarnation: 1}, Sequence: 1}},
+}
+
+// TestFleetOfAnySize checks what instances know of each other, and that what they
+// send without requests is bounded whatever the size of the fleet.
+func TestFleetOfAnySize(t *testing.T) {
+	tests := map[string]struct {
+		dataCentres, perDataCentre int
+	}{
+		"full mesh":             {4, 5},
+		"6 data centres of 20":  {6, 20},
+		"6 data centres of 50":  {6, 50},
+		"16 data centres of 25": {16, 25},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, test.dataCentres, test.perDataCentre, func(t *testing.T, fleet *simulatedFleet) {
+				for _, n := range fleet.nodes {
+					assert.Equal(t, n.peers.FleetSize(), len(fleet.nodes), n.addr)
+				}
+				fleet.assertReaders(t)
+				fleet.assertTraffic(t, test.perDataCentre)
+				fleet.assertDelivery(t)
+			})
+		})
+	}
+}
+
+// assertReaders checks that one or two instances of each data centre read the store.
+func (f *simulatedFleet) assertReaders(t *testing.T) {
+	t.Helper()
+	readers := map[string]int{}
+	for _, n := range f.nodes {
+		if n.peers.ShouldReadStore() {
+			readers[n.dataCentre]++
+		}
+	}
+	for dataCentre, count := range readers {
+		assert.Assert(t, count == 1 || count == 2, "%s has %d readers", dataCentre, count)
+	}
+}
+
+const (
+	// maxDatagramsPerMember is the maximum number of datagrams per second that an
+	// instance may send without requests for each other instance of its data centre.
+	maxDatagramsPerMember = 4
+	// maxRemoteBytes is the maximum number of bytes per second that a relay may send
+	// to another data centre without requests.
+	maxRemoteBytes = 4 << 10
+	measuredTime   = 5 * time.Second
+)
+
+// assertTraffic checks the traffic without requests.
+func (f *simulatedFleet) assertTraffic(t *testing.T, perDataCentre int) {
+	t.Helper()
+	for _, n := range f.nodes {
+		n.sent.Store(0)
+		n.sentBytes.Store(0)
+		n.remoteBytes.Store(0)
+	}
+	time.Sleep(measuredTime)
+	dataCentres := len(f.nodes) / perDataCentre
+	var sent, remote []int64
+	for _, n := range f.nodes {
+		sent = append(sent, n.sent.Load()/int64(measuredTime.Seconds()))
+		remote = append(remote, n.remoteBytes.Load()/int64(measuredTime.Seconds()))
+	}
+	slices.Sort(sent)
+	t.Logf("datagrams per second: middle %d, most %d; bytes per second to other data centres: most %d", sent[len(sent)/2], slices.Max(sent), slices.Max(remote))
+	limit := int64(maxDatagramsPerMember*perDataCentre + 10*dataCentres)
+	assert.Assert(t, slices.Max(sent) <= limit, "%d datagrams per second, the limit is %d", slices.Max(sent), limit)
+	assert.Assert(t, slices.Max(remote) <= int64(maxRemoteBytes*dataCentres), "%d bytes per second to other data centres", slices.Max(remote))
+}
+
+// deliveryTime is more than two flushes and the time between two reports of loads.
+const deliveryTime = 2*flushInterval + 2*loadInterval
+
+// assertDelivery checks that a notice reaches the instances of the engine's data
+// centre, and a change of the list all instances.
+func (f *simulatedFleet) assertDelivery(t *testing.T) {
+	t.Helper()
+	large := len(f.nodes) > fullMeshLimit
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		clear(n.reports) // While the fleet joins, some instances assume that it is small.
+		n.mu.Unlock()
+	}
+	sender := f.nodes[len(f.nodes)-len(f.nodes)/4] // not a relay
+	sender.peers.SendNotice(noticeOfRemoteRun)
+	reader := f.nodes[0]
+	reader.mu.Lock()
+	reader.revision = 5
+	reader.mu.Unlock()
+	items := make([]upstream.Item, 4)
+	for i := range items {
+		items[i] = upstream.Item{ID: fmt.Sprint("u", i), Revision: uint64(i + 2), Deleted: true}
+	}
+	reader.peers.ListChanged(items, 1)
+	time.Sleep(deliveryTime)
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		notices, revision, reports := n.notices, n.revision, len(n.reports)
+		n.mu.Unlock()
+		if n != sender && n.dataCentre == "dc1" {
+			assert.Equal(t, notices, 1, "notices at %s", n.addr)
+		}
+		assert.Equal(t, revision, uint64(5), "list revision at %s", n.addr)
+		if large {
+			others := len(f.nodes)/f.perDataCentre() - 1
+			assert.Equal(t, reports, others*maxLoads, "loads of other data centres at %s", n.addr)
+		}
+	}
+}
+
+func (f *simulatedFleet) perDataCentre() int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.dataCentre == f.nodes[0].dataCentre {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRelaysFail checks that what is forwarded still arrives after all relays of two
+// data centres have failed.
+func TestRelaysFail(t *testing.T) {
+	runFleet(t, 4, 12, func(t *testing.T, fleet *simulatedFleet) {
+		for i, n := range fleet.nodes {
+			if i < 4*relaysPerDataCentre && (n.dataCentre == "dc1" || n.dataCentre == "dc2") {
+				n.down.Store(true)
+			}
+		}
+		time.Sleep(relayTimeout + 2*silenceTimeout)
+		sender := fleet.nodes[len(fleet.nodes)-2]
+		assert.Equal(t, sender.dataCentre, "dc2")
+		sender.peers.SendNotice(noticeOfRemoteRun)
+		time.Sleep(deliveryTime)
+		for _, n := range fleet.nodes {
+			if n.dataCentre == "dc1" && !n.down.Load() {
+				assert.Equal(t, n.notices, 1, "notices at %s", n.addr)
+			}
+		}
+	})
+}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -7,6 +7,7 @@
 package gossip
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -26,7 +27,12 @@
 	// of its list of upstreams.
 	TableVersion, ListRevision uint64
 	// StoreLost reports that its latest attempt to read the store failed.
-	StoreLost  bool
+	StoreLost bool
+	// LocalCount is the number of live instances in its data centre, including
+	// itself.
+	LocalCount int
+	// Relays contains the addresses of the relays of its data centre.
+	Relays     []netip.AddrPort
 	LastSeenAt time.Time
 	// Alive is true from the first datagram until the silence timeout passes
 	// without another.
@@ -44,11 +50,24 @@
 	// removalTimeout is the time for which a silent member is still contacted,
 	// so that the fleet reunites after a partition heals.
 	removalTimeout = 5 * time.Minute
-	// fullMeshLimit is the number of live members at which an instance stops
-	// sending all its datagrams to all of them. It then sends them to the
-	// members of its data centre, and heartbeats to a few random members of the
-	// others, so that its traffic does not grow with the fleet.
+	// fullMeshLimit is the number of live instances at which an instance stops
+	// sending its datagrams to all of them. It then sends them to the members of
+	// its data centre, and the relays exchange datagrams between data centres, so
+	// that an instance's traffic does not grow with the fleet.
 	fullMeshLimit = 32
+	// relaysPerDataCentre is the number of instances of a data centre that
+	// exchange datagrams with the other data centres of a large fleet.
+	relaysPerDataCentre = 2
+	// relayTimeout is the time without a datagram after which another member of
+	// the same data centre is used as the relay, if one was heard more recently.
+	// Relays send heartbeats to each other every second.
+	relayTimeout = 3500 * time.Millisecond
+	// directPrecedence is the time for which what an instance has heard from
+	// another data centre takes precedence over what local instances report of it.
+	directPrecedence = 2 * time.Second
+	// minRemoteAddresses is the number of silent members of another data centre
+	// that a large fleet keeps contacting, to reunite after a partition.
+	minRemoteAddresses = 4
 	// twoReadersThreshold is the minimum number of instances in a data centre
 	// for two of them to read the store instead of one.
 	twoReadersThreshold = 8
@@ -60,12 +79,25 @@
 	self       netip.AddrPort
 	dataCentre string
 	members    map[netip.AddrPort]*Member
+	// dataCentres contains the other data centres, most instances of which are not
+	// known individually in a large fleet.
+	dataCentres map[string]*remoteDataCentre
+}
+
+// remoteDataCentre is another data centre, as reported by its instances.
+type remoteDataCentre struct {
+	// count is the number of its live instances, including its relays.
+	count  int
+	relays []netip.AddrPort
+	// heardAt is the time of the latest datagram from one of its instances, and
+	// reportedAt that of the latest report, which may come from a local instance.
+	heardAt, reportedAt time.Time
 }
 
 // NewMemberTable returns an empty table for the instance with the given address
 // and data centre.
 func NewMemberTable(self netip.AddrPort, dataCentre string) *MemberTable {
-	return &MemberTable{self: self, dataCentre: dataCentre, members: map[netip.AddrPort]*Member{}}
+	return &MemberTable{self: self, dataCentre: dataCentre, members: map[netip.AddrPort]*Member{}, dataCentres: map[string]*remoteDataCentre{}}
 }
 
 // Update records a member's latest datagram. It reports whether the member has
@@ -82,16 +114,72 @@
 	joined = previous == nil || !previous.Alive || previous.Incarnation != m.Incarnation
 	m.LastSeenAt, m.Alive = now, true
 	t.members[m.Addr] = &m
+	if m.DataCentre != t.dataCentre && m.LocalCount > 0 {
+		t.dataCentres[m.DataCentre] = &remoteDataCentre{count: m.LocalCount, relays: m.Relays, heardAt: now, reportedAt: now}
+	}
 	return joined
 }
 
-// AddAddress adds an address received from another instance, as a member that
-// is not alive yet.
-func (t *MemberTable) AddAddress(now time.Time, addr netip.AddrPort) {
+// UpdateDataCentre records what a local instance has heard of another data centre.
+// What this instance has heard itself takes precedence.
+func (t *MemberTable) UpdateDataCentre(now time.Time, name string, count int, relays []netip.AddrPort) {
+	if name == t.dataCentre || count <= 0 {
+		return
+	}
+	known, ok := t.dataCentres[name]
+	if !ok {
+		known = &remoteDataCentre{}
+		t.dataCentres[name] = known
+	}
+	if now.Sub(known.heardAt) > directPrecedence {
+		known.count, known.relays, known.reportedAt = count, relays, now
+	}
+}
+
+// RemoteDataCentres calls report for each other data centre that an instance tells
+// its own data centre of: those from which it has heard since the given time, and on
+// relays all.
+func (t *MemberTable) RemoteDataCentres(since time.Time, report func(name string, count int, relays []netip.AddrPort)) {
+	relay := t.IsRelay()
+	for name, d := range t.dataCentres {
+		if relay || !d.heardAt.Before(since) {
+			report(name, d.count, d.relays)
+		}
+	}
+}
+
+// LocalCount returns the number of live instances in the local data centre,
+// including this one.
+func (t *MemberTable) LocalCount() int {
+	count := 1
+	for _, m := range t.members {
+		if m.Alive && m.DataCentre == t.dataCentre {
+			count++
+		}
+	}
+	return count
+}
+
+// FleetSize returns the number of live instances, including this one. It counts
+// those of a data centre that can't be reached until removalTimeout.
+func (t *MemberTable) FleetSize() int {
+	total := t.LocalCount()
+	for _, d := range t.dataCentres {
+		total += d.count
+	}
+	return max(total, t.Count()+1)
+}
+
+// IsLarge reports whether the fleet is too large for a full mesh.
+func (t *MemberTable) IsLarge() bool { return t.FleetSize() > fullMeshLimit }
+
+// AddAddress adds the address of an instance of the data centre, received from
+// another instance, as a member that is not alive yet.
+func (t *MemberTable) AddAddress(now time.Time, dataCentre string, addr netip.AddrPort) {
 	if addr == t.self || t.members[addr] != nil {
 		return
 	}
-	t.members[addr] = &Member{Addr: addr, LastSeenAt: now}
+	t.members[addr] = &Member{Addr: addr, DataCentre: dataCentre, LastSeenAt: now}
 }
 
 // Remove removes a member that announced its planned stop.
@@ -102,21 +190,30 @@
 }
 
 // Expire marks the members whose silence timeout has passed as not alive and
-// returns them. It removes members that have been silent for removalTimeout.
+// returns them. It removes members that have been silent for removalTimeout, and
+// in a large fleet all but some silent members of other data centres.
 func (t *MemberTable) Expire(now time.Time) (lost []Member) {
+	large := t.IsLarge()
+	silentRemote := map[string]int{}
 	for addr, m := range t.members {
+		remote := large && m.DataCentre != t.dataCentre
 		timeout := silenceTimeout
-		if m.DataCentre != t.dataCentre && len(t.members) >= fullMeshLimit {
+		if remote {
 			timeout = remoteSilenceTimeout
 		}
-		switch silentFor := now.Sub(m.LastSeenAt); {
-		case m.Alive && silentFor > timeout:
+		silentFor := now.Sub(m.LastSeenAt)
+		if m.Alive && silentFor > timeout {
 			m.Alive = false
 			lost = append(lost, *m)
-		case silentFor > removalTimeout:
+		}
+		if !m.Alive && remote {
+			silentRemote[m.DataCentre]++
+		}
+		if !m.Alive && (silentFor > removalTimeout || silentRemote[m.DataCentre] > minRemoteAddresses) {
 			delete(t.members, addr)
 		}
 	}
+	maps.DeleteFunc(t.dataCentres, func(_ string, d *remoteDataCentre) bool { return now.Sub(d.reportedAt) > removalTimeout })
 	return lost
 }
 
@@ -132,16 +229,47 @@
 	return alive
 }
 
-// SilentAddresses returns the addresses of members that are not alive.
-func (t *MemberTable) SilentAddresses() []netip.AddrPort {
-	var silent []netip.AddrPort
+// SilentAddresses returns up to limit addresses of members that are not alive, in
+// random order: first those of the local data centre and, in a large fleet, then
+// those of data centres of which fewer than relaysPerDataCentre members are alive.
+func (t *MemberTable) SilentAddresses(limit int) []netip.AddrPort {
+	large, alive := t.IsLarge(), map[string]int{}
+	for _, m := range t.members {
+		if m.Alive {
+			alive[m.DataCentre]++
+		}
+	}
+	var local, remote []netip.AddrPort
 	for addr, m := range t.members {
-		if !m.Alive {
-			silent = append(silent, addr)
+		switch {
+		case m.Alive:
+		case m.DataCentre == t.dataCentre:
+			local = append(local, addr)
+		case !large || alive[m.DataCentre] < relaysPerDataCentre:
+			remote = append(remote, addr)
+		}
+	}
+	for _, addrs := range [][]netip.AddrPort{local, remote} {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	}
+	silent := append(local, remote...)
+	return silent[:min(limit, len(silent))]
+}
+
+// KnownAddresses returns the addresses of up to limit random live members of a data
+// centre, and of up to remoteLimit of each other one.
+func (t *MemberTable) KnownAddresses(dataCentre string, limit, remoteLimit int) map[string][]netip.AddrPort {
+	known := map[string][]netip.AddrPort{}
+	for addr, m := range t.members { // in random order
+		limitOf := remoteLimit
+		if m.DataCentre == dataCentre {
+			limitOf = limit
+		}
+		if m.Alive && len(known[m.DataCentre]) < limitOf {
+			known[m.DataCentre] = append(known[m.DataCentre], addr)
 		}
 	}
-	slices.SortFunc(silent, netip.AddrPort.Compare)
-	return silent
+	return known
 }
 
 // Count returns the number of members that are alive.
@@ -160,7 +288,7 @@
 // data centre.
 func (t *MemberTable) BroadcastGroup() []Member {
 	alive := t.Alive()
-	if len(alive) < fullMeshLimit {
+	if !t.IsLarge() {
 		return alive
 	}
 	return slices.DeleteFunc(alive, func(m Member) bool { return m.DataCentre != t.dataCentre })
@@ -168,11 +296,99 @@
 
 // RemoteMembers returns the live members outside the broadcast group.
 func (t *MemberTable) RemoteMembers() []Member {
-	alive := t.Alive()
-	if len(alive) < fullMeshLimit {
+	if !t.IsLarge() {
 		return nil
 	}
-	return slices.DeleteFunc(alive, func(m Member) bool { return m.DataCentre == t.dataCentre })
+	return slices.DeleteFunc(t.Alive(), func(m Member) bool { return m.DataCentre == t.dataCentre })
+}
+
+// rank returns the number of live members of the local data centre with a lower
+// address.
+func (t *MemberTable) rank() int {
+	rank := 0
+	for _, m := range t.members {
+		if m.Alive && m.DataCentre == t.dataCentre && m.Addr.Compare(t.self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// IsPrimary reports whether the instance has the lowest address of the live
+// instances in its data centre.
+func (t *MemberTable) IsPrimary() bool { return t.rank() == 0 }
+
+// IsRelay reports whether the instance exchanges datagrams with the other data
+// centres for its own one.
+func (t *MemberTable) IsRelay() bool { return t.IsLarge() && t.rank() < relaysPerDataCentre }
+
+// LocalRelay returns the relay of the local data centre, unless it is this
+// instance.
+func (t *MemberTable) LocalRelay() (Member, bool) {
+	for _, m := range t.Alive() {
+		if m.DataCentre == t.dataCentre {
+			return m, m.Addr.Compare(t.self) < 0
+		}
+	}
+	return Member{}, false
+}
+
+// LocalRelays returns the addresses of the relays of the local data centre.
+func (t *MemberTable) LocalRelays() []netip.AddrPort {
+	addrs := []netip.AddrPort{t.self}
+	for _, m := range t.members {
+		if m.Alive && m.DataCentre == t.dataCentre {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	return addrs[:min(relaysPerDataCentre, len(addrs))]
+}
+
+// RemoteRelays returns for each other data centre the address to which datagrams for
+// it are sent: that of the member with the lowest address of those heard from within
+// relayTimeout, or else that of a reported relay, or of the member that was heard
+// from last. Any instance can act as the relay, so the data centres need not agree
+// on it.
+func (t *MemberTable) RemoteRelays(now time.Time) map[string]netip.AddrPort {
+	lastHeard := map[string]Member{}
+	for _, m := range t.RemoteMembers() { // sorted by address
+		current, ok := lastHeard[m.DataCentre]
+		if !ok || now.Sub(current.LastSeenAt) > relayTimeout && m.LastSeenAt.After(current.LastSeenAt) {
+			lastHeard[m.DataCentre] = m
+		}
+	}
+	relays := map[string]netip.AddrPort{}
+	for name, d := range t.dataCentres {
+		if len(d.relays) > 0 {
+			relays[name] = d.relays[0]
+		}
+	}
+	for name, m := range lastHeard {
+		if _, reported := relays[name]; !reported || now.Sub(m.LastSeenAt) <= relayTimeout {
+			relays[name] = m.Addr
+		}
+	}
+	return relays
+}
+
+// RemoteHeartbeats returns the addresses outside the broadcast group that get a
+// heartbeat: that of a random member and, if the instance is a relay, those of the
+// relays of each other data centre.
+func (t *MemberTable) RemoteHeartbeats() []netip.AddrPort {
+	if !t.IsLarge() {
+		return nil
+	}
+	var addrs []netip.AddrPort
+	if remote := t.RemoteMembers(); len(remote) > 0 {
+		addrs = append(addrs, remote[rand.IntN(len(remote))].Addr)
+	}
+	if t.IsRelay() {
+		for _, d := range t.dataCentres {
+			addrs = append(addrs, d.relays...)
+		}
+	}
+	return addrs
 }
 
 // ShouldReadStore reports whether the instance should read the store for its
@@ -201,20 +417,10 @@
 	return lower < 1
 }
 
-// IsPrimary reports whether the instance has the lowest address of the live
-// instances in its data centre.
-func (t *MemberTable) IsPrimary() bool {
-	for _, m := range t.members {
-		if m.Alive && m.DataCentre == t.dataCentre && m.Addr.Compare(t.self) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // FindNewer returns a random member that has a newer routing table or, if
 // wantList is set, a newer list. Members of the local data centre are
-// preferred.
+// preferred. In a large fleet, only relays consider the others as long as the data
+// centre has other instances, because the relays forward what is new there.
 func (t *MemberTable) FindNewer(tableVersion, listRevision uint64, wantList bool) (Member, bool) {
 	var candidates, remote []Member
 	for _, m := range t.members {
@@ -227,7 +433,7 @@
 			remote = append(remote, *m)
 		}
 	}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && (!t.IsLarge() || t.IsRelay() || t.LocalCount() == 1) {
 		candidates = remote
 	}
 	if len(candidates) == 0 {
--- a/gossip/members_test.go
+++ b/gossip/members_test.go
@@ -68,12 +68,12 @@
 	lost := table.Expire(start.Add(3 * time.Second))
 	assert.Equal(t, len(lost), 1)
 	assert.Assert(t, table.ShouldReadStore(false), "the instance must replace the silent reader")
-	assert.Equal(t, len(table.SilentAddresses()), 1)
+	assert.Equal(t, len(table.SilentAddresses(9)), 1)
 	assert.Assert(t, table.Update(start.Add(4*time.Second), member(1, "a")), "the returned member must be reported as joined")
 	assert.Assert(t, !table.ShouldReadStore(false))
 	assert.Equal(t, len(table.Expire(start.Add(10*time.Minute))), 1)
 	table.Expire(start.Add(11 * time.Minute))
-	assert.Equal(t, len(table.SilentAddresses()), 0, "the silent member must be removed")
+	assert.Equal(t, len(table.SilentAddresses(9)), 0, "the silent member must be removed")
 }
 
 // TestDelayedDatagramOfEarlierProcess checks that a delayed datagram of an earlier
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,36 +31,42 @@
 	// instances before it reads the store itself.
 	startupWait = 500 * time.Millisecond
 	// silentRetryInterval is the time between two attempts to reach silent
-	// members.
-	silentRetryInterval = 2 * time.Second
+	// members, maxSilentContacts the maximum number of members in each.
+	silentRetryInterval = 1 * time.Second
+	maxSilentContacts   = 32
+	// joinRetries is the number of silentRetryIntervals between two contacts with
+	// the seeds, so that two parts of the fleet that lost each other's addresses
+	// reunite.
+	joinRetries = 20
 	// maxNotices is the maximum number of notices in one datagram, so that the
 	// datagram fits into an Ethernet frame.
 	maxNotices = 5
 	// maxPending is the maximum number of notices, and of leaving
 	// announcements, that wait for a flush. Further ones are dropped.
 	maxPending = 512
-	// maxListItems is the maximum number of list entries in one datagram. If
-	// more have changed, none are sent, and the receivers pull the list.
-	maxListItems = 12
-	// maxMemberAddrs is the maximum number of addresses of other members in one
-	// datagram, maxMemberAddrsToNew the maximum in the response to a new member.
-	maxMemberAddrs      = 4
-	maxMemberAddrsToNew = 40
-	// receiveBufferBytes is the size of the receive buffer. A longer datagram is
-	// truncated and can't be decoded.
-	receiveBufferBytes = 16 << 10
+	// maxListItems is the maximum number of list entries in one datagram, so that
+	// it fits into an Ethernet frame. If more than maxListChanges have changed, none
+	// are sent, and the receivers pull the list.
+	maxListItems   = 3
+	maxListChanges = 48
+	// maxMemberAddrs is the maximum number of addresses of members of the
+	// receivers' data centre in a heartbeat, maxMemberAddrsToNew the maximum in the
+	// response to a new member, and maxRemoteAddrsToNew the maximum there for each
+	// other data centre.
+	maxMemberAddrs      = 3
+	maxMemberAddrsToNew = 60
+	maxRemoteAddrsToNew = relaysPerDataCentre
+	// maxDatagramBytes is the maximum size of a datagram. A longer one is not sent.
+	maxDatagramBytes = 16 << 10
 	// readerPullDelay is how long an instance that reads the store itself waits
 	// for newer state before it pulls it from a member.
 	readerPullDelay = 250 * time.Millisecond
 	// nonReaderPullDelay is the corresponding delay of an instance that does not
 	// read the store. It gives list changes in transit time to arrive.
 	nonReaderPullDelay = 30 * time.Millisecond
-	// remoteMembersPerRound is the number of members outside the broadcast
-	// group that get a heartbeat in each heartbeatInterval.
-	remoteMembersPerRound = 3
 	// loadInterval is the time between two reports of a data centre's engine
 	// loads to the other data centres.
-	loadInterval = 300 * time.Millisecond
+	loadInterval = 500 * time.Millisecond
 	// receiveBacklog is the capacity of the queue of received datagrams.
 	receiveBacklog = 256
 )
@@ -98,8 +100,9 @@
 	UpdateList(items []upstream.Item, revision uint64, complete bool, source upstream.Source)
 	// HandleReport submits a load report of the upstream with this name.
 	HandleReport(name string, r decide.Report)
-	// Loads is a query: it returns the loads of a data centre's engines.
-	Loads(ctx context.Context, dataCentre string) []decide.Load
+	// Loads is a query: it returns the loads of up to limit engines of a data
+	// centre, those with the most room.
+	Loads(ctx context.Context, dataCentre string, limit int) []decide.Load
 }
 
 // Decoder decodes published documents, which members forward unchanged.
@@ -130,7 +133,7 @@
 type Peers struct {
 	options Options
 	sink    Sink
-	conn    *net.UDPConn
+	conn    packetConn
 
 	mu sync.Mutex
 	// pendingNotices, leaving and items are sent by the next flush.
@@ -145,8 +148,10 @@
 	// wake requests a flush.
 	wake     chan struct{}
 	received chan datagramWire
-	// alive, isReader and isPrimary are updated by Run for other goroutines.
+	// alive, fleetSize, isReader and isPrimary are updated by Run for other
+	// goroutines.
 	alive     atomic.Int64
+	fleetSize atomic.Int64
 	isReader  atomic.Bool
 	isPrimary atomic.Bool
 	stopping  atomic.Bool
@@ -162,6 +167,14 @@
 	lastSilentRetry     time.Time
 	lastLoads           time.Time
 	lastRemoteHeartbeat time.Time
+	// relayedNotices are notices from other data centres that the next flush
+	// sends to the local one. relayedRevision is the highest list revision that
+	// was relayed in this way.
+	relayedNotices  []noticeWire
+	relayedRevision uint64
+	// remoteLoads contains the latest loads of each other data centre that have
+	// not been sent to the local one yet.
+	remoteLoads map[string]receivedLoads
 
 	// pulling is true while a pull is in progress; pulls waits for its goroutine.
 	pulling atomic.Bool
@@ -176,17 +189,29 @@
 	leavesAt    time.Time
 }
 
+// packetConn is the part of net.UDPConn that Peers uses.
+type packetConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
 // Listen opens the instance's UDP port.
 func Listen(o Options, sink Sink) (*Peers, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
 	if err != nil {
 		return nil, err
 	}
+	return newPeers(o, conn, sink), nil
+}
+
+func newPeers(o Options, conn packetConn, sink Sink) *Peers {
 	p := &Peers{
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
-		members: NewMemberTable(o.Listen, o.DataCentre),
+		members: NewMemberTable(o.Listen, o.DataCentre), remoteLoads: map[string]receivedLoads{},
 	}
-	return p, nil
+	p.fleetSize.Store(1)
+	return p
 }
 
 // ShouldReadStore reports whether the instance should read the store for its
@@ -200,6 +225,10 @@
 // Alive returns the number of other instances that are alive.
 func (p *Peers) Alive() int { return int(p.alive.Load()) }
 
+// FleetSize returns the number of live instances, including this one. Unlike Alive,
+// it includes those that this instance doesn't know individually.
+func (p *Peers) FleetSize() int { return int(p.fleetSize.Load()) }
+
 // SendNotice queues a notice for the next datagram.
 func (p *Peers) SendNotice(n decide.Notice) {
 	p.mu.Lock()
@@ -220,8 +249,7 @@
 	p.wakeUp()
 }
 
-// ListChanged queues the list changes after the revision for the members of the
-// local data centre.
+// ListChanged queues the list changes after the revision for the other instances.
 func (p *Peers) ListChanged(items []upstream.Item, afterRevision uint64) {
 	p.mu.Lock()
 	if len(p.items) == 0 {
@@ -262,33 +290,6 @@
 	}
 }
 
-// Receive reads datagrams until ctx ends.
-func (p *Peers) Receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
-	defer stop()
-	buffer := make([]byte, receiveBufferBytes)
-	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			p.options.Log.EmitRateLimited(event.PeerLost, "reason", "read", "error", err.Error())
-			continue
-		}
-		var wire datagramWire
-		if err := json.Unmarshal(buffer[:n], &wire); err != nil {
-			p.options.Log.EmitRateLimited(event.PeerLost, "reason", "malformed datagram", "error", err.Error())
-			continue
-		}
-		select {
-		case p.received <- wire:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // Run sends and handles datagrams until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	defer p.pulls.Wait()
@@ -334,11 +335,14 @@
 }
 
 // nextTick returns the time until the next tick. It is shorter while the
-// instance joins the fleet, and on the instance that sends loads to other data
+// instance joins the fleet, and on the relays, which send loads to other data
 // centres.
 func (p *Peers) nextTick() time.Duration {
-	if p.members.Count() == 0 || time.Since(p.startedAt) < 2*startupWait || len(p.members.RemoteMembers()) > 0 && p.members.IsPrimary() {
+	switch {
+	case p.members.Count() == 0 || time.Since(p.startedAt) < 2*startupWait:
 		return joinInterval
+	case p.members.IsRelay():
+		return loadInterval / 2
 	}
 	return heartbeatInterval / 2
 }
@@ -350,30 +354,14 @@
 		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.LastSeenAt).Milliseconds())
 	}
 	p.alive.Store(int64(p.members.Count()))
+	p.fleetSize.Store(int64(p.members.FleetSize()))
 	// An instance without live members reads the store itself, but only after
 	// the other instances of a starting fleet have had time to respond.
 	p.isReader.Store(p.members.ShouldReadStore(p.options.State().StoreLost) && now.Sub(p.startedAt) >= startupWait)
 	p.isPrimary.Store(p.members.IsPrimary() && now.Sub(p.startedAt) >= startupWait)
-	// The seeds are also contacted when members are alive, but only once per 10
-	// silentRetryIntervals, so that two parts of the fleet that lost each other's
-	// addresses reunite.
-	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= 10*silentRetryInterval {
-		p.lastJoin = now
-		for _, seed := range p.options.Seeds() {
-			addr := netip.AddrPortFrom(seed.Addr(), p.options.Listen.Port())
-			if addr != p.options.Listen {
-				p.write(p.encode(datagramWire{}, maxMemberAddrs), addr)
-			}
-		}
-	}
-	if now.Sub(p.lastSilentRetry) >= silentRetryInterval {
-		p.lastSilentRetry = now
-		for _, addr := range p.members.SilentAddresses() {
-			p.write(p.encode(datagramWire{}, maxMemberAddrs), addr)
-		}
-	}
+	p.contactSilent(now)
 	if now.Sub(p.lastHeartbeat) >= heartbeatInterval {
-		p.broadcast(now, datagramWire{})
+		p.sendHeartbeat(now)
 	}
 	if now.Sub(p.lastRemoteHeartbeat) >= heartbeatInterval {
 		p.lastRemoteHeartbeat = now
@@ -381,226 +369,29 @@
 	}
 	if now.Sub(p.lastLoads) >= loadInterval {
 		p.lastLoads = now
-		p.sendLoads(ctx)
+		p.sendLoads(ctx, now)
+		p.relayLoads(now)
 	}
 	p.catchUp(ctx, now)
 }
 
-// flush sends the pending notices and leaving announcements to the broadcast
-// group, and the list changes to the members of the local data centre. Notices
-// for another data centre also go to its members outside the broadcast group.
-func (p *Peers) flush(now time.Time) {
-	p.mu.Lock()
-	notices, leaving, items, afterRevision := p.pendingNotices, p.leaving, p.items, p.itemsAfter
-	p.pendingNotices, p.leaving, p.items, p.urgent = nil, nil, nil, false
-	p.mu.Unlock()
-	var datagram datagramWire
-	for _, l := range leaving {
-		w := leavingWire{ID: l.id, StartUnixMS: l.startUnixMS}
-		if !l.leavesAt.IsZero() {
-			w.LeavesInMS = max(1, l.leavesAt.Sub(now).Milliseconds())
-		}
-		datagram.Leaving = append(datagram.Leaving, w)
-	}
-	if len(items) > 0 && len(items) <= maxListItems {
-		datagram.List = &listWire{After: afterRevision, Items: encodeItems(items)}
-	}
-	wires := make([]noticeWire, len(notices))
-	remoteNotices := map[string][]noticeWire{}
-	for i, n := range notices {
-		wires[i] = encodeNotice(now, n)
-		if n.DataCentre != "" && n.DataCentre != p.options.DataCentre {
-			remoteNotices[n.DataCentre] = append(remoteNotices[n.DataCentre], wires[i])
-		}
-	}
-	p.sendRemoteNotices(remoteNotices)
-	if len(wires) == 0 {
-		p.broadcast(now, datagram)
-		return
-	}
-	// The first datagram also contains the leaving announcements and the list
-	// changes.
-	for chunk := range slices.Chunk(wires, maxNotices) {
-		datagram.Notices = chunk
-		p.broadcast(now, datagram)
-		datagram = datagramWire{}
-	}
-}
-
-// sendRemoteNotices sends the notices for each data centre to the members of
-// that data centre outside the broadcast group.
-func (p *Peers) sendRemoteNotices(notices map[string][]noticeWire) {
-	remoteMembers := p.members.RemoteMembers()
-	for dataCentre, wires := range notices {
-		for chunk := range slices.Chunk(wires, maxNotices) {
-			content := p.encode(datagramWire{Notices: chunk}, 0)
-			for _, m := range remoteMembers {
-				if m.DataCentre == dataCentre {
-					p.write(content, m.Addr)
-				}
+// contactSilent sends a datagram to the seeds and to some silent members, if it is
+// due.
+func (p *Peers) contactSilent(now time.Time) {
+	if p.members.Count() == 0 && now.Sub(p.lastJoin) >= joinInterval || now.Sub(p.lastJoin) >= joinRetries*silentRetryInterval {
+		p.lastJoin = now
+		for _, seed := range p.options.Seeds() {
+			addr := netip.AddrPortFrom(seed.Addr(), p.options.Listen.Port())
+			if addr != p.options.Listen {
+				p.write(p.encode(datagramWire{}), addr)
 			}
 		}
 	}
-}
-
-// broadcast sends a datagram to the broadcast group.
-func (p *Peers) broadcast(now time.Time, w datagramWire) {
-	p.lastHeartbeat = now
-	localContent := p.encode(w, maxMemberAddrs)
-	remoteContent := localContent
-	if w.List != nil {
-		// Other data centres get list changes from their own readers.
-		w.List = nil
-		remoteContent = p.encode(w, maxMemberAddrs)
-	}
-	for _, m := range p.members.BroadcastGroup() {
-		if m.DataCentre == p.options.DataCentre {
-			p.write(localContent, m.Addr)
-		} else {
-			p.write(remoteContent, m.Addr)
-		}
-	}
-}
-
-// sendRemoteHeartbeats sends a heartbeat to a few random members outside the
-// broadcast group.
-func (p *Peers) sendRemoteHeartbeats() {
-	remoteMembers := p.members.RemoteMembers()
-	if len(remoteMembers) == 0 {
-		return
-	}
-	content := p.encode(datagramWire{}, maxMemberAddrs)
-	for range remoteMembersPerRound {
-		p.write(content, remoteMembers[rand.IntN(len(remoteMembers))].Addr)
-	}
-}
-
-// sendLoads sends the load of this data centre's engines to the members outside
-// the broadcast group, which don't get all notices of this data centre. Only
-// the primary instance sends it.
-func (p *Peers) sendLoads(ctx context.Context) {
-	remoteMembers := p.members.RemoteMembers()
-	if len(remoteMembers) == 0 || !p.members.IsPrimary() {
-		return
-	}
-	var w datagramWire
-	for _, load := range p.sink.Loads(ctx, p.options.DataCentre) {
-		w.Loads = append(w.Loads, loadWire{load.Upstream, load.Running, load.UsedTokens, load.PendingPrefillTokens})
-	}
-	if len(w.Loads) == 0 {
+	if now.Sub(p.lastSilentRetry) < silentRetryInterval {
 		return
 	}
-	content := p.encode(w, 0)
-	for _, m := range remoteMembers {
-		p.write(content, m.Addr)
-	}
-}
-
-// encode encodes a datagram with the fields that every datagram contains and up
-// to addrLimit addresses of random members.
-func (p *Peers) encode(w datagramWire, addrLimit int) []byte {
-	o, state := p.options, p.options.State()
-	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
-	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
-	w.Stopping, w.Known = p.stopping.Load(), p.randomAddrs(addrLimit)
-	content, err := json.Marshal(w)
-	if err != nil {
-		o.Log.EmitRateLimited(event.PeerLost, "reason", "encode", "error", err.Error())
-	}
-	return content
-}
-
-func (p *Peers) randomAddrs(limit int) []netip.AddrPort {
-	alive := p.members.Alive()
-	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	var addrs []netip.AddrPort
-	for _, m := range alive[:min(limit, len(alive))] {
-		addrs = append(addrs, m.Addr)
-	}
-	return addrs
-}
-
-// write sends a datagram, which may be lost. Unreachable members are detected
-// by their silence.
-func (p *Peers) write(content []byte, to netip.AddrPort) {
-	if _, err := p.conn.WriteToUDPAddrPort(content, to); err != nil && !errors.Is(err, net.ErrClosed) {
-		p.options.Log.EmitRateLimited(event.PeerLost, "reason", "write", "address", to.String(), "error", err.Error())
+	p.lastSilentRetry = now
+	for _, addr := range p.members.SilentAddresses(maxSilentContacts) {
+		p.write(p.encode(datagramWire{}), addr)
 	}
 }
-
-func (p *Peers) handleDatagram(ctx context.Context, w datagramWire) {
-	now := time.Now()
-	if w.Stopping {
-		p.members.Remove(w.From, w.Incarnation)
-	} else {
-		m := Member{
-			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
-			TableVersion: w.TableVersion, ListRevision: w.ListRevision, StoreLost: w.StoreLost,
-		}
-		if p.members.Update(now, m) {
-			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
-			p.write(p.encode(datagramWire{}, maxMemberAddrsToNew), m.Addr)
-		}
-	}
-	for _, addr := range w.Known {
-		p.members.AddAddress(now, addr)
-	}
-	for _, l := range w.Leaving {
-		var leavesAt time.Time
-		if l.LeavesInMS > 0 {
-			leavesAt = now.Add(time.Duration(l.LeavesInMS) * time.Millisecond)
-		}
-		p.sink.ReportLeaving(l.ID, l.StartUnixMS, leavesAt, upstream.FromPeer)
-	}
-	for _, n := range w.Notices {
-		notice, err := decodeNotice(now, n)
-		if err != nil {
-			p.options.Log.EmitRateLimited(event.PeerLost, "reason", "malformed notice", "peer", w.Name, "error", err.Error())
-			continue
-		}
-		p.sink.HandleNotice(notice)
-	}
-	if w.List != nil {
-		// Without the changes before these, the list is incomplete at
-		// w.ListRevision; revision 0 keeps the current one.
-		revision := uint64(0)
-		if p.options.State().ListRevision >= w.List.After {
-			revision = w.ListRevision
-		}
-		p.sink.UpdateList(p.decodeItems(w.List.Items), revision, false, upstream.FromPeer)
-	}
-	for _, l := range w.Loads {
-		p.sink.HandleReport(l.Upstream, decide.Report{TakenAt: now, Running: l.Running, UsedTokens: l.UsedTokens, PendingPrefillTokens: l.PendingPrefill})
-	}
-	p.catchUp(ctx, now)
-}
-
-// catchUp pulls the state of a member if newer state has been available for
-// longer than the pull delay.
-func (p *Peers) catchUp(ctx context.Context, now time.Time) {
-	state := p.options.State()
-	// true: members that have only a newer list count as well.
-	m, found := p.members.FindNewer(state.TableVersion, state.ListRevision, true)
-	switch {
-	case !found:
-		p.behindSince = time.Time{}
-		return
-	case p.behindSince.IsZero():
-		p.behindSince = now
-	}
-	delay := readerPullDelay
-	if !p.isReader.Load() {
-		delay = nonReaderPullDelay
-	}
-	// An instance without a routing table pulls immediately.
-	if state.TableVersion != 0 && now.Sub(p.behindSince) < delay || !p.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	p.behindSince = now
-	p.pulls.Go(func() {
-		defer p.pulling.Store(false)
-		if err := p.pull(ctx, m, state); err != nil {
-			p.options.Log.EmitRateLimited(event.PeerLost, "reason", "state", "peer", m.Name, "error", err.Error())
-		}
-	})
-}
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -60,7 +60,7 @@
 
 func (n *node) HandleReport(string, decide.Report) {}
 
-func (n *node) Loads(context.Context, string) []decide.Load { return nil }
+func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
 
 func (n *node) current() gossip.State {
 	n.mu.Lock()
--- /dev/null
+++ b/gossip/receive.go
@@ -0,0 +1,136 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"mangoloft/event"
+	"mangoloft/upstream"
+)
+
+// Receive reads datagrams until ctx ends.
+func (p *Peers) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "read", "error", err.Error())
+			continue
+		}
+		var wire datagramWire
+		if err := json.Unmarshal(buffer[:n], &wire); err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed datagram", "error", err.Error())
+			continue
+		}
+		select {
+		case p.received <- wire:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// handleDatagram handles a datagram of another instance.
+func (p *Peers) handleDatagram(ctx context.Context, w datagramWire) {
+	now := time.Now()
+	if w.Stopping {
+		p.members.Remove(w.From, w.Incarnation)
+	} else {
+		m := Member{
+			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
+			TableVersion: w.TableVersion, ListRevision: w.ListRevision, StoreLost: w.StoreLost, LocalCount: w.LocalCount, Relays: w.Relays,
+		}
+		if p.members.Update(now, m) {
+			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
+			p.write(p.encode(datagramWire{
+				Known:       p.members.KnownAddresses(m.DataCentre, maxMemberAddrsToNew, maxRemoteAddrsToNew),
+				DataCentres: p.remoteDataCentres(now),
+			}), m.Addr)
+		}
+	}
+	for name, d := range w.DataCentres {
+		p.members.UpdateDataCentre(now, name, d.LocalCount, d.Relays)
+	}
+	for dataCentre, addrs := range w.Known {
+		for _, addr := range addrs {
+			p.members.AddAddress(now, dataCentre, addr)
+		}
+	}
+	if w.Forward != "" && w.DataCentre == p.options.DataCentre {
+		// The members of this data centre have already received the content.
+		p.sendToRelays(now, w.Forward, w.content())
+		p.catchUp(ctx, now)
+		return
+	}
+	if w.Forward != "" {
+		p.relayContent(now, w)
+	}
+	for _, l := range w.Leaving {
+		var leavesAt time.Time
+		if l.LeavesInMS > 0 {
+			leavesAt = now.Add(time.Duration(l.LeavesInMS) * time.Millisecond)
+		}
+		p.sink.ReportLeaving(l.ID, l.StartUnixMS, leavesAt, upstream.FromPeer)
+	}
+	for _, n := range w.Notices {
+		notice, err := decodeNotice(now, n)
+		if err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed notice", "peer", w.Name, "error", err.Error())
+			continue
+		}
+		p.sink.HandleNotice(notice)
+	}
+	if w.List != nil {
+		// Without the changes before these, the list is incomplete at their
+		// revision; revision 0 keeps the current one.
+		revision := uint64(0)
+		if p.options.State().ListRevision >= w.List.After {
+			revision = w.List.Revision
+		}
+		p.sink.UpdateList(p.decodeItems(w.List.Items), revision, false, upstream.FromPeer)
+	}
+	for _, loads := range w.Loads {
+		if err := p.handleLoads(now, loads); err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed loads", "peer", w.Name, "error", err.Error())
+		}
+	}
+	p.catchUp(ctx, now)
+}
+
+// catchUp pulls the state of a member if newer state has been available for
+// longer than the pull delay.
+func (p *Peers) catchUp(ctx context.Context, now time.Time) {
+	state := p.options.State()
+	// true: members that have only a newer list count as well.
+	m, found := p.members.FindNewer(state.TableVersion, state.ListRevision, true)
+	switch {
+	case !found:
+		p.behindSince = time.Time{}
+		return
+	case p.behindSince.IsZero():
+		p.behindSince = now
+	}
+	delay := readerPullDelay
+	if !p.isReader.Load() {
+		delay = nonReaderPullDelay
+	}
+	// An instance without a routing table pulls immediately.
+	if state.TableVersion != 0 && now.Sub(p.behindSince) < delay || !p.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	p.behindSince = now
+	p.pulls.Go(func() {
+		defer p.pulling.Store(false)
+		if err := p.pull(ctx, m, state); err != nil {
+			p.options.Log.EmitRateLimited(event.StatePullFailed, "peer", m.Name, "error", err.Error())
+		}
+	})
+}
--- /dev/null
+++ b/gossip/relay.go
@@ -0,0 +1,137 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/decide"
+)
+
+// In a large fleet, the data centres exchange datagrams only through relays. Within
+// a data centre, all instances exchange datagrams directly.
+
+const (
+	// allDataCentres is the target of datagrams that are forwarded to all other
+	// data centres.
+	allDataCentres = "*"
+	// maxLoads is the maximum number of engines of a data centre whose load is sent
+	// to the others: those with the most room, because only these are of use there.
+	maxLoads = 8
+	// maxLoadAge is the age from which loads are not sent any more.
+	maxLoadAge = 3 * time.Second
+)
+
+// receivedLoads are the loads of another data centre's engines.
+type receivedLoads struct {
+	loads loadsWire
+	// takenAt is the time of the loads, by the local clock.
+	takenAt time.Time
+}
+
+// content returns the part of a datagram that is forwarded.
+func (w datagramWire) content() datagramWire {
+	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads}
+}
+
+// forward sends the content to another data centre, or to all, through the relays.
+// In a small fleet the broadcast group already contains all instances.
+func (p *Peers) forward(now time.Time, dataCentre string, w datagramWire) {
+	if !p.members.IsLarge() {
+		return
+	}
+	if relay, ok := p.members.LocalRelay(); ok && !p.members.IsRelay() {
+		w.Forward = dataCentre
+		p.write(p.encode(w), relay.Addr)
+		return
+	}
+	p.sendToRelays(now, dataCentre, w)
+}
+
+// sendToRelays sends the content to the relay of another data centre, or to those of
+// all others.
+func (p *Peers) sendToRelays(now time.Time, dataCentre string, w datagramWire) {
+	for name, relay := range p.members.RemoteRelays(now) {
+		if dataCentre == allDataCentres || dataCentre == name {
+			w.Forward = name
+			p.write(p.encode(w), relay)
+		}
+	}
+}
+
+// relayContent sends what a relay of another data centre forwarded to the local
+// broadcast group.
+func (p *Peers) relayContent(now time.Time, w datagramWire) {
+	if len(w.Notices) > 0 && len(p.relayedNotices) < maxPending {
+		p.relayedNotices = append(p.relayedNotices, w.Notices...)
+		p.wakeUp()
+	}
+	// Several data centres may have read and forwarded the same change.
+	if w.List != nil && w.List.Revision > max(p.relayedRevision, p.options.State().ListRevision) {
+		p.relayedRevision = w.List.Revision
+		p.broadcast(now, datagramWire{List: w.List})
+	}
+	for _, loads := range w.Loads {
+		if loads.AgeMS < 0 {
+			continue // handleLoads reports it.
+		}
+		p.remoteLoads[w.DataCentre] = receivedLoads{loads, now.Add(-milliseconds(loads.AgeMS))}
+	}
+}
+
+// remoteDataCentres returns the other data centres of which the instance tells its
+// own one.
+func (p *Peers) remoteDataCentres(now time.Time) map[string]dataCentreWire {
+	wire := map[string]dataCentreWire{}
+	p.members.RemoteDataCentres(now.Add(-heartbeatInterval), func(name string, count int, relays []netip.AddrPort) {
+		wire[name] = dataCentreWire{count, relays}
+	})
+	return wire
+}
+
+// sendLoads sends the loads of this data centre's engines to the other data centres,
+// if the instance is the primary.
+func (p *Peers) sendLoads(ctx context.Context, now time.Time) {
+	if !p.members.IsLarge() || !p.members.IsPrimary() {
+		return
+	}
+	if loads := p.sink.Loads(ctx, p.options.DataCentre, maxLoads); len(loads) > 0 {
+		p.sendToRelays(now, allDataCentres, datagramWire{Loads: []loadsWire{encodeLoads(loads)}})
+	}
+}
+
+// relayLoads sends the loads that were received from other data centres since the
+// last call to the broadcast group.
+func (p *Peers) relayLoads(now time.Time) {
+	var all []loadsWire
+	for _, received := range p.remoteLoads {
+		age := now.Sub(received.takenAt)
+		if age < maxLoadAge {
+			received.loads.AgeMS = age.Milliseconds()
+			all = append(all, received.loads)
+		}
+	}
+	clear(p.remoteLoads)
+	if len(all) > 0 {
+		p.broadcast(now, datagramWire{Loads: all, DataCentres: p.remoteDataCentres(now)})
+	}
+}
+
+func (p *Peers) handleLoads(now time.Time, w loadsWire) error {
+	count := len(w.Upstreams)
+	if len(w.Running) != count || len(w.UsedTokens) != count || len(w.PendingPrefill) != count {
+		return errorx.IllegalFormat.New("%d upstreams, but %d, %d and %d values", count, len(w.Running), len(w.UsedTokens), len(w.PendingPrefill))
+	}
+	if w.AgeMS < 0 || w.AgeMS > maxLoadAge.Milliseconds() {
+		return errorx.IllegalFormat.New("the age is %d ms", w.AgeMS)
+	}
+	takenAt := now.Add(-milliseconds(w.AgeMS))
+	for i, name := range w.Upstreams {
+		p.sink.HandleReport(name, decide.Report{TakenAt: takenAt, Running: w.Running[i], UsedTokens: w.UsedTokens[i], PendingPrefillTokens: w.PendingPrefill[i]})
+	}
+	return nil
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/gossip/send.go
@@ -0,0 +1,145 @@
+package gossip
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"mangoloft/event"
+	"mangoloft/upstream"
+)
+
+// flush sends the pending notices, leaving announcements and list changes to the
+// broadcast group. Notices for another data centre and list changes are also
+// forwarded to the data centres outside the group.
+func (p *Peers) flush(now time.Time) {
+	p.mu.Lock()
+	notices, leaving, items, afterRevision := p.pendingNotices, p.leaving, p.items, p.itemsAfter
+	p.pendingNotices, p.leaving, p.items, p.urgent = nil, nil, nil, false
+	p.mu.Unlock()
+	var datagram datagramWire
+	for _, l := range leaving {
+		w := leavingWire{ID: l.id, StartUnixMS: l.startUnixMS}
+		if !l.leavesAt.IsZero() {
+			w.LeavesInMS = max(1, l.leavesAt.Sub(now).Milliseconds())
+		}
+		datagram.Leaving = append(datagram.Leaving, w)
+	}
+	wires := make([]noticeWire, len(notices))
+	remoteNotices := map[string][]noticeWire{}
+	for i, n := range notices {
+		wires[i] = encodeNotice(now, n)
+		if n.DataCentre != "" && n.DataCentre != p.options.DataCentre {
+			remoteNotices[n.DataCentre] = append(remoteNotices[n.DataCentre], wires[i])
+		}
+	}
+	for dataCentre, wires := range remoteNotices {
+		for chunk := range slices.Chunk(wires, maxNotices) {
+			p.forward(now, dataCentre, datagramWire{Notices: chunk})
+		}
+	}
+	for _, changes := range p.chunkChanges(items, afterRevision) {
+		p.broadcast(now, datagramWire{List: changes})
+		p.forward(now, allDataCentres, datagramWire{List: changes})
+	}
+	wires = append(wires, p.relayedNotices...)
+	p.relayedNotices = nil
+	if len(wires) == 0 {
+		// Without changes, this announces a newer routing table.
+		p.broadcast(now, datagram)
+		return
+	}
+	// The first datagram also contains the leaving announcements.
+	for chunk := range slices.Chunk(wires, maxNotices) {
+		datagram.Notices = chunk
+		p.broadcast(now, datagram)
+		datagram = datagramWire{}
+	}
+}
+
+// chunkChanges splits list changes into datagrams. Each contains the changes after
+// the revision of the previous one, so that a receiver notices a lost datagram. It
+// returns none if there are too many changes to send.
+func (p *Peers) chunkChanges(items []upstream.Item, after uint64) []*listWire {
+	if len(items) == 0 || len(items) > maxListChanges {
+		return nil
+	}
+	slices.SortStableFunc(items, func(a, b upstream.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	var changes []*listWire
+	for chunk := range slices.Chunk(items, maxListItems) {
+		revision := chunk[len(chunk)-1].Revision
+		changes = append(changes, &listWire{After: after, Revision: revision, Items: encodeItems(chunk)})
+		after = revision
+	}
+	last := changes[len(changes)-1]
+	last.Revision = max(last.Revision, p.options.State().ListRevision)
+	return changes
+}
+
+// broadcast sends a datagram to the broadcast group.
+func (p *Peers) broadcast(now time.Time, w datagramWire) {
+	p.lastHeartbeat = now
+	content := p.encode(w)
+	for _, m := range p.members.BroadcastGroup() {
+		p.write(content, m.Addr)
+	}
+}
+
+// sendHeartbeat sends a heartbeat to the broadcast group.
+func (p *Peers) sendHeartbeat(now time.Time) {
+	w := datagramWire{DataCentres: p.remoteDataCentres(now)}
+	if p.members.IsRelay() {
+		w.Known = p.members.KnownAddresses(p.options.DataCentre, maxMemberAddrs, 1)
+	} else {
+		w.Known = p.members.KnownAddresses(p.options.DataCentre, maxMemberAddrs, 0)
+	}
+	p.broadcast(now, w)
+}
+
+// sendRemoteHeartbeats sends heartbeats to members outside the broadcast group.
+func (p *Peers) sendRemoteHeartbeats() {
+	recipients := p.members.RemoteHeartbeats()
+	if len(recipients) == 0 {
+		return
+	}
+	content := p.encode(datagramWire{})
+	for _, addr := range recipients {
+		p.write(content, addr)
+	}
+}
+
+// encode encodes a datagram with the fields that every datagram contains. It returns
+// nil if it can't be encoded or is too long.
+func (p *Peers) encode(w datagramWire) []byte {
+	o, state := p.options, p.options.State()
+	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
+	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
+	w.Stopping, w.LocalCount = p.stopping.Load(), p.members.LocalCount()
+	w.Relays = p.members.LocalRelays()
+	content, err := json.Marshal(w)
+	if err == nil && len(content) > maxDatagramBytes {
+		err = errorx.IllegalState.New("the datagram has %d bytes", len(content))
+	}
+	if err != nil {
+		o.Log.EmitRateLimited(event.DatagramDropped, "reason", "encode", "error", err.Error())
+		return nil
+	}
+	return content
+}
+
+// write sends a datagram, which may be lost. Unreachable members are detected
+// by their silence.
+func (p *Peers) write(content []byte, to netip.AddrPort) {
+	if content == nil {
+		return
+	}
+	if _, err := p.conn.WriteToUDPAddrPort(content, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "write", "address", to.String(), "error", err.Error())
+	}
+}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -23,27 +23,57 @@
 	ListRevision uint64         `json:"list_revision"`
 	StoreLost    bool           `json:"store_lost,omitempty"`
 	Stopping     bool           `json:"stopping,omitempty"`
-	// Known contains the addresses of some live members.
-	Known   []netip.AddrPort `json:"known,omitempty"`
-	Notices []noticeWire     `json:"notices,omitempty"`
-	Leaving []leavingWire    `json:"leaving,omitempty"`
-	List    *listWire        `json:"list,omitempty"`
-	Loads   []loadWire       `json:"loads,omitempty"`
+	// LocalCount is the number of live instances in the sender's data centre, and
+	// Relays are the addresses of its relays.
+	LocalCount int              `json:"local_count,omitempty"`
+	Relays     []netip.AddrPort `json:"relays,omitempty"`
+	// DataCentres contains other data centres, by name.
+	DataCentres map[string]dataCentreWire `json:"data_centres,omitempty"`
+	// Forward is the data centre to which the content is forwarded, or
+	// allDataCentres. A relay of the sender's data centre sends it to the relays
+	// there, and they send it to their data centres.
+	Forward string `json:"forward,omitempty"`
+	// Known contains the addresses of some live members by data centre.
+	Known   map[string][]netip.AddrPort `json:"known,omitempty"`
+	Notices []noticeWire                `json:"notices,omitempty"`
+	Leaving []leavingWire               `json:"leaving,omitempty"`
+	List    *listWire                   `json:"list,omitempty"`
+	// Loads contains the loads of one or more data centres.
+	Loads []loadsWire `json:"loads,omitempty"`
 }
 
-// listWire contains the changes of the list of upstreams after a revision.
+// dataCentreWire is another data centre than the sender's.
+type dataCentreWire struct {
+	LocalCount int              `json:"local_count"`
+	Relays     []netip.AddrPort `json:"relays,omitempty"`
+}
+
+// listWire contains the changes of the list of upstreams after a revision, up to
+// another.
 type listWire struct {
-	After uint64     `json:"after"`
-	Items []itemWire `json:"items"`
+	After    uint64     `json:"after"`
+	Revision uint64     `json:"revision"`
+	Items    []itemWire `json:"items"`
+}
+
+// loadsWire contains the loads of engines of one data centre, as tracked by its
+// instances. The fields have one element for each engine.
+type loadsWire struct {
+	// AgeMS is the age of the loads in milliseconds.
+	AgeMS          int64    `json:"age_ms,omitempty"`
+	Upstreams      []string `json:"upstreams"`
+	Running        []int    `json:"running"`
+	UsedTokens     []int    `json:"used_tokens"`
+	PendingPrefill []int    `json:"pending_prefill"`
 }
 
-// loadWire is the load of an engine, as tracked by the instances of its data
-// centre.
-type loadWire struct {
-	Upstream       string `json:"upstream"`
-	Running        int    `json:"running"`
-	UsedTokens     int    `json:"used_tokens"`
-	PendingPrefill int    `json:"unread"`
+func encodeLoads(loads []decide.Load) loadsWire {
+	var w loadsWire
+	for _, load := range loads {
+		w.Upstreams, w.Running = append(w.Upstreams, load.Upstream), append(w.Running, load.Running)
+		w.UsedTokens, w.PendingPrefill = append(w.UsedTokens, load.UsedTokens), append(w.PendingPrefill, load.PendingPrefillTokens)
+	}
+	return w
 }
 
 // noticeWire is a notice that a request is waiting, was placed on an upstream,
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -43,7 +43,7 @@
 	s.scheduler.Step(s.now, decide.ReportReceived{Upstream: name, Report: r})
 }
 
-func (s *fuzzSink) Loads(context.Context, string) []decide.Load { return nil }
+func (s *fuzzSink) Loads(context.Context, string, int) []decide.Load { return nil }
 
 // failingDecoder decodes no document.
 type failingDecoder struct{}
@@ -64,7 +64,7 @@
 	} {
 		content, err := json.Marshal(datagramWire{
 			From: netip.MustParseAddrPort("10.0.0.1:7200"), Name: "b", Notices: []noticeWire{n},
-			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Loads: []loadWire{{"e1", -1, -1 << 62, 1 << 62}},
+			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Loads: []loadsWire{{AgeMS: -1 << 62, Upstreams: []string{"e1"}, Running: []int{-1}, UsedTokens: []int{-1 << 62}, PendingPrefill: []int{1 << 62}}},
 		})
 		assert.NilError(f, err)
 		f.Add(content)
