Catalog: the readers of all data centres share the watches of the list

While the store turned machines away, every instance that had failed kept trying. Change: changes found by one reader reach all others (relays), so a reader pauses for 100 ms times the number of readers, at most 1 s, and continues after the announced revision. An instance that cannot read the store stops trying while another one of its data centre can; if none can, three keep trying. Engines are polled each 0.2 s only if no instance reads the list, not whenever the primary cannot; instances that don't read treat deletions in an outage as lapsed, as readers did.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -64,6 +64,12 @@
 	// watchPause is the time between two watches, so that changes published in
 	// quick succession are read together.
 	watchPause = 100 * time.Millisecond
+	// maxListPause limits the time between two watches of the list, which grows
+	// with the number of readers.
+	maxListPause = 1 * time.Second
+	// pauseJitter is the share by which the time between two watches of the list
+	// varies, so that the readers don't read at the same time.
+	pauseJitter = 0.25
 	// minBackoff is the backoff after a failure. It doubles with each
 	// consecutive one, up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
@@ -81,8 +87,12 @@
 	Sink    Sink
 	Decoder Decoder
 	Log     *event.Log
-	// IsReader reports whether the instance is a reader.
+	// IsReader reports whether the instance is a reader, and Readers returns the
+	// number of readers of all data centres. Each announces the changes of the list
+	// that it reads to the others, so that the fleet reads the list about once in
+	// watchPause, whatever its size.
 	IsReader func() bool
+	Readers  func() int
 	// HasTable reports whether the instance has a routing table. An instance
 	// without a table, or without a list, reads the store even if it is not a
 	// reader.
@@ -94,7 +104,11 @@
 	// tableUnavailable and listUnavailable report whether the latest attempt to
 	// read each failed.
 	tableUnavailable, listUnavailable atomic.Bool
-	// tableCall and listCall are the current calls to the store.
+	// readsList reports whether the instance is a reader and its latest attempt to
+	// read the list succeeded.
+	readsList atomic.Bool
+	// tableCall and listCall are the current calls to the store, or the pauses
+	// between them.
 	tableCall, listCall call
 }
 
@@ -124,6 +138,12 @@
 	return c.superseded
 }
 
+// pause waits for the duration d, but not longer than until it is superseded.
+func (c *call) pause(ctx context.Context, d time.Duration) {
+	pause.Sleep(c.start(ctx), d)
+	c.end()
+}
+
 // supersede cancels the current call, if there is one.
 func (c *call) supersede() {
 	c.mu.Lock()
@@ -145,6 +165,16 @@
 // Unavailable reports whether the latest attempt to read the store failed.
 func (f *Follower) Unavailable() bool { return f.tableUnavailable.Load() || f.listUnavailable.Load() }
 
+// ReadsList reports whether the instance is a reader and its latest attempt to read
+// the list succeeded.
+func (f *Follower) ReadsList() bool { return f.readsList.Load() }
+
+// listPause returns the time until the next watch of the list.
+func (f *Follower) listPause() time.Duration {
+	average := min(maxListPause, watchPause*time.Duration(max(1, f.Readers())))
+	return time.Duration(float64(average) * (1 - pauseJitter + 2*pauseJitter*rand.Float64()))
+}
+
 // FollowTable follows the routing table.
 func (f *Follower) FollowTable(ctx context.Context) error {
 	var revision uint64
@@ -215,12 +245,12 @@
 	for ctx.Err() == nil {
 		if !f.IsReader() && f.ListRevision() != 0 {
 			revision = 0
+			f.readsList.Store(false)
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		if revision == 0 {
-			revision = f.ListRevision()
-		}
+		// Other readers may have announced later changes.
+		revision = max(revision, f.ListRevision())
 		complete = complete || revision == 0
 		items, newRevision, err := f.readList(f.listCall.start(ctx), revision, complete)
 		switch superseded := f.listCall.end(); {
@@ -233,15 +263,17 @@
 			complete = true
 			continue
 		case err != nil:
+			f.readsList.Store(false)
 			f.Sink.SetListUnreadable()
 			backoff = f.handleFailure(ctx, "list", &f.listUnavailable, backoff, err)
 			continue
 		}
 		f.handleSuccess("list", &f.listUnavailable, newRevision)
+		f.readsList.Store(true)
 		revision, backoff = max(revision, newRevision), 0
 		f.Sink.UpdateList(items, newRevision, complete, upstream.FromList)
 		complete = false
-		pause.Sleep(ctx, watchPause)
+		f.listCall.pause(ctx, f.listPause())
 	}
 	return nil
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -122,10 +122,10 @@
 	i.controller.SetAnnouncer(i.peers)
 	i.follower = &catalog.Follower{
 		Store: deps.Store(func() netip.AddrPort { return i.settings.Load().Store.Address }), Sink: i.controller, Decoder: deps.Decoder, Log: i.log,
-		IsReader: i.peers.ShouldReadStore, HasTable: func() bool { return i.controller.Snapshot().Document.Table != nil },
+		IsReader: i.peers.ShouldReadStore, Readers: i.peers.StoreReaders, HasTable: func() bool { return i.controller.Snapshot().Document.Table != nil },
 		ListRevision: func() uint64 { return i.controller.Snapshot().ListRevision },
 	}
-	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: i.follower.Unavailable, Candidates: i.engines, Reread: i.follower.Reread}
+	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
 		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Log: i.log, Metrics: i.metrics,
@@ -171,7 +171,7 @@
 func (i *instance) state() gossip.State {
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
-		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Unavailable(), Table: snapshot.Document.Raw, Items: snapshot.Items,
+		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw, Items: snapshot.Items,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -100,6 +100,8 @@
 
 func (n *simulatedNode) ReportLeaving(string, int64, time.Time, upstream.Source) {}
 
+func (n *simulatedNode) SetListUnreadable() {}
+
 func (n *simulatedNode) UpdateTable(routing.Document, string) {}
 
 func (n *simulatedNode) Loads(_ context.Context, dataCentre string, limit int) []decide.Load {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -26,8 +26,11 @@
 	// TableVersion is the version of its routing table, ListRevision the revision
 	// of its list of upstreams.
 	TableVersion, ListRevision uint64
-	// StoreLost reports that its latest attempt to read the store failed.
-	StoreLost bool
+	// StoreLost reports that its latest attempt to read the store failed, and
+	// ReadsStore that it reads the list and its latest attempt succeeded.
+	StoreLost, ReadsStore bool
+	// ListCurrent reports that an instance of its data centre reads the list.
+	ListCurrent bool
 	// LocalCount is the number of live instances in its data centre, including
 	// itself.
 	LocalCount int
@@ -68,6 +71,12 @@
 	// minRemoteAddresses is the number of silent members of another data centre
 	// that a large fleet keeps contacting, to reunite after a partition.
 	minRemoteAddresses = 4
+	// lostReaders is the number of instances of a data centre that keep trying to
+	// read the store if none of them can.
+	lostReaders = 3
+	// listCurrentTimeout is the time after a report that another data centre reads
+	// the list from which it no longer counts.
+	listCurrentTimeout = 3500 * time.Millisecond
 	// twoReadersThreshold is the minimum number of instances in a data centre
 	// for two of them to read the store instead of one.
 	twoReadersThreshold = 8
@@ -89,6 +98,8 @@
 	// count is the number of its live instances, including its relays.
 	count  int
 	relays []netip.AddrPort
+	// readsStore reports whether one of its instances reads the list of upstreams.
+	readsStore bool
 	// heardAt is the time of the latest datagram from one of its instances, and
 	// reportedAt that of the latest report, which may come from a local instance.
 	heardAt, reportedAt time.Time
@@ -115,14 +126,14 @@
 	m.LastSeenAt, m.Alive = now, true
 	t.members[m.Addr] = &m
 	if m.DataCentre != t.dataCentre && m.LocalCount > 0 {
-		t.dataCentres[m.DataCentre] = &remoteDataCentre{count: m.LocalCount, relays: m.Relays, heardAt: now, reportedAt: now}
+		t.dataCentres[m.DataCentre] = &remoteDataCentre{count: m.LocalCount, relays: m.Relays, readsStore: m.ListCurrent, heardAt: now, reportedAt: now}
 	}
 	return joined
 }
 
 // UpdateDataCentre records what a local instance has heard of another data centre.
 // What this instance has heard itself takes precedence.
-func (t *MemberTable) UpdateDataCentre(now time.Time, name string, count int, relays []netip.AddrPort) {
+func (t *MemberTable) UpdateDataCentre(now time.Time, name string, count int, relays []netip.AddrPort, readsStore bool) {
 	if name == t.dataCentre || count <= 0 {
 		return
 	}
@@ -132,18 +143,18 @@
 		t.dataCentres[name] = known
 	}
 	if now.Sub(known.heardAt) > directPrecedence {
-		known.count, known.relays, known.reportedAt = count, relays, now
+		known.count, known.relays, known.readsStore, known.reportedAt = count, relays, readsStore, now
 	}
 }
 
 // RemoteDataCentres calls report for each other data centre that an instance tells
 // its own data centre of: those from which it has heard since the given time, and on
 // relays all.
-func (t *MemberTable) RemoteDataCentres(since time.Time, report func(name string, count int, relays []netip.AddrPort)) {
+func (t *MemberTable) RemoteDataCentres(since time.Time, report func(name string, count int, relays []netip.AddrPort, readsStore bool)) {
 	relay := t.IsRelay()
 	for name, d := range t.dataCentres {
 		if relay || !d.heardAt.Before(since) {
-			report(name, d.count, d.relays)
+			report(name, d.count, d.relays, d.readsStore)
 		}
 	}
 }
@@ -393,28 +404,80 @@
 
 // ShouldReadStore reports whether the instance should read the store for its
 // data centre. The instances with the lowest addresses do, not counting those
-// that failed to read it.
+// that failed to read it. If all failed, some of them keep trying.
 func (t *MemberTable) ShouldReadStore(storeLost bool) bool {
-	if storeLost {
-		// Keep retrying, even if another instance reads for the data centre.
-		return true
+	// able counts the instances of the data centre that have not failed to read the
+	// store, including this one; lower and lowerAble count those with a lower address.
+	able, lower, lowerAble := 0, 0, 0
+	if !storeLost {
+		able++
 	}
-	// candidates counts the instances of the data centre that can read the store,
-	// including this one; lower counts those with a lower address than this one.
-	candidates, lower := 1, 0
 	for _, m := range t.members {
-		if !m.Alive || m.DataCentre != t.dataCentre || m.StoreLost {
+		if !m.Alive || m.DataCentre != t.dataCentre {
 			continue
 		}
-		candidates++
-		if m.Addr.Compare(t.self) < 0 {
+		isLower := m.Addr.Compare(t.self) < 0
+		if isLower {
 			lower++
 		}
+		if m.StoreLost {
+			continue
+		}
+		able++
+		if isLower {
+			lowerAble++
+		}
+	}
+	if storeLost {
+		return able == 0 && lower < lostReaders
+	}
+	return lowerAble < readersOf(able)
+}
+
+// readersOf returns the number of readers in a data centre with the given number of
+// instances that can read the store.
+func readersOf(instances int) int {
+	if instances >= twoReadersThreshold {
+		return 2
+	}
+	return 1
+}
+
+// ReaderCount returns the number of readers of all data centres.
+func (t *MemberTable) ReaderCount() int {
+	count := readersOf(t.LocalCount())
+	for _, d := range t.dataCentres {
+		count += readersOf(d.count)
+	}
+	return count
+}
+
+// localReads reports whether an instance of the local data centre reads the list;
+// selfReads whether this instance does.
+func (t *MemberTable) localReads(selfReads bool) bool {
+	if selfReads {
+		return true
+	}
+	for _, m := range t.members {
+		if m.Alive && m.DataCentre == t.dataCentre && m.ReadsStore {
+			return true
+		}
 	}
-	if candidates >= twoReadersThreshold {
-		return lower < 2
+	return false
+}
+
+// ListCurrent reports whether any instance reads the list, whose changes then reach
+// this one. selfReads reports whether this instance does.
+func (t *MemberTable) ListCurrent(now time.Time, selfReads bool) bool {
+	if t.localReads(selfReads) {
+		return true
+	}
+	for _, d := range t.dataCentres {
+		if d.readsStore && now.Sub(d.reportedAt) <= listCurrentTimeout {
+			return true
+		}
 	}
-	return lower < 1
+	return false
 }
 
 // FindNewer returns a random member that has a newer routing table or, if
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -75,8 +75,8 @@
 type State struct {
 	TableVersion, ListRevision uint64
 	// StoreLost reports that the instance's latest attempt to read the store
-	// failed.
-	StoreLost bool
+	// failed, and ReadsStore that it reads the list and its latest attempt succeeded.
+	StoreLost, ReadsStore bool
 	// Table is the routing table as published, Items is the list of upstreams.
 	Table []byte
 	Items []upstream.Item
@@ -98,6 +98,8 @@
 	// whether items is the whole list. Revision 0 keeps the current revision. The
 	// source is always upstream.FromPeer.
 	UpdateList(items []upstream.Item, revision uint64, complete bool, source upstream.Source)
+	// SetListUnreadable reports that no instance can read the list at present.
+	SetListUnreadable()
 	// HandleReport submits a load report of the upstream with this name.
 	HandleReport(name string, r decide.Report)
 	// Loads is a query: it returns the loads of up to limit engines of a data
@@ -148,21 +150,24 @@
 	// wake requests a flush.
 	wake     chan struct{}
 	received chan datagramWire
-	// alive, fleetSize, isReader and isPrimary are updated by Run for other
-	// goroutines.
-	alive     atomic.Int64
-	fleetSize atomic.Int64
-	isReader  atomic.Bool
-	isPrimary atomic.Bool
-	stopping  atomic.Bool
+	// The atomic fields are updated by Run for other goroutines.
+	alive       atomic.Int64
+	fleetSize   atomic.Int64
+	readers     atomic.Int64
+	listCurrent atomic.Bool
+	isReader    atomic.Bool
+	isPrimary   atomic.Bool
+	stopping    atomic.Bool
 
 	// The following fields are used only by the goroutine of Run.
 	members   *MemberTable
 	startedAt time.Time
 	// behindSince is the time since which a member has had newer state, or the
 	// start of the latest pull if later; zero if none has.
-	behindSince         time.Time
-	lastHeartbeat       time.Time
+	behindSince   time.Time
+	lastHeartbeat time.Time
+	// announcedRead is the ReadsStore of the latest heartbeat.
+	announcedRead       bool
 	lastJoin            time.Time
 	lastSilentRetry     time.Time
 	lastLoads           time.Time
@@ -229,6 +234,14 @@
 // it includes those that this instance doesn't know individually.
 func (p *Peers) FleetSize() int { return int(p.fleetSize.Load()) }
 
+// StoreReaders returns the number of instances that read the store, in all data
+// centres.
+func (p *Peers) StoreReaders() int { return int(p.readers.Load()) }
+
+// ListCurrent reports whether this or another instance reads the list of upstreams,
+// so that its changes arrive.
+func (p *Peers) ListCurrent() bool { return p.listCurrent.Load() }
+
 // SendNotice queues a notice for the next datagram.
 func (p *Peers) SendNotice(n decide.Notice) {
 	p.mu.Lock()
@@ -355,12 +368,19 @@
 	}
 	p.alive.Store(int64(p.members.Count()))
 	p.fleetSize.Store(int64(p.members.FleetSize()))
+	p.readers.Store(int64(p.members.ReaderCount()))
+	reads := p.options.State().ReadsStore
+	p.listCurrent.Store(p.members.ListCurrent(now, reads))
+	if !p.ListCurrent() {
+		p.sink.SetListUnreadable()
+	}
 	// An instance without live members reads the store itself, but only after
 	// the other instances of a starting fleet have had time to respond.
 	p.isReader.Store(p.members.ShouldReadStore(p.options.State().StoreLost) && now.Sub(p.startedAt) >= startupWait)
 	p.isPrimary.Store(p.members.IsPrimary() && now.Sub(p.startedAt) >= startupWait)
 	p.contactSilent(now)
-	if now.Sub(p.lastHeartbeat) >= heartbeatInterval {
+	if now.Sub(p.lastHeartbeat) >= heartbeatInterval || reads != p.announcedRead {
+		p.announcedRead = reads
 		p.sendHeartbeat(now)
 	}
 	if now.Sub(p.lastRemoteHeartbeat) >= heartbeatInterval {
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -58,6 +58,8 @@
 	n.state.ListRevision = max(n.state.ListRevision, revision)
 }
 
+func (n *node) SetListUnreadable() {}
+
 func (n *node) HandleReport(string, decide.Report) {}
 
 func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -85,8 +85,8 @@
 // own one.
 func (p *Peers) remoteDataCentres(now time.Time) map[string]dataCentreWire {
 	wire := map[string]dataCentreWire{}
-	p.members.RemoteDataCentres(now.Add(-heartbeatInterval), func(name string, count int, relays []netip.AddrPort) {
-		wire[name] = dataCentreWire{count, relays}
+	p.members.RemoteDataCentres(now.Add(-heartbeatInterval), func(name string, count int, relays []netip.AddrPort, readsStore bool) {
+		wire[name] = dataCentreWire{count, relays, readsStore}
 	})
 	return wire
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -122,6 +122,7 @@
 	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
 	w.Stopping, w.LocalCount = p.stopping.Load(), p.members.LocalCount()
 	w.Relays = p.members.LocalRelays()
+	w.ReadsStore, w.ListCurrent = state.ReadsStore, p.members.localReads(state.ReadsStore)
 	content, err := json.Marshal(w)
 	if err == nil && len(content) > maxDatagramBytes {
 		err = errorx.IllegalState.New("the datagram has %d bytes", len(content))
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -22,7 +22,11 @@
 	TableVersion uint64         `json:"table_version"`
 	ListRevision uint64         `json:"list_revision"`
 	StoreLost    bool           `json:"store_lost,omitempty"`
-	Stopping     bool           `json:"stopping,omitempty"`
+	// ReadsStore reports that the sender reads the list, and ListCurrent that an
+	// instance of its data centre does.
+	ReadsStore  bool `json:"reads_store,omitempty"`
+	ListCurrent bool `json:"list_current,omitempty"`
+	Stopping    bool `json:"stopping,omitempty"`
 	// LocalCount is the number of live instances in the sender's data centre, and
 	// Relays are the addresses of its relays.
 	LocalCount int              `json:"local_count,omitempty"`
@@ -44,8 +48,9 @@
 
 // dataCentreWire is another data centre than the sender's.
 type dataCentreWire struct {
-	LocalCount int              `json:"local_count"`
-	Relays     []netip.AddrPort `json:"relays,omitempty"`
+	LocalCount  int              `json:"local_count"`
+	Relays      []netip.AddrPort `json:"relays,omitempty"`
+	ListCurrent bool             `json:"list_current,omitempty"`
 }
 
 // listWire contains the changes of the list of upstreams after a revision, up to
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -39,6 +39,8 @@
 	s.directory.Apply(s.now, items)
 }
 
+func (s *fuzzSink) SetListUnreadable() {}
+
 func (s *fuzzSink) HandleReport(name string, r decide.Report) {
 	s.scheduler.Step(s.now, decide.ReportReceived{Upstream: name, Report: r})
 }
