--- a/gossip/members.go
+++ b/gossip/members.go
@@ -294,15 +294,19 @@
 	return count
 }
 
+// LocalMembers returns the live members of the local data centre.
+func (t *MemberTable) LocalMembers() []Member {
+	return slices.DeleteFunc(t.Alive(), func(m Member) bool { return m.DataCentre != t.dataCentre })
+}
+
 // BroadcastGroup returns the live members that receive all datagrams of the
 // instance: all members of a small fleet, and otherwise the members of its
 // data centre.
 func (t *MemberTable) BroadcastGroup() []Member {
-	alive := t.Alive()
 	if !t.IsLarge() {
-		return alive
+		return t.Alive()
 	}
-	return slices.DeleteFunc(alive, func(m Member) bool { return m.DataCentre != t.dataCentre })
+	return t.LocalMembers()
 }
 
 // RemoteMembers returns the live members outside the broadcast group.
@@ -331,7 +335,7 @@
 
 // IsRelay reports whether the instance exchanges datagrams with the other data
 // centres for its own one.
-func (t *MemberTable) IsRelay() bool { return t.IsLarge() && t.rank() < relaysPerDataCentre }
+func (t *MemberTable) IsRelay() bool { return t.rank() < relaysPerDataCentre }
 
 // LocalRelay returns the relay of the local data centre, unless it is this
 // instance.
@@ -363,7 +367,10 @@
 // on it.
 func (t *MemberTable) RemoteRelays(now time.Time) map[string]netip.AddrPort {
 	lastHeard := map[string]Member{}
-	for _, m := range t.RemoteMembers() { // sorted by address
+	for _, m := range t.Alive() { // sorted by address
+		if m.DataCentre == t.dataCentre {
+			continue
+		}
 		current, ok := lastHeard[m.DataCentre]
 		if !ok || now.Sub(current.LastSeenAt) > relayTimeout && m.LastSeenAt.After(current.LastSeenAt) {
 			lastHeard[m.DataCentre] = m
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -354,7 +354,7 @@
 	switch {
 	case p.members.Count() == 0 || time.Since(p.startedAt) < 2*startupWait:
 		return joinInterval
-	case p.members.IsRelay():
+	case p.members.IsLarge() && p.members.IsRelay():
 		return loadInterval / 2
 	}
 	return heartbeatInterval / 2
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -11,7 +11,8 @@
 )
 
 // In a large fleet, the data centres exchange datagrams only through relays. Within
-// a data centre, all instances exchange datagrams directly.
+// a data centre, and in a small fleet, all instances exchange datagrams directly, but
+// for changes of the list, which are large and always take the way through relays.
 
 const (
 	// allDataCentres is the target of datagrams that are forwarded to all other
@@ -37,11 +38,7 @@
 }
 
 // forward sends the content to another data centre, or to all, through the relays.
-// In a small fleet the broadcast group already contains all instances.
 func (p *Peers) forward(now time.Time, dataCentre string, w datagramWire) {
-	if !p.members.IsLarge() {
-		return
-	}
 	if relay, ok := p.members.LocalRelay(); ok && !p.members.IsRelay() {
 		w.Forward = dataCentre
 		p.write(p.encode(w), relay.Addr)
@@ -71,7 +68,7 @@
 	// Several data centres may have read and forwarded the same change.
 	if w.List != nil && w.List.Revision > max(p.relayedRevision, p.options.State().ListRevision) {
 		p.relayedRevision = w.List.Revision
-		p.broadcast(now, datagramWire{List: w.List})
+		p.sendLocally(datagramWire{List: w.List})
 	}
 	for _, loads := range w.Loads {
 		if loads.AgeMS < 0 {
@@ -84,6 +81,9 @@
 // remoteDataCentres returns the other data centres of which the instance tells its
 // own one.
 func (p *Peers) remoteDataCentres(now time.Time) map[string]dataCentreWire {
+	if !p.members.IsLarge() {
+		return nil // All instances know all others.
+	}
 	wire := map[string]dataCentreWire{}
 	p.members.RemoteDataCentres(now.Add(-heartbeatInterval), func(name string, count int, relays []netip.AddrPort, readsStore bool) {
 		wire[name] = dataCentreWire{count, relays, readsStore}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -15,9 +15,9 @@
 	"mangoloft/upstream"
 )
 
-// flush sends the pending notices, leaving announcements and list changes to the
-// broadcast group. Notices for another data centre and list changes are also
-// forwarded to the data centres outside the group.
+// flush sends the pending notices and leaving announcements to the broadcast group,
+// and the list changes to the local data centre. List changes are also forwarded to
+// the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
 	notices, leaving, items, afterRevision := p.pendingNotices, p.leaving, p.items, p.itemsAfter
@@ -35,7 +35,7 @@
 	remoteNotices := map[string][]noticeWire{}
 	for i, n := range notices {
 		wires[i] = encodeNotice(now, n)
-		if n.DataCentre != "" && n.DataCentre != p.options.DataCentre {
+		if p.members.IsLarge() && n.DataCentre != "" && n.DataCentre != p.options.DataCentre {
 			remoteNotices[n.DataCentre] = append(remoteNotices[n.DataCentre], wires[i])
 		}
 	}
@@ -45,7 +45,7 @@
 		}
 	}
 	for _, changes := range p.chunkChanges(items, afterRevision) {
-		p.broadcast(now, datagramWire{List: changes})
+		p.sendLocally(datagramWire{List: changes})
 		p.forward(now, allDataCentres, datagramWire{List: changes})
 	}
 	wires = append(wires, p.relayedNotices...)
@@ -91,6 +91,14 @@
 	}
 }
 
+// sendLocally sends a datagram to the other instances of the data centre.
+func (p *Peers) sendLocally(w datagramWire) {
+	content := p.encode(w)
+	for _, m := range p.members.LocalMembers() {
+		p.write(content, m.Addr)
+	}
+}
+
 // sendHeartbeat sends a heartbeat to the broadcast group.
 func (p *Peers) sendHeartbeat(now time.Time) {
 	w := datagramWire{DataCentres: p.remoteDataCentres(now)}
@@ -121,7 +129,9 @@
 	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
 	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
 	w.Stopping, w.LocalCount = p.stopping.Load(), p.members.LocalCount()
-	w.Relays = p.members.LocalRelays()
+	if p.members.IsLarge() {
+		w.Relays = p.members.LocalRelays()
+	}
 	w.ReadsStore, w.ListCurrent = state.ReadsStore, p.members.localReads(state.ReadsStore)
 	content, err := json.Marshal(w)
 	if err == nil && len(content) > maxDatagramBytes {
