--- a/bench/faults.go
+++ b/bench/faults.go
@@ -110,11 +110,14 @@
 	case KillEngine, KillService:
 		return i.replaceUpstream(ctx, target, end)
 	case FreezeEntry, FreezeEngine:
-		if err := target.Signal(syscall.SIGSTOP); err != nil {
+		return freezeUntil(ctx, target, end)
+	case FreezeRestartedEntry:
+		target.Kill()
+		if err := i.fleet.Restart(target); err != nil {
 			return err
 		}
-		sleepUntil(ctx, end)
-		return target.Signal(syscall.SIGCONT)
+		sleepUntil(ctx, time.Now().Add(restartToFreeze*time.Duration(p.Target%freezeSteps)/freezeSteps))
+		return freezeUntil(ctx, target, end)
 	case CutUpstream:
 		return setUntil(ctx, target.Proxy, Cut, end)
 	case SilenceUpstream:
@@ -148,6 +151,18 @@
 	return nil
 }
 
+// freezeSteps is the number of different times from a restart to the freeze.
+const freezeSteps = 30
+
+// freezeUntil pauses the process until the end.
+func freezeUntil(ctx context.Context, target *Process, end time.Time) error {
+	if err := target.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	sleepUntil(ctx, end)
+	return target.Signal(syscall.SIGCONT)
+}
+
 // setUntil applies a fault to all connections of the proxy and removes it at the
 // end.
 func setUntil(ctx context.Context, proxy *Proxy, f LinkFault, end time.Time) error {
--- a/bench/schedule.go
+++ b/bench/schedule.go
@@ -45,6 +45,9 @@
 	StaleConfiguration
 	// OperatorRace publishes two changes of one configuration value concurrently.
 	OperatorRace
+	// FreezeRestartedEntry kills and restarts an entry instance, pauses it within
+	// restartToFreeze of its restart, and resumes it later.
+	FreezeRestartedEntry
 
 	faultKindCount
 )
@@ -55,6 +58,7 @@
 	SilenceUpstreamAnswers: "silence_upstream_answers", BlackholeUpstream: "forget_upstream",
 	BlackholeCallers: "forget_callers", CutDataCentre: "cut_data_centre", SilencePeer: "silence_peer",
 	PlatformDown: "platform_down", StaleConfiguration: "stale_configuration", OperatorRace: "operator_race",
+	FreezeRestartedEntry: "freeze_restarted_entry",
 }
 
 // String returns the name of the fault kind in snake case.
@@ -77,6 +81,9 @@
 	// faultFreeEnd is the period without faults at the end of a soak, in which open
 	// requests can complete.
 	faultFreeEnd = 10 * time.Second
+	// restartToFreeze is the maximum time from a restart to the freeze that follows.
+	// In it the instance's peers learn of the new incarnation.
+	restartToFreeze = 1500 * time.Millisecond
 )
 
 // Schedule returns random faults for a soak of the given length. They depend only
