Dispatch: a change of one upstream no longer costs a pass over all

Cause: each change of the list rebuilt the scheduler's list of all upstreams, and published copies of all statuses and entries, twice. Test: TestSingleUpstreamChanges compares random sequences with complete lists.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -87,6 +87,8 @@
 	switch e := e.(type) {
 	case UpstreamsChanged:
 		s.replaceUpstreams(e.Upstreams)
+	case UpstreamChanged:
+		s.changeUpstream(e.Upstream, e.Removed)
 	case ReportReceived:
 		s.handleReport(now, e)
 	case Arrived:
@@ -135,6 +137,31 @@
 	}
 }
 
+// changeUpstream adds, replaces or removes one upstream.
+func (s *Scheduler) changeUpstream(changed Upstream, removed bool) {
+	previous := s.upstreams[changed.Name]
+	i, listed := slices.BinarySearch(s.order, changed.Name)
+	if removed {
+		if listed {
+			s.order = slices.Delete(s.order, i, i+1)
+			delete(s.upstreams, changed.Name)
+			s.dropPeerRequests(previous)
+		}
+		return
+	}
+	if !listed {
+		s.order = slices.Insert(s.order, i, changed.Name)
+	}
+	if previous != nil && previous.Incarnation == changed.Incarnation {
+		previous.Upstream = changed
+		return
+	}
+	s.upstreams[changed.Name] = newUpstream(changed)
+	if previous != nil {
+		s.dropPeerRequests(previous)
+	}
+}
+
 // dropPeerRequests removes the requests that other instances placed on a
 // removed upstream. This instance's own requests there end by their Ended
 // events.
--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -471,3 +473,34 @@
 		b.StartTimer()
 	}
 }
+
+// TestSingleUpstreamChanges checks that a scheduler which gets the changes of single
+// upstreams places requests like one that gets the complete list each time.
+func TestSingleUpstreamChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		single, complete := decide.New("a"), decide.New("a")
+		listed := map[string]decide.Upstream{}
+		now := epoch
+		for n := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(10 * time.Millisecond)
+			u := decide.Upstream{
+				Name: fmt.Sprint("e", rapid.IntRange(0, 5).Draw(t, "name")), Pool: "drafting", DataCentre: "a", Slots: 8, CapacityTokens: engineTokens,
+				StepTime: 10 * time.Millisecond, Incarnation: ident.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+				Leaving: rapid.Bool().Draw(t, "leaving"),
+			}
+			removed := rapid.IntRange(0, 3).Draw(t, "removed") == 0
+			if removed {
+				delete(listed, u.Name)
+			} else {
+				listed[u.Name] = u
+			}
+			single.Step(now, decide.UpstreamChanged{Upstream: u, Removed: removed})
+			complete.Step(now, decide.UpstreamsChanged{Upstreams: slices.Collect(maps.Values(listed))})
+			gotPlace, gotRefused := arriveAt(single, now, n, 100)
+			wantPlace, wantRefused := arriveAt(complete, now, n, 100)
+			if gotPlace.Upstream != wantPlace.Upstream || gotRefused != wantRefused {
+				t.Fatalf("placed on %+v, want %+v", gotPlace.Upstream, wantPlace.Upstream)
+			}
+		}
+	})
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -91,6 +91,12 @@
 // UpstreamsChanged replaces the list of upstreams.
 type UpstreamsChanged struct{ Upstreams []Upstream }
 
+// UpstreamChanged adds, replaces or removes one upstream.
+type UpstreamChanged struct {
+	Upstream Upstream
+	Removed  bool
+}
+
 // ReportReceived contains a load report of an upstream.
 type ReportReceived struct {
 	Upstream string
@@ -145,6 +151,7 @@
 type Tick struct{}
 
 func (UpstreamsChanged) decideEvent() {}
+func (UpstreamChanged) decideEvent()  {}
 func (ReportReceived) decideEvent()   {}
 func (Arrived) decideEvent()          {}
 func (Progressed) decideEvent()       {}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -103,15 +103,10 @@
 	return newest
 }
 
-type loadsCommand struct {
-	dataCentre string
-	limit      int
-	reply      chan []decide.Load
-}
+// queryCommand runs a function that reads the control state.
+type queryCommand struct{ run func(now time.Time) }
 
-func (cmd loadsCommand) apply(c *Controller, now time.Time) {
-	cmd.reply <- c.scheduler.Loads(now, cmd.dataCentre, cmd.limit)
-}
+func (cmd queryCommand) apply(_ *Controller, now time.Time) { cmd.run(now) }
 
 type listUnreadableCommand struct{}
 
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -51,10 +51,6 @@
 	// ListRevision is the revision of the list of upstreams; 0 until one is
 	// received.
 	ListRevision uint64
-	// Upstreams are the statuses of the upstreams that are not Removed.
-	Upstreams []upstream.Status
-	// Items is the list of upstreams in encoded form, for peers.
-	Items []upstream.Item
 }
 
 // Placement is the upstream that a request is placed on.
@@ -201,7 +197,9 @@
 			"born", change.StartUnixMS, "before", change.Before.String(), "state", change.State.String(), "source", change.Source.String(),
 			"revision", change.ChangeRevision)
 	}
-	c.updateScheduler(now)
+	for _, change := range changes {
+		c.schedule(now, decide.UpstreamChanged{Upstream: c.schedulerUpstream(change.Status), Removed: change.State == upstream.Removed})
+	}
 	for _, change := range changes {
 		if change.State == upstream.Draining && change.Source != upstream.FromPeer && change.Source != upstream.FromList {
 			c.announcer.SendLeaving(change.ID, change.StartUnixMS, change.LeavesAt)
@@ -227,32 +225,69 @@
 	}
 }
 
-// updateScheduler sends the current upstreams to the scheduler.
+// updateScheduler sends all current upstreams to the scheduler. It is called for a new
+// routing table, which can change the properties of every upstream.
 func (c *Controller) updateScheduler(now time.Time) {
 	var list []decide.Upstream
-	table := c.tables.Current().Table
 	for _, status := range c.directory.All() {
-		u := decide.Upstream{
-			Name: status.ID, Pool: status.Service, DataCentre: status.DataCentre, Addr: status.Addr, Incarnation: ident.Incarnation(status.StartUnixMS),
-			Leaving: status.State == upstream.Draining, Slots: status.Slots,
-		}
-		if table != nil && table.Services[status.Service] != nil && table.Services[status.Service].Engine != nil {
-			engine := table.Services[status.Service].Engine
-			u.CapacityTokens, u.StepTime = engine.KVCacheTokens, assumedStep
-			if engine.Slots > 0 {
-				u.Slots = engine.Slots
-			}
-		}
-		list = append(list, u)
+		list = append(list, c.schedulerUpstream(status))
 	}
 	c.schedule(now, decide.UpstreamsChanged{Upstreams: list})
 }
 
+// schedulerUpstream returns the upstream in the form that the scheduler uses.
+func (c *Controller) schedulerUpstream(status upstream.Status) decide.Upstream {
+	u := decide.Upstream{
+		Name: status.ID, Pool: status.Service, DataCentre: status.DataCentre, Addr: status.Addr, Incarnation: ident.Incarnation(status.StartUnixMS),
+		Leaving: status.State == upstream.Draining, Slots: status.Slots,
+	}
+	table := c.tables.Current().Table
+	if table != nil && table.Services[status.Service] != nil && table.Services[status.Service].Engine != nil {
+		engine := table.Services[status.Service].Engine
+		u.CapacityTokens, u.StepTime = engine.KVCacheTokens, assumedStep
+		if engine.Slots > 0 {
+			u.Slots = engine.Slots
+		}
+	}
+	return u
+}
+
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{
-		Document: c.tables.Current(), ListRevision: c.directory.Revision(),
-		Upstreams: c.directory.All(), Items: c.directory.Items(),
-	})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListRevision: c.directory.Revision()})
+}
+
+// Upstreams returns the statuses of the upstreams that are not Removed; nil if the
+// controller has stopped.
+func (c *Controller) Upstreams() []upstream.Status {
+	return query(context.Background(), c, func(time.Time) []upstream.Status { return c.directory.All() })
+}
+
+// List returns the list of upstreams in encoded form, for peers, and its revision; nil
+// if the context ends first.
+func (c *Controller) List(ctx context.Context) ([]upstream.Item, uint64) {
+	type list struct {
+		items    []upstream.Item
+		revision uint64
+	}
+	l := query(ctx, c, func(time.Time) list { return list{c.directory.Items(), c.directory.Revision()} })
+	return l.items, l.revision
+}
+
+// query runs a function on the control goroutine and returns its result, or the zero
+// value if the context ends first or the controller has stopped.
+func query[T any](ctx context.Context, c *Controller, run func(now time.Time) T) T {
+	reply := make(chan T, 1)
+	var none T
+	if !c.send(queryCommand{func(now time.Time) { reply <- run(now) }}) {
+		return none
+	}
+	select {
+	case result := <-reply:
+		return result
+	case <-ctx.Done():
+	case <-c.stopped:
+	}
+	return none
 }
 
 // Place requests a placement and waits for the decision. If the request is not
@@ -356,17 +391,7 @@
 // Loads returns the known loads of up to limit engines of a data centre, those with
 // the most room, or nil if the context ends first.
 func (c *Controller) Loads(ctx context.Context, dataCentre string, limit int) []decide.Load {
-	reply := make(chan []decide.Load, 1)
-	if !c.send(loadsCommand{dataCentre, limit, reply}) {
-		return nil
-	}
-	select {
-	case loads := <-reply:
-		return loads
-	case <-ctx.Done():
-	case <-c.stopped:
-	}
-	return nil
+	return query(ctx, c, func(now time.Time) []decide.Load { return c.scheduler.Loads(now, dataCentre, limit) })
 }
 
 // SetListUnreadable reports that the latest attempt to read the list failed.
--- a/entry/run.go
+++ b/entry/run.go
@@ -114,7 +114,7 @@
 	i.controller = dispatch.New(s.DataCentre, i.log)
 	i.peers, err = gossip.Listen(gossip.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Listen: s.Listen.Peers, Control: s.Listen.Control, Incarnation: i.home.Incarnation,
-		Seeds: func() []netip.AddrPort { return i.settings.Load().Seeds }, State: i.state, Decoder: deps.Decoder, Log: i.log,
+		Seeds: func() []netip.AddrPort { return i.settings.Load().Seeds }, State: i.state, List: i.controller.List, Decoder: deps.Decoder, Log: i.log,
 	}, i.controller)
 	if err != nil {
 		return err
@@ -149,7 +149,7 @@
 // upstreams counts the upstreams by state.
 func (i *instance) upstreams() map[string]int {
 	counts := map[string]int{}
-	for _, status := range i.controller.Snapshot().Upstreams {
+	for _, status := range i.controller.Upstreams() {
 		counts[status.State.String()]++
 	}
 	return counts
@@ -161,7 +161,7 @@
 	if snapshot.Document.Table == nil {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(snapshot.Upstreams), func(status upstream.Status) bool {
+	return slices.DeleteFunc(i.controller.Upstreams(), func(status upstream.Status) bool {
 		service := snapshot.Document.Table.Services[status.Service]
 		return service == nil || service.Engine == nil || status.DataCentre != i.settings.Load().DataCentre
 	})
@@ -171,7 +171,7 @@
 func (i *instance) state() gossip.State {
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
-		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw, Items: snapshot.Items,
+		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -77,9 +77,8 @@
 	// StoreLost reports that the instance's latest attempt to read the store
 	// failed, and ReadsStore that it reads the list and its latest attempt succeeded.
 	StoreLost, ReadsStore bool
-	// Table is the routing table as published, Items is the list of upstreams.
+	// Table is the routing table as published.
 	Table []byte
-	Items []upstream.Item
 }
 
 // Sink receives the state that other instances send, and is queried for the
@@ -125,8 +124,10 @@
 	// Seeds returns the control addresses of instances through which to join
 	// the fleet, some of which may be stale or down. They use the
 	// gossip port of this instance.
-	Seeds   func() []netip.AddrPort
-	State   func() State
+	Seeds func() []netip.AddrPort
+	State func() State
+	// List returns the list of upstreams and its revision.
+	List    func(ctx context.Context) ([]upstream.Item, uint64)
 	Decoder Decoder
 	Log     *event.Log
 }
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -64,6 +64,12 @@
 
 func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
 
+func (n *node) list(context.Context) ([]upstream.Item, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.items, n.state.ListRevision
+}
+
 func (n *node) current() gossip.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -99,7 +105,7 @@
 	log := event.NewLog(&bytes.Buffer{}, host, time.Now)
 	peers, err := gossip.Listen(gossip.Options{
 		Name: host, DataCentre: "a", Listen: at, Control: control, Incarnation: ident.NewIncarnation(time.Now()),
-		Seeds: func() []netip.AddrPort { return seeds }, State: n.current, Decoder: digitDecoder{}, Log: log,
+		Seeds: func() []netip.AddrPort { return seeds }, State: n.current, List: n.list, Decoder: digitDecoder{}, Log: log,
 	}, n)
 	assert.NilError(t, err)
 	n.peers = peers
@@ -174,7 +180,8 @@
 	other := startNode(t, "127.0.0.2", port, seed)
 	waitFor(t, "both instances alive", func() bool { return other.peers.Alive() == 1 && reader.peers.Alive() == 1 })
 	reader.mu.Lock()
-	reader.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListRevision: 8, Items: []upstream.Item{{ID: "u1", Revision: 8, Raw: []byte("x")}}}
+	reader.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListRevision: 8}
+	reader.items = []upstream.Item{{ID: "u1", Revision: 8, Raw: []byte("x")}}
 	reader.mu.Unlock()
 	reader.peers.TableChanged()
 	waitFor(t, "the table", func() bool { return other.current().TableVersion == 3 })
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -31,12 +31,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
 		state := p.options.State()
-		body := stateWire{ListRevision: state.ListRevision}
+		body := stateWire{}
 		if version, err := strconv.ParseUint(r.URL.Query().Get("table_version"), 10, 64); err == nil && state.TableVersion > version {
 			body.Table = state.Table
 		}
 		if revision, err := strconv.ParseUint(r.URL.Query().Get("list_revision"), 10, 64); err == nil && state.ListRevision > revision {
-			body.Items = encodeItems(state.Items)
+			items, revision := p.options.List(r.Context())
+			body.Items, body.ListRevision = encodeItems(items), revision
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// Encoding fails if the member has disconnected. The member retries its
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -146,9 +146,10 @@
 // stateWire is the response to an instance that pulls newer state.
 type stateWire struct {
 	// Table contains the routing table as it was published.
-	Table        json.RawMessage `json:"table,omitempty"`
-	ListRevision uint64          `json:"list_revision"`
-	Items        []itemWire      `json:"items,omitempty"`
+	Table json.RawMessage `json:"table,omitempty"`
+	// ListRevision is the revision of Items; 0 if the list is not newer.
+	ListRevision uint64     `json:"list_revision"`
+	Items        []itemWire `json:"items,omitempty"`
 }
 
 // itemWire is one entry of the list of upstreams.
