Gossip: fewer datagrams: notices that can wait are sent together, most instances send rare heartbeats

An idle instance sent 49 heartbeats a second, and each notice went to 49 instances at once. Change: progress after the first token and ends of streams wait up to 250 ms for others; they only make the load look higher in the meantime. In a large fleet only the six lowest addresses of a data centre, which are relays or readers or take over soon, send heartbeats each second, the others each 3 s, and datagrams tell the interval. Tests: TestDeferrableNotices; TestFleetOfAnySize now also bounds what half of the instances send (50 a second before, at most half of the data centre's size now).

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -194,11 +194,24 @@
 }
 
 func (s *Scheduler) handleProgress(now time.Time, e Progressed) {
+	started := s.hasStarted(e.ID)
 	if s.updateTokens(now, e.ID, e.Tokens) {
-		s.notify(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens})
+		// The start of a stream is not deferred, because its prompt no longer delays
+		// others from then on.
+		s.notify(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Deferrable: started})
 	}
 }
 
+// hasStarted reports whether the request has generated its first token.
+func (s *Scheduler) hasStarted(id ident.Request) bool {
+	if u := s.upstreams[s.placed[id]]; u != nil {
+		if f := u.find(id); f != nil {
+			return f.tokens > 0
+		}
+	}
+	return false
+}
+
 // updateTokens records the number of tokens that a request has generated so
 // far. It reports whether the number has grown.
 func (s *Scheduler) updateTokens(now time.Time, id ident.Request, tokens int) bool {
@@ -234,7 +247,7 @@
 		return
 	}
 	if f.Class.Kind == config.Stream {
-		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed})
+		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed, Deferrable: true})
 	}
 	if u := s.upstreams[f.upstream]; u != nil && completed {
 		u.health.recordSuccess(now)
--- a/decide/types.go
+++ b/decide/types.go
@@ -211,6 +211,9 @@
 	Tokens     int
 	// Completed reports whether the output reached its regular end.
 	Completed bool
+	// Deferrable notices can be sent later, together with others: the recipients only
+	// overestimate the load in the meantime.
+	Deferrable bool
 }
 
 // Notify sends a notice to all other instances.
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -206,8 +206,10 @@
 
 const (
 	// maxDatagramsPerMember is the maximum number of datagrams per second that an
-	// instance may send without requests for each other instance of its data centre.
-	maxDatagramsPerMember = 4
+	// instance may send without requests for each other instance of its data centre,
+	// and usualDatagramsPerMember the maximum that half of the instances may send.
+	maxDatagramsPerMember   = 4
+	usualDatagramsPerMember = 0.5
 	// maxRemoteBytes is the maximum number of bytes per second that a relay may send
 	// to another data centre without requests.
 	maxRemoteBytes = 4 << 10
@@ -233,6 +235,10 @@
 	t.Logf("datagrams per second: middle %d, most %d; bytes per second to other data centres: most %d", sent[len(sent)/2], slices.Max(sent), slices.Max(remote))
 	limit := int64(maxDatagramsPerMember*perDataCentre + 10*dataCentres)
 	assert.Assert(t, slices.Max(sent) <= limit, "%d datagrams per second, the limit is %d", slices.Max(sent), limit)
+	if len(f.nodes) > fullMeshLimit {
+		usual := sent[len(sent)/2]
+		assert.Assert(t, float64(usual) <= usualDatagramsPerMember*float64(perDataCentre), "usually %d datagrams per second", usual)
+	}
 	assert.Assert(t, slices.Max(remote) <= int64(maxRemoteBytes*dataCentres), "%d bytes per second to other data centres", slices.Max(remote))
 }
 
@@ -307,3 +313,24 @@
 		}
 	})
 }
+
+// TestDeferrableNotices checks that deferrable notices are sent together, soon after
+// the first.
+func TestDeferrableNotices(t *testing.T) {
+	runFleet(t, 1, 2, func(t *testing.T, fleet *simulatedFleet) {
+		sender, receiver := fleet.nodes[0], fleet.nodes[1]
+		time.Sleep(heartbeatInterval)
+		sent := sender.sent.Load()
+		for range maxNotices {
+			notice := noticeOfRemoteRun
+			notice.Deferrable = true
+			sender.peers.SendNotice(notice)
+			time.Sleep(maxDeferral / 10)
+		}
+		time.Sleep(maxDeferral)
+		receiver.mu.Lock()
+		defer receiver.mu.Unlock()
+		assert.Equal(t, receiver.notices, maxNotices)
+		assert.Assert(t, sender.sent.Load()-sent <= 2, "%d datagrams, of which one may be a heartbeat", sender.sent.Load()-sent)
+	})
+}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -34,6 +34,9 @@
 	// LocalCount is the number of live instances in its data centre, including
 	// itself.
 	LocalCount int
+	// HeartbeatInterval is the time after which it sends its next datagram at the
+	// latest.
+	HeartbeatInterval time.Duration
 	// Relays contains the addresses of the relays of its data centre.
 	Relays     []netip.AddrPort
 	LastSeenAt time.Time
@@ -43,8 +46,9 @@
 }
 
 const (
-	// silenceTimeout is the time for which a member stays alive without a
-	// datagram from it. Two consecutive heartbeats may be lost.
+	// silenceTimeout is the time for which a member that sends a datagram in each
+	// heartbeatInterval stays alive without one. Two consecutive heartbeats may be
+	// lost. It is longer for members that send them less often.
 	silenceTimeout = 2500 * time.Millisecond
 	// remoteSilenceTimeout is the silence timeout of members of other data
 	// centres in a large fleet, which send a heartbeat to each instance only
@@ -61,6 +65,10 @@
 	// relaysPerDataCentre is the number of instances of a data centre that
 	// exchange datagrams with the other data centres of a large fleet.
 	relaysPerDataCentre = 2
+	// standbys is the number of instances of a data centre, those with the lowest
+	// addresses, that send heartbeats often, because they are relays or readers or
+	// take over soon.
+	standbys = 6
 	// relayTimeout is the time without a datagram after which another member of
 	// the same data centre is used as the relay, if one was heard more recently.
 	// Relays send heartbeats to each other every second.
@@ -208,7 +216,7 @@
 	silentRemote := map[string]int{}
 	for addr, m := range t.members {
 		remote := large && m.DataCentre != t.dataCentre
-		timeout := silenceTimeout
+		timeout := max(silenceTimeout, time.Duration(float64(m.HeartbeatInterval)/float64(heartbeatInterval)*float64(silenceTimeout)))
 		if remote {
 			timeout = remoteSilenceTimeout
 		}
@@ -329,6 +337,15 @@
 	return rank
 }
 
+// HeartbeatInterval returns the time without a datagram after which the instance
+// sends a heartbeat to its broadcast group.
+func (t *MemberTable) HeartbeatInterval() time.Duration {
+	if t.IsLarge() && t.rank() >= standbys {
+		return rareHeartbeatInterval
+	}
+	return heartbeatInterval
+}
+
 // IsPrimary reports whether the instance has the lowest address of the live
 // instances in its data centre.
 func (t *MemberTable) IsPrimary() bool { return t.rank() == 0 }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -19,11 +19,15 @@
 	// flushInterval is the time for which notices are collected into one
 	// datagram.
 	flushInterval = 15 * time.Millisecond
+	// maxDeferral is the time for which deferrable notices wait for others.
+	maxDeferral = 250 * time.Millisecond
 	// heartbeatInterval is the time without a datagram after which the
 	// broadcast group gets a heartbeat, checked at every tick. The broadcast
 	// group contains all live members of a small fleet, and otherwise those of
-	// the local data centre.
-	heartbeatInterval = 1 * time.Second
+	// the local data centre. rareHeartbeatInterval applies instead to instances of
+	// a large fleet that won't soon become relay or reader.
+	heartbeatInterval     = 1 * time.Second
+	rareHeartbeatInterval = 3 * time.Second
 	// joinInterval is the time between two attempts to reach a first member
 	// through the seeds.
 	joinInterval = 300 * time.Millisecond
@@ -145,6 +149,8 @@
 	items          []upstream.Item
 	// itemsAfter is the list revision after which the items changed.
 	itemsAfter uint64
+	// deferred is true if a flush has been requested for deferrable notices.
+	deferred bool
 	// urgent is true if the next flush must not wait for more notices.
 	urgent bool
 
@@ -249,8 +255,15 @@
 	if len(p.pendingNotices) < maxPending {
 		p.pendingNotices = append(p.pendingNotices, n)
 	}
+	requested := p.deferred
+	p.deferred = p.deferred || n.Deferrable
 	p.mu.Unlock()
-	p.wakeUp()
+	switch {
+	case !n.Deferrable:
+		p.wakeUp()
+	case !requested:
+		time.AfterFunc(maxDeferral, p.wakeUp)
+	}
 }
 
 // SendLeaving announces that an upstream is leaving.
@@ -380,7 +393,7 @@
 	p.isReader.Store(p.members.ShouldReadStore(p.options.State().StoreLost) && now.Sub(p.startedAt) >= startupWait)
 	p.isPrimary.Store(p.members.IsPrimary() && now.Sub(p.startedAt) >= startupWait)
 	p.contactSilent(now)
-	if now.Sub(p.lastHeartbeat) >= heartbeatInterval || reads != p.announcedRead {
+	if now.Sub(p.lastHeartbeat) >= p.members.HeartbeatInterval() || reads != p.announcedRead {
 		p.announcedRead = reads
 		p.sendHeartbeat(now)
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -21,7 +21,7 @@
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
 	notices, leaving, items, afterRevision := p.pendingNotices, p.leaving, p.items, p.itemsAfter
-	p.pendingNotices, p.leaving, p.items, p.urgent = nil, nil, nil, false
+	p.pendingNotices, p.leaving, p.items, p.urgent, p.deferred = nil, nil, nil, false, false
 	p.mu.Unlock()
 	var datagram datagramWire
 	for _, l := range leaving {
@@ -132,6 +132,7 @@
 	if p.members.IsLarge() {
 		w.Relays = p.members.LocalRelays()
 	}
+	w.HeartbeatMS = p.members.HeartbeatInterval().Milliseconds()
 	w.ReadsStore, w.ListCurrent = state.ReadsStore, p.members.localReads(state.ReadsStore)
 	content, err := json.Marshal(w)
 	if err == nil && len(content) > maxDatagramBytes {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -22,6 +22,9 @@
 	TableVersion uint64         `json:"table_version"`
 	ListRevision uint64         `json:"list_revision"`
 	StoreLost    bool           `json:"store_lost,omitempty"`
+	// HeartbeatMS is the time in milliseconds after which the sender sends its next
+	// datagram at the latest.
+	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
 	// ReadsStore reports that the sender reads the list, and ListCurrent that an
 	// instance of its data centre does.
 	ReadsStore  bool `json:"reads_store,omitempty"`
