Gateway: a request that the instance cuts at the end of its stop is logged as such

Change: reason stopping in request_closed; 'cut, its instance stopped' in the account. Test: TestStopCutsRequest, seen failing without the change.

--- a/account/account.go
+++ b/account/account.go
@@ -55,6 +55,9 @@
 	Late Cause = "answered late"
 	// CallerDisconnected requests were cancelled by their caller.
 	CallerDisconnected Cause = "given up by the caller"
+	// InstanceStopped requests were still open at the end of the planned stop of their
+	// instance.
+	InstanceStopped Cause = "cut, its instance stopped"
 	// Unfinished requests have no closing log line, because their instance exited
 	// first.
 	Unfinished Cause = "its instance ended"
@@ -240,6 +243,11 @@
 			return MoveFailed
 		}
 		return Cut
+	case verdict.Stopping.String():
+		if r.placed == nil {
+			return Refused
+		}
+		return InstanceStopped
 	default:
 		if r.placed == nil {
 			return Refused
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -46,6 +46,8 @@
 		"timed out":                     {fill(placed, "WAITED", "0") + fill(call, "REASON", "wait_expired", "TOOK", "900"), account.TimedOut},
 		"no upstream":                   {fill(call, "REASON", "no_upstream", "TOOK", "0"), account.Unreachable},
 		"caller cancelled":              {fill(call, "REASON", "caller_gone", "TOOK", "10"), account.CallerDisconnected},
+		"cut by its instance's stop":    {fill(placed, "WAITED", "0") + fill(stream, "EVENTS", "20", "FIRST", "400", "PAUSE", "60", "REASON", "stopping"), account.InstanceStopped},
+		"refused by a stop":             {fill(call, "REASON", "stopping", "TOOK", "0"), account.Refused},
 		"instance killed":               {fill(placed, "WAITED", "0"), account.Unfinished},
 		"line with its instance's name": {"  12.5 edge-a-1 " + fill(call, "REASON", "completed", "TOOK", "30"), account.InTime},
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -215,7 +215,10 @@
 	for _, actor := range actors {
 		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
 	}
-	group.Add(func() error { return ignoreServerClosed(i.callerServer.server.Serve(i.callerServer.listener)) }, func(error) { i.callerServer.server.Close() })
+	group.Add(func() error { return ignoreServerClosed(i.callerServer.server.Serve(i.callerServer.listener)) }, func(error) {
+		i.gateway.Abort()
+		i.callerServer.server.Close()
+	})
 	for addr, handler := range map[netip.AddrPort]http.Handler{
 		s.Listen.Readiness: http.HandlerFunc(i.serveReadiness), s.Listen.Control: i.peers.Handler(), s.Listen.Metrics: i.metrics,
 	} {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,8 @@
 	// bodyBytes is the total size of the buffered request bodies.
 	bodyBytes atomic.Int64
 	draining  atomic.Bool
+	// aborting reports whether Abort has been called.
+	aborting atomic.Bool
 
 	mu        sync.Mutex
 	openCount int
@@ -104,6 +106,11 @@
 // except new streams that can't be resumed.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Abort records that the instance closes the connections of its callers, because its
+// planned stop ends or a part of it has failed. Requests that are cut off from then on
+// are logged as cut off by the instance, not by their callers.
+func (g *Gateway) Abort() { g.aborting.Store(true) }
+
 // Idle returns a channel that is closed once no request is in progress.
 func (g *Gateway) Idle() <-chan struct{} {
 	g.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"mangoloft/decide"
 	"mangoloft/dispatch"
@@ -209,10 +210,31 @@
 // testGateway is a gateway with its backends.
 type testGateway struct {
 	url          string
+	gateway      *gateway.Gateway
+	server       *httptest.Server
+	logs         *logBuffer
 	control      *dispatch.Controller
 	loadRecorder *loadRecorder
 }
 
+// logBuffer contains the lines of a log.
+type logBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(p)
+}
+
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.content.String(), text)
+}
+
 const key = "key-1"
 
 func routes() *routing.Table {
@@ -255,7 +277,8 @@
 // startGateway starts a gateway whose list contains the backends.
 func startGateway(t *testing.T, e gateway.EngineClient, backends ...*backend) *testGateway {
 	t.Helper()
-	log := event.NewLog(&bytes.Buffer{}, "front", time.Now)
+	logs := &logBuffer{}
+	log := event.NewLog(logs, "front", time.Now)
 	control := dispatch.New("a", log)
 	control.SetAnnouncer(noopAnnouncer{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -269,16 +292,17 @@
 	control.UpdateList(items, uint64(len(items)), true, upstream.FromList)
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	recorder := &loadRecorder{Dispatcher: control}
-	server := httptest.NewServer(gateway.New(gateway.Options{
+	handler := gateway.New(gateway.Options{
 		Home: home, Dispatcher: recorder, Protocol: testProtocol{}, Engines: e, Log: log, Metrics: telemetry.New(), MaxBodyBytes: 1 << 20,
-	}))
+	})
+	server := httptest.NewServer(handler)
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
 		group.Wait()
 		log.Close(time.Now().Add(time.Second))
 	})
-	g := &testGateway{url: server.URL, control: control, loadRecorder: recorder}
+	g := &testGateway{url: server.URL, gateway: handler, server: server, logs: logs, control: control, loadRecorder: recorder}
 	for control.Snapshot().ListRevision == 0 && len(backends) > 0 {
 		time.Sleep(time.Millisecond)
 	}
@@ -454,6 +478,37 @@
 	}
 }
 
+// TestStopCutsRequest checks that the log distinguishes a request that the instance
+// cut off at the end of its planned stop from one whose caller disconnected.
+func TestStopCutsRequest(t *testing.T) {
+	for reason, abort := range map[string]bool{"stopping": true, "caller_gone": false} {
+		t.Run(reason, func(t *testing.T) {
+			b := startBackend(t, "b", hang)
+			g := startGateway(t, &fakeEngines{}, b)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				if response, err := http.DefaultClient.Do(g.request(t, "POST", "/long/x", "", nil)); err == nil {
+					response.Body.Close()
+				}
+			})
+			for b.runCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if abort {
+				g.gateway.Abort()
+			}
+			g.server.CloseClientConnections()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if g.logs.contains(`"reason":"` + reason + `"`) {
+					return poll.Success()
+				}
+				return poll.Continue("no request_closed with reason %s", reason)
+			}, poll.WithTimeout(10*time.Second))
+		})
+	}
+}
+
 // TestTimeoutDoesNotCountAgainstUpstream checks that an upstream is not ejected
 // for exceeding a route's timeout or for callers that disconnect. Otherwise the
 // other upstreams would have to carry its load.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -346,6 +346,9 @@
 		route, kind, version = q.route.Name, q.route.Kind.String(), q.table.Version
 		target, pauseTarget = q.route.Target, q.route.PauseTarget
 	}
+	if o.Reason == verdict.CallerDisconnected && g.aborting.Load() {
+		o.Reason, o.Detail = verdict.Stopping, "the instance stopped before the request ended"
+	}
 	g.Metrics.CountRequest(kind, status, o, time.Since(q.received))
 	if q.delivered > 0 {
 		g.Metrics.ObserveStream(q.timeToFirstEvent(), q.longestPause)
