Metrics: datagrams by content and direction, fleet size, calls to the store

Change: mangoloft_datagrams_total and mangoloft_datagram_bytes_total by content and direction, mangoloft_fleet_size, mangoloft_store_calls_total.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -101,6 +101,8 @@
 	// none.
 	ListRevision func() uint64
 
+	// calls counts the calls to the store.
+	calls atomic.Uint64
 	// tableUnavailable and listUnavailable report whether the latest attempt to
 	// read each failed.
 	tableUnavailable, listUnavailable atomic.Bool
@@ -165,6 +167,10 @@
 // Unavailable reports whether the latest attempt to read the store failed.
 func (f *Follower) Unavailable() bool { return f.tableUnavailable.Load() || f.listUnavailable.Load() }
 
+// Calls returns the number of calls to the store so far. A complete list of several
+// pages counts as one.
+func (f *Follower) Calls() uint64 { return f.calls.Load() }
+
 // ReadsList reports whether the instance is a reader and its latest attempt to read
 // the list succeeded.
 func (f *Follower) ReadsList() bool { return f.readsList.Load() }
@@ -220,6 +226,7 @@
 
 // readTable reads the table, or waits for one newer than a revision that is not 0.
 func (f *Follower) readTable(ctx context.Context, revision uint64) ([]byte, uint64, error) {
+	f.calls.Add(1)
 	if revision == 0 {
 		return f.Store.Table(ctx)
 	}
@@ -279,6 +286,7 @@
 }
 
 func (f *Follower) readList(ctx context.Context, revision uint64, complete bool) ([]upstream.Item, uint64, error) {
+	f.calls.Add(1)
 	if complete {
 		return f.Store.List(ctx)
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -140,9 +140,10 @@
 // metrics.
 func (i *instance) metricsSource() telemetry.Source {
 	return telemetry.Source{
-		OpenRequests: i.gateway.OpenRequests, PeersAlive: i.peers.Alive, ControlBacklog: i.controller.Backlog,
+		OpenRequests: i.gateway.OpenRequests, PeersAlive: i.peers.Alive, FleetSize: i.peers.FleetSize, ControlBacklog: i.controller.Backlog,
 		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListRevision },
 		LinesDropped: i.log.Dropped, StoreLost: i.follower.Unavailable, Ready: i.ready, Upstreams: i.upstreams,
+		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic,
 	}
 }
 
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -154,6 +154,9 @@
 	// urgent is true if the next flush must not wait for more notices.
 	urgent bool
 
+	// traffic contains the counters of each content. The map doesn't change.
+	traffic map[string]*trafficCounters
+
 	// wake requests a flush.
 	wake     chan struct{}
 	received chan datagramWire
@@ -221,6 +224,7 @@
 	p := &Peers{
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
 		members: NewMemberTable(o.Listen, o.DataCentre), remoteLoads: map[string]receivedLoads{},
+		traffic: newTrafficCounters(),
 	}
 	p.fleetSize.Store(1)
 	return p
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -30,6 +30,9 @@
 			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed datagram", "error", err.Error())
 			continue
 		}
+		counters := p.traffic[wire.contentName()]
+		counters.received.Add(1)
+		counters.receivedBytes.Add(uint64(n))
 		select {
 		case p.received <- wire:
 		case <-ctx.Done():
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -122,9 +122,9 @@
 	}
 }
 
-// encode encodes a datagram with the fields that every datagram contains. It returns
-// nil if it can't be encoded or is too long.
-func (p *Peers) encode(w datagramWire) []byte {
+// encode encodes a datagram with the fields that every datagram contains. The result is
+// empty, and is not sent, if it can't be encoded or is too long.
+func (p *Peers) encode(w datagramWire) datagram {
 	o, state := p.options, p.options.State()
 	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
 	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
@@ -140,18 +140,20 @@
 	}
 	if err != nil {
 		o.Log.EmitRateLimited(event.DatagramDropped, "reason", "encode", "error", err.Error())
-		return nil
+		return datagram{}
 	}
-	return content
+	return datagram{content, p.traffic[w.contentName()]}
 }
 
 // write sends a datagram, which may be lost. Unreachable members are detected
 // by their silence.
-func (p *Peers) write(content []byte, to netip.AddrPort) {
-	if content == nil {
+func (p *Peers) write(d datagram, to netip.AddrPort) {
+	if d.bytes == nil {
 		return
 	}
-	if _, err := p.conn.WriteToUDPAddrPort(content, to); err != nil && !errors.Is(err, net.ErrClosed) {
+	d.counters.sent.Add(1)
+	d.counters.sentBytes.Add(uint64(len(d.bytes)))
+	if _, err := p.conn.WriteToUDPAddrPort(d.bytes, to); err != nil && !errors.Is(err, net.ErrClosed) {
 		p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "write", "address", to.String(), "error", err.Error())
 	}
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mangoloft/gossip"
 	"mangoloft/verdict"
 )
 
@@ -33,13 +34,17 @@
 	linesDropped  = "mangoloft_log_lines_dropped_total"
 	storeLost     = "mangoloft_store_lost"
 	instanceReady = "mangoloft_ready"
+	fleetSize     = "mangoloft_fleet_size"
+	storeCalls    = "mangoloft_store_calls_total"
+	datagrams     = "mangoloft_datagrams_total"
+	datagramBytes = "mangoloft_datagram_bytes_total"
 )
 
 // Names returns the names of all metrics.
 func Names() []string {
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
-		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady,
+		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
 	}
 }
 
@@ -83,10 +88,13 @@
 
 // Source contains functions that return the current values of an instance's gauges.
 type Source struct {
-	OpenRequests, PeersAlive, ControlBacklog func() int
-	TableVersion, ListRevision               func() uint64
-	LinesDropped                             func() uint64
-	StoreLost, Ready                         func() bool
+	OpenRequests, PeersAlive, FleetSize, ControlBacklog func() int
+	TableVersion, ListRevision                          func() uint64
+	LinesDropped, StoreCalls                            func() uint64
+	StoreLost, Ready                                    func() bool
+	// Datagrams returns the datagrams between instances by content. The contents
+	// don't change.
+	Datagrams func() map[string]gossip.Traffic
 	// Upstreams returns the number of upstreams by state.
 	Upstreams func() map[string]int
 }
@@ -105,6 +113,11 @@
 	}
 	m.set.NewGauge(openRequests, fromInt(s.OpenRequests))
 	m.set.NewGauge(peersAlive, fromInt(s.PeersAlive))
+	m.set.NewGauge(fleetSize, fromInt(s.FleetSize))
+	m.set.NewGauge(storeCalls, fromUint(s.StoreCalls))
+	for content := range s.Datagrams() {
+		m.registerTraffic(content, func() gossip.Traffic { return s.Datagrams()[content] })
+	}
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
@@ -116,6 +129,16 @@
 	}
 }
 
+func (m *Metrics) registerTraffic(content string, read func() gossip.Traffic) {
+	gauge := func(name, direction string, value func(gossip.Traffic) uint64) {
+		m.set.NewGauge(fmt.Sprintf("%s{content=%q,direction=%q}", name, content, direction), func() float64 { return float64(value(read())) })
+	}
+	gauge(datagrams, "sent", func(t gossip.Traffic) uint64 { return t.Sent })
+	gauge(datagrams, "received", func(t gossip.Traffic) uint64 { return t.Received })
+	gauge(datagramBytes, "sent", func(t gossip.Traffic) uint64 { return t.SentBytes })
+	gauge(datagramBytes, "received", func(t gossip.Traffic) uint64 { return t.ReceivedBytes })
+}
+
 // Write writes all metrics.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mangoloft/gossip"
 	"mangoloft/telemetry"
 	"mangoloft/verdict"
 )
@@ -22,8 +23,11 @@
 	m.CountMove("moved")
 	zero := func() int { return 0 }
 	m.RegisterGauges(telemetry.Source{
-		OpenRequests: func() int { return 2 }, PeersAlive: zero, ControlBacklog: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
+		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
 		LinesDropped: func() uint64 { return 0 }, StoreLost: func() bool { return true }, Ready: func() bool { return false },
+		Datagrams: func() map[string]gossip.Traffic {
+			return map[string]gossip.Traffic{"notices": {Sent: 1, SentBytes: 20, Received: 3, ReceivedBytes: 60}}
+		},
 		Upstreams: func() map[string]int { return map[string]int{"ready": 3} },
 	})
 	var out bytes.Buffer
@@ -40,6 +44,9 @@
 		`mangoloft_store_lost 1`,
 		`mangoloft_ready 0`,
 		`mangoloft_upstreams{state="ready"} 3`,
+		`mangoloft_store_calls_total 4`,
+		`mangoloft_datagrams_total{content="notices",direction="received"} 3`,
+		`mangoloft_datagram_bytes_total{content="notices",direction="sent"} 20`,
 	} {
 		assert.Assert(t, strings.Contains(out.String(), line+"\n"), "%s is missing in\n%s", line, out.String())
 	}
