Gateway: a move whose destinations have no room is tried again until the engine leaves

Change: such a move tries again each 150 ms, four engines at most each time, as long as time is left for a copy. Test: TestRunMovesFromDrainingUpstream, 'room after 0.4s'; it never ends without the change.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -75,6 +75,8 @@
 type fakeEngines struct {
 	mu     sync.Mutex
 	copies []string
+	// fullUntil is the time until which no destination has room.
+	fullUntil time.Time
 	// stop is called for a copy that stops the run.
 	stop func(run string)
 }
@@ -85,8 +87,14 @@
 
 func (e *fakeEngines) CopyKV(_ context.Context, from netip.AddrPort, run string, _ netip.AddrPort, stop bool) (gateway.KVCopy, error) {
 	e.mu.Lock()
-	e.copies = append(e.copies, fmt.Sprint(run, " ", stop))
+	full := time.Now().Before(e.fullUntil)
+	if !full {
+		e.copies = append(e.copies, fmt.Sprint(run, " ", stop))
+	}
 	e.mu.Unlock()
+	if full {
+		return gateway.KVCopy{}, gateway.ErrNoCapacity.New("full")
+	}
 	if stop {
 		e.stop(run)
 	}
@@ -659,6 +667,20 @@
 // TestRunMovesFromDrainingUpstream checks that a run that must not be repeated
 // continues on another upstream from a copy of its KV cache.
 func TestRunMovesFromDrainingUpstream(t *testing.T) {
+	tests := map[string]struct {
+		// fullFor is the time for which the other upstream has no room.
+		fullFor time.Duration
+	}{
+		"room at once":    {0},
+		"room after 0.4s": {400 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { testMove(t, test.fullFor) })
+	}
+}
+
+func testMove(t *testing.T, fullFor time.Duration) {
+	t.Helper()
 	stopped := make(chan struct{})
 	var mu sync.Mutex
 	var from []string
@@ -693,6 +715,9 @@
 	if b1.runCount() > 0 {
 		leaving = b1
 	}
+	e.mu.Lock()
+	e.fullUntil = time.Now().Add(fullFor)
+	e.mu.Unlock()
 	g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
 	rest, err := io.ReadAll(reader)
 	assert.NilError(t, err)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -28,8 +28,12 @@
 	copyRetryDelay = 50 * time.Millisecond
 	// loadedTokenTime is the time per token on a heavily loaded engine.
 	loadedTokenTime = 15 * time.Millisecond
-	// maxDestinations is the maximum number of engines that one move tries.
+	// maxDestinations is the maximum number of engines that one move tries before it
+	// waits for roomRetryDelay.
 	maxDestinations = 4
+	// roomRetryDelay is the time after which a move whose destinations all had no
+	// room tries them again. Runs end there all the time.
+	roomRetryDelay = 150 * time.Millisecond
 	// reportTimeout is the timeout for reading an engine's report.
 	reportTimeout = 500 * time.Millisecond
 	// discardTimeout is the timeout for discarding a copy.
@@ -178,11 +182,18 @@
 		leavesAt = m.fetchLeaveTime(ctx)
 	}
 	var excluded []string
-	for range maxDestinations {
-		destination, err := s.g.Dispatcher.StartMove(ctx, s.id, excluded)
+	for {
+		destination, err := dispatch.Placement{}, error(ErrNoCapacity.New("%d destinations have no room", len(excluded)))
+		if len(excluded) < maxDestinations {
+			destination, err = s.g.Dispatcher.StartMove(ctx, s.id, excluded)
+		}
 		if err != nil {
-			s.logMove(m.source.Name, "", "no destination", err, time.Since(m.startedAt))
-			return
+			if !m.waitForRoom(ctx, leavesAt) {
+				s.logMove(m.source.Name, "", "no destination", err, time.Since(m.startedAt))
+				return
+			}
+			excluded = nil
+			continue
 		}
 		if err := m.copyTo(ctx, destination, leavesAt); err == nil || ctx.Err() != nil {
 			return
@@ -194,6 +205,12 @@
 	}
 }
 
+// waitForRoom waits until the destinations can be tried again. It returns false if too
+// little time is left for a copy.
+func (m *mover) waitForRoom(ctx context.Context, leavesAt time.Time) bool {
+	return time.Until(leavesAt) > roomRetryDelay+finalCopyMargin && pause.Sleep(ctx, roomRetryDelay)
+}
+
 // fetchLeaveTime returns the time at which the engine will leave, according to
 // its report, or an estimate if the report does not contain it.
 func (m *mover) fetchLeaveTime(ctx context.Context) time.Time {
