Gossip: a list change that follows one not applied yet is complete

Cause: found by reading: a change in several datagrams was checked against the revision that the control goroutine had applied, which lags behind. The second datagram then counted as incomplete, and the instance pulled the whole list. Change: the revision up to which changes have been submitted counts. Test: TestConsecutiveListDatagrams, seen failing.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -314,6 +314,27 @@
 	})
 }
 
+// TestConsecutiveListDatagrams checks that a change of the list that follows another
+// one counts as complete, even if the other one has not been applied yet.
+func TestConsecutiveListDatagrams(t *testing.T) {
+	sink := &recordingSink{simulatedNode: &simulatedNode{revision: 10}}
+	p := newPeers(Options{Name: "a", DataCentre: "a", State: sink.state}, sink, sink)
+	p.handleList(&listWire{After: 10, Revision: 13})
+	p.handleList(&listWire{After: 13, Revision: 16})
+	p.handleList(&listWire{After: 20, Revision: 22})
+	assert.DeepEqual(t, sink.revisions, []uint64{13, 16, 0})
+}
+
+// recordingSink records the revisions that are submitted, and doesn't apply them.
+type recordingSink struct {
+	*simulatedNode
+	revisions []uint64
+}
+
+func (s *recordingSink) UpdateList(_ []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
+	s.revisions = append(s.revisions, revision)
+}
+
 // TestDeferrableNotices checks that deferrable notices are sent together, soon after
 // the first.
 func TestDeferrableNotices(t *testing.T) {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -182,6 +182,9 @@
 	lastSilentRetry     time.Time
 	lastLoads           time.Time
 	lastRemoteHeartbeat time.Time
+	// submittedRevision is the highest list revision up to which all changes have
+	// been submitted to the sink.
+	submittedRevision uint64
 	// relayedNotices are notices from other data centres that the next flush
 	// sends to the local one. relayedRevision is the highest list revision that
 	// was relayed in this way.
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -49,7 +49,9 @@
 	} else {
 		m := Member{
 			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
-			TableVersion: w.TableVersion, ListRevision: w.ListRevision, StoreLost: w.StoreLost, ReadsStore: w.ReadsStore, ListCurrent: w.ListCurrent, LocalCount: w.LocalCount, HeartbeatInterval: milliseconds(min(w.HeartbeatMS, rareHeartbeatInterval.Milliseconds())), Relays: w.Relays,
+			TableVersion: w.TableVersion, ListRevision: w.ListRevision,
+			StoreLost: w.StoreLost, ReadsStore: w.ReadsStore, ListCurrent: w.ListCurrent, LocalCount: w.LocalCount, Relays: w.Relays,
+			HeartbeatInterval: min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval),
 		}
 		if p.members.Update(now, m) {
 			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
@@ -92,13 +94,7 @@
 		p.sink.HandleNotice(notice)
 	}
 	if w.List != nil {
-		// Without the changes before these, the list is incomplete at their
-		// revision; revision 0 keeps the current one.
-		revision := uint64(0)
-		if p.options.State().ListRevision >= w.List.After {
-			revision = w.List.Revision
-		}
-		p.sink.UpdateList(p.decodeItems(w.List.Items), revision, false, upstream.FromPeer)
+		p.handleList(w.List)
 	}
 	for _, loads := range w.Loads {
 		if err := p.handleLoads(now, loads); err != nil {
@@ -108,6 +104,19 @@
 	p.catchUp(ctx, now)
 }
 
+// handleList submits changes of the list.
+func (p *Peers) handleList(w *listWire) {
+	// The changes before these may have been submitted, but not applied yet. Without
+	// them, the list is incomplete at the revision of these; revision 0 keeps the
+	// current one.
+	revision := uint64(0)
+	if max(p.submittedRevision, p.options.State().ListRevision) >= w.After {
+		revision = w.Revision
+		p.submittedRevision = max(p.submittedRevision, revision)
+	}
+	p.sink.UpdateList(p.decodeItems(w.Items), revision, false, upstream.FromPeer)
+}
+
 // catchUp pulls the state of a member if newer state has been available for
 // longer than the pull delay.
 func (p *Peers) catchUp(ctx context.Context, now time.Time) {
