Gossip: instances pass on only what they heard themselves of other data centres

Cause: found by reading: the relays of a data centre told each other of all others, each time as fresh. After a data centre had become unreachable, it still counted as reading the list for good, so that neither the engines were polled more often nor deletions taken for lapses. Sizes are kept for 5 minutes as before. The part of MemberTable on other data centres has a file of its own, and a member has the time by which its next datagram is due. Test: TestReportsDoNotCirculate, seen failing.

--- a/gossip/members.go
+++ b/gossip/members.go
@@ -34,9 +34,8 @@
 	// LocalCount is the number of live instances in its data centre, including
 	// itself.
 	LocalCount int
-	// HeartbeatInterval is the time after which it sends its next datagram at the
-	// latest.
-	HeartbeatInterval time.Duration
+	// NextBy is the time by which its next datagram is due.
+	NextBy time.Time
 	// Relays contains the addresses of the relays of its data centre.
 	Relays     []netip.AddrPort
 	LastSeenAt time.Time
@@ -101,18 +100,6 @@
 	dataCentres map[string]*remoteDataCentre
 }
 
-// remoteDataCentre is another data centre, as reported by its instances.
-type remoteDataCentre struct {
-	// count is the number of its live instances, including its relays.
-	count  int
-	relays []netip.AddrPort
-	// readsStore reports whether one of its instances reads the list of upstreams.
-	readsStore bool
-	// heardAt is the time of the latest datagram from one of its instances, and
-	// reportedAt that of the latest report, which may come from a local instance.
-	heardAt, reportedAt time.Time
-}
-
 // NewMemberTable returns an empty table for the instance with the given address
 // and data centre.
 func NewMemberTable(self netip.AddrPort, dataCentre string) *MemberTable {
@@ -139,59 +126,6 @@
 	return joined
 }
 
-// UpdateDataCentre records what a local instance has heard of another data centre.
-// What this instance has heard itself takes precedence.
-func (t *MemberTable) UpdateDataCentre(now time.Time, name string, count int, relays []netip.AddrPort, readsStore bool) {
-	if name == t.dataCentre || count <= 0 {
-		return
-	}
-	known, ok := t.dataCentres[name]
-	if !ok {
-		known = &remoteDataCentre{}
-		t.dataCentres[name] = known
-	}
-	if now.Sub(known.heardAt) > directPrecedence {
-		known.count, known.relays, known.readsStore, known.reportedAt = count, relays, readsStore, now
-	}
-}
-
-// RemoteDataCentres calls report for each other data centre that an instance tells
-// its own data centre of: those from which it has heard since the given time, and on
-// relays all.
-func (t *MemberTable) RemoteDataCentres(since time.Time, report func(name string, count int, relays []netip.AddrPort, readsStore bool)) {
-	relay := t.IsRelay()
-	for name, d := range t.dataCentres {
-		if relay || !d.heardAt.Before(since) {
-			report(name, d.count, d.relays, d.readsStore)
-		}
-	}
-}
-
-// LocalCount returns the number of live instances in the local data centre,
-// including this one.
-func (t *MemberTable) LocalCount() int {
-	count := 1
-	for _, m := range t.members {
-		if m.Alive && m.DataCentre == t.dataCentre {
-			count++
-		}
-	}
-	return count
-}
-
-// FleetSize returns the number of live instances, including this one. It counts
-// those of a data centre that can't be reached until removalTimeout.
-func (t *MemberTable) FleetSize() int {
-	total := t.LocalCount()
-	for _, d := range t.dataCentres {
-		total += d.count
-	}
-	return max(total, t.Count()+1)
-}
-
-// IsLarge reports whether the fleet is too large for a full mesh.
-func (t *MemberTable) IsLarge() bool { return t.FleetSize() > fullMeshLimit }
-
 // AddAddress adds the address of an instance of the data centre, received from
 // another instance, as a member that is not alive yet.
 func (t *MemberTable) AddAddress(now time.Time, dataCentre string, addr netip.AddrPort) {
@@ -216,7 +150,8 @@
 	silentRemote := map[string]int{}
 	for addr, m := range t.members {
 		remote := large && m.DataCentre != t.dataCentre
-		timeout := max(silenceTimeout, time.Duration(float64(m.HeartbeatInterval)/float64(heartbeatInterval)*float64(silenceTimeout)))
+		intervals := float64(m.NextBy.Sub(m.LastSeenAt)) / float64(heartbeatInterval)
+		timeout := max(silenceTimeout, time.Duration(intervals*float64(silenceTimeout)))
 		if remote {
 			timeout = remoteSilenceTimeout
 		}
@@ -350,82 +285,6 @@
 // instances in its data centre.
 func (t *MemberTable) IsPrimary() bool { return t.rank() == 0 }
 
-// IsRelay reports whether the instance exchanges datagrams with the other data
-// centres for its own one.
-func (t *MemberTable) IsRelay() bool { return t.rank() < relaysPerDataCentre }
-
-// LocalRelay returns the relay of the local data centre, unless it is this
-// instance.
-func (t *MemberTable) LocalRelay() (Member, bool) {
-	for _, m := range t.Alive() {
-		if m.DataCentre == t.dataCentre {
-			return m, m.Addr.Compare(t.self) < 0
-		}
-	}
-	return Member{}, false
-}
-
-// LocalRelays returns the addresses of the relays of the local data centre.
-func (t *MemberTable) LocalRelays() []netip.AddrPort {
-	addrs := []netip.AddrPort{t.self}
-	for _, m := range t.members {
-		if m.Alive && m.DataCentre == t.dataCentre {
-			addrs = append(addrs, m.Addr)
-		}
-	}
-	slices.SortFunc(addrs, netip.AddrPort.Compare)
-	return addrs[:min(relaysPerDataCentre, len(addrs))]
-}
-
-// RemoteRelays returns for each other data centre the address to which datagrams for
-// it are sent: that of the member with the lowest address of those heard from within
-// relayTimeout, or else that of a reported relay, or of the member that was heard
-// from last. Any instance can act as the relay, so the data centres need not agree
-// on it.
-func (t *MemberTable) RemoteRelays(now time.Time) map[string]netip.AddrPort {
-	lastHeard := map[string]Member{}
-	for _, m := range t.Alive() { // sorted by address
-		if m.DataCentre == t.dataCentre {
-			continue
-		}
-		current, ok := lastHeard[m.DataCentre]
-		if !ok || now.Sub(current.LastSeenAt) > relayTimeout && m.LastSeenAt.After(current.LastSeenAt) {
-			lastHeard[m.DataCentre] = m
-		}
-	}
-	relays := map[string]netip.AddrPort{}
-	for name, d := range t.dataCentres {
-		if len(d.relays) > 0 {
-			relays[name] = d.relays[0]
-		}
-	}
-	for name, m := range lastHeard {
-		if _, reported := relays[name]; !reported || now.Sub(m.LastSeenAt) <= relayTimeout {
-			relays[name] = m.Addr
-		}
-	}
-	return relays
-}
-
-// RemoteHeartbeats returns the addresses outside the broadcast group that get a
-// heartbeat: that of a random member and, if the instance is a relay, those of the
-// relays of each other data centre.
-func (t *MemberTable) RemoteHeartbeats() []netip.AddrPort {
-	if !t.IsLarge() {
-		return nil
-	}
-	var addrs []netip.AddrPort
-	if remote := t.RemoteMembers(); len(remote) > 0 {
-		addrs = append(addrs, remote[rand.IntN(len(remote))].Addr)
-	}
-	if t.IsRelay() {
-		for _, d := range t.dataCentres {
-			addrs = append(addrs, d.relays...)
-		}
-	}
-	return addrs
-}
-
 // ShouldReadStore reports whether the instance should read the store for its
 // data centre. The instances with the lowest addresses do, not counting those
 // that failed to read it. If all failed, some of them keep trying.
@@ -458,52 +317,6 @@
 	return lowerAble < readersOf(able)
 }
 
-// readersOf returns the number of readers in a data centre with the given number of
-// instances that can read the store.
-func readersOf(instances int) int {
-	if instances >= twoReadersThreshold {
-		return 2
-	}
-	return 1
-}
-
-// ReaderCount returns the number of readers of all data centres.
-func (t *MemberTable) ReaderCount() int {
-	count := readersOf(t.LocalCount())
-	for _, d := range t.dataCentres {
-		count += readersOf(d.count)
-	}
-	return count
-}
-
-// localReads reports whether an instance of the local data centre reads the list;
-// selfReads whether this instance does.
-func (t *MemberTable) localReads(selfReads bool) bool {
-	if selfReads {
-		return true
-	}
-	for _, m := range t.members {
-		if m.Alive && m.DataCentre == t.dataCentre && m.ReadsStore {
-			return true
-		}
-	}
-	return false
-}
-
-// ListCurrent reports whether any instance reads the list, whose changes then reach
-// this one. selfReads reports whether this instance does.
-func (t *MemberTable) ListCurrent(now time.Time, selfReads bool) bool {
-	if t.localReads(selfReads) {
-		return true
-	}
-	for _, d := range t.dataCentres {
-		if d.readsStore && now.Sub(d.reportedAt) <= listCurrentTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // FindNewer returns a random member that has a newer routing table or, if
 // wantList is set, a newer list. Members of the local data centre are
 // preferred. In a large fleet, only relays consider the others as long as the data
--- a/gossip/members_test.go
+++ b/gossip/members_test.go
@@ -166,3 +166,24 @@
 		})
 	}
 }
+
+// TestReportsDoNotCirculate checks that two instances which tell each other of a data
+// centre that has become unreachable don't keep it reading the list.
+func TestReportsDoNotCirculate(t *testing.T) {
+	remote := member(2, "b")
+	remote.ListCurrent, remote.LocalCount = true, 40
+	first, second := fleet(remote), fleet(member(1, "a"))
+	now := start
+	for range 10 {
+		now = now.Add(time.Second)
+		for _, pair := range [][2]*gossip.MemberTable{{first, second}, {second, first}} {
+			pair[0].RemoteDataCentres(now, func(name string, count int, relays []netip.AddrPort, readsStore bool) {
+				pair[1].UpdateDataCentre(now, name, count, relays, readsStore)
+			})
+		}
+	}
+	for _, table := range []*gossip.MemberTable{first, second} {
+		assert.Assert(t, !table.ListCurrent(now, false))
+		assert.Assert(t, table.FleetSize() > 40, "the size is kept for longer")
+	}
+}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -51,7 +51,7 @@
 			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
 			TableVersion: w.TableVersion, ListRevision: w.ListRevision,
 			StoreLost: w.StoreLost, ReadsStore: w.ReadsStore, ListCurrent: w.ListCurrent, LocalCount: w.LocalCount, Relays: w.Relays,
-			HeartbeatInterval: min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval),
+			NextBy: now.Add(min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval)),
 		}
 		if p.members.Update(now, m) {
 			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -85,7 +85,7 @@
 		return nil // All instances know all others.
 	}
 	wire := map[string]dataCentreWire{}
-	p.members.RemoteDataCentres(now.Add(-heartbeatInterval), func(name string, count int, relays []netip.AddrPort, readsStore bool) {
+	p.members.RemoteDataCentres(now, func(name string, count int, relays []netip.AddrPort, readsStore bool) {
 		wire[name] = dataCentreWire{count, relays, readsStore}
 	})
 	return wire
