Catalog: a reader is soon watching again after a change; ends are announced at once while streams wait

Change: pauses are half as long and vary by 90%, so that the first reader watches again soon; an end is deferred only while no stream waits for room.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -61,15 +61,17 @@
 	// watchTimeout is the maximum time for which the store keeps a watch
 	// request open.
 	watchTimeout = 5 * time.Second
-	// watchPause is the time between two watches, so that changes published in
-	// quick succession are read together.
+	// watchPause is the time between two watches of the table, so that changes
+	// published in quick succession are read together.
 	watchPause = 100 * time.Millisecond
-	// maxListPause limits the time between two watches of the list, which grows
-	// with the number of readers.
-	maxListPause = 1 * time.Second
+	// listPause is the mean time between two watches of the list by any reader. The
+	// mean for one reader is longer by their number, up to maxListPause.
+	listPause    = 50 * time.Millisecond
+	maxListPause = 600 * time.Millisecond
 	// pauseJitter is the share by which the time between two watches of the list
-	// varies, so that the readers don't read at the same time.
-	pauseJitter = 0.25
+	// varies. A change wakes all readers that are watching; the wider their pauses
+	// vary, the sooner one of them watches again.
+	pauseJitter = 0.9
 	// minBackoff is the backoff after a failure. It doubles with each
 	// consecutive one, up to maxBackoff.
 	minBackoff = 50 * time.Millisecond
@@ -90,7 +92,7 @@
 	// IsReader reports whether the instance is a reader, and Readers returns the
 	// number of readers of all data centres. Each announces the changes of the list
 	// that it reads to the others, so that the fleet reads the list about once in
-	// watchPause, whatever its size.
+	// listPause, whatever its size.
 	IsReader func() bool
 	Readers  func() int
 	// HasTable reports whether the instance has a routing table. An instance
@@ -175,9 +177,9 @@
 // the list succeeded.
 func (f *Follower) ReadsList() bool { return f.readsList.Load() }
 
-// listPause returns the time until the next watch of the list.
-func (f *Follower) listPause() time.Duration {
-	average := min(maxListPause, watchPause*time.Duration(max(1, f.Readers())))
+// nextListPause returns the time until the next watch of the list.
+func (f *Follower) nextListPause() time.Duration {
+	average := min(maxListPause, listPause*time.Duration(max(1, f.Readers())))
 	return time.Duration(float64(average) * (1 - pauseJitter + 2*pauseJitter*rand.Float64()))
 }
 
@@ -280,7 +282,7 @@
 		revision, backoff = max(revision, newRevision), 0
 		f.Sink.UpdateList(items, newRevision, complete, upstream.FromList)
 		complete = false
-		f.listCall.pause(ctx, f.listPause())
+		f.listCall.pause(ctx, f.nextListPause())
 	}
 	return nil
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -247,7 +247,8 @@
 		return
 	}
 	if f.Class.Kind == config.Stream {
-		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed, Deferrable: true})
+		// While streams wait for room, its end matters to the other instances at once.
+		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed, Deferrable: len(s.queue.list) == 0})
 	}
 	if u := s.upstreams[f.upstream]; u != nil && completed {
 		u.health.recordSuccess(now)
