--- a/gossip/data_centres.go
+++ b/gossip/data_centres.go
@@ -73,6 +73,9 @@
 	return max(total, t.Count()+1)
 }
 
+// OtherDataCentres returns the number of other data centres.
+func (t *MemberTable) OtherDataCentres() int { return len(t.dataCentres) }
+
 // IsLarge reports whether the fleet is too large for a full mesh.
 func (t *MemberTable) IsLarge() bool { return t.FleetSize() > fullMeshLimit }
 
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -68,9 +68,11 @@
 	// nonReaderPullDelay is the corresponding delay of an instance that does not
 	// read the store. It gives list changes in transit time to arrive.
 	nonReaderPullDelay = 30 * time.Millisecond
-	// loadInterval is the time between two reports of a data centre's engine
-	// loads to the other data centres.
-	loadInterval = 500 * time.Millisecond
+	// minLoadInterval is the minimum time between two reports of a data centre's
+	// engine loads to another one. It is longer if there are many other data centres,
+	// so that a report is sent once in loadSpacing on average.
+	minLoadInterval = 300 * time.Millisecond
+	loadSpacing     = 50 * time.Millisecond
 	// receiveBacklog is the capacity of the queue of received datagrams.
 	receiveBacklog = 256
 )
@@ -376,7 +378,7 @@
 	case p.members.Count() == 0 || time.Since(p.startedAt) < 2*startupWait:
 		return joinInterval
 	case p.members.IsLarge() && p.members.IsRelay():
-		return loadInterval / 2
+		return minLoadInterval
 	}
 	return heartbeatInterval / 2
 }
@@ -408,7 +410,7 @@
 		p.lastRemoteHeartbeat = now
 		p.sendRemoteHeartbeats()
 	}
-	if now.Sub(p.lastLoads) >= loadInterval {
+	if now.Sub(p.lastLoads) >= p.loadInterval() {
 		p.lastLoads = now
 		p.sendLoads(ctx, now)
 		p.relayLoads(now)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -20,7 +20,7 @@
 	allDataCentres = "*"
 	// maxLoads is the maximum number of engines of a data centre whose load is sent
 	// to the others: those with the most room, because only these are of use there.
-	maxLoads = 8
+	maxLoads = 12
 	// maxLoadAge is the age from which loads are not sent any more.
 	maxLoadAge = 3 * time.Second
 )
@@ -102,6 +102,11 @@
 	}
 }
 
+// loadInterval returns the time between two reports of loads.
+func (p *Peers) loadInterval() time.Duration {
+	return max(minLoadInterval, loadSpacing*time.Duration(p.members.OtherDataCentres()))
+}
+
 // relayLoads sends the loads that were received from other data centres since the
 // last call to the broadcast group.
 func (p *Peers) relayLoads(now time.Time) {
