--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -192,9 +192,6 @@
 	// was relayed in this way.
 	relayedNotices  []noticeWire
 	relayedRevision uint64
-	// remoteLoads contains the latest loads of each other data centre that have
-	// not been sent to the local one yet.
-	remoteLoads map[string]receivedLoads
 
 	// pulling is true while a pull is in progress; pulls waits for its goroutine.
 	pulling atomic.Bool
@@ -228,7 +225,7 @@
 func newPeers(o Options, conn packetConn, sink Sink) *Peers {
 	p := &Peers{
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
-		members: NewMemberTable(o.Listen, o.DataCentre), remoteLoads: map[string]receivedLoads{},
+		members: NewMemberTable(o.Listen, o.DataCentre),
 		traffic: newTrafficCounters(),
 	}
 	p.fleetSize.Store(1)
@@ -413,7 +410,6 @@
 	if now.Sub(p.lastLoads) >= p.loadInterval() {
 		p.lastLoads = now
 		p.sendLoads(ctx, now)
-		p.relayLoads(now)
 	}
 	p.catchUp(ctx, now)
 }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if w.Forward != "" {
-		p.relayContent(now, w)
+		p.relayContent(w)
 	}
 	for _, l := range w.Leaving {
 		var leavesAt time.Time
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -21,17 +21,8 @@
 	// maxLoads is the maximum number of engines of a data centre whose load is sent
 	// to the others: those with the most room, because only these are of use there.
 	maxLoads = 12
-	// maxLoadAge is the age from which loads are not sent any more.
-	maxLoadAge = 3 * time.Second
 )
 
-// receivedLoads are the loads of another data centre's engines.
-type receivedLoads struct {
-	loads loadsWire
-	// takenAt is the time of the loads, by the local clock.
-	takenAt time.Time
-}
-
 // content returns the part of a datagram that is forwarded.
 func (w datagramWire) content() datagramWire {
 	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads}
@@ -60,7 +51,7 @@
 
 // relayContent sends what a relay of another data centre forwarded to the local
 // broadcast group.
-func (p *Peers) relayContent(now time.Time, w datagramWire) {
+func (p *Peers) relayContent(w datagramWire) {
 	if len(w.Notices) > 0 && len(p.relayedNotices) < maxPending {
 		p.relayedNotices = append(p.relayedNotices, w.Notices...)
 		p.wakeUp()
@@ -70,11 +61,8 @@
 		p.relayedRevision = w.List.Revision
 		p.sendLocally(datagramWire{List: w.List})
 	}
-	for _, loads := range w.Loads {
-		if loads.AgeMS < 0 {
-			continue // handleLoads reports it.
-		}
-		p.remoteLoads[w.DataCentre] = receivedLoads{loads, now.Add(-milliseconds(loads.AgeMS))}
+	if len(w.Loads) > 0 {
+		p.sendLocally(datagramWire{Loads: w.Loads})
 	}
 }
 
@@ -107,34 +95,13 @@
 	return max(minLoadInterval, loadSpacing*time.Duration(p.members.OtherDataCentres()))
 }
 
-// relayLoads sends the loads that were received from other data centres since the
-// last call to the broadcast group.
-func (p *Peers) relayLoads(now time.Time) {
-	var all []loadsWire
-	for _, received := range p.remoteLoads {
-		age := now.Sub(received.takenAt)
-		if age < maxLoadAge {
-			received.loads.AgeMS = age.Milliseconds()
-			all = append(all, received.loads)
-		}
-	}
-	clear(p.remoteLoads)
-	if len(all) > 0 {
-		p.broadcast(now, datagramWire{Loads: all, DataCentres: p.remoteDataCentres(now)})
-	}
-}
-
 func (p *Peers) handleLoads(now time.Time, w loadsWire) error {
 	count := len(w.Upstreams)
 	if len(w.Running) != count || len(w.UsedTokens) != count || len(w.PendingPrefill) != count {
 		return errorx.IllegalFormat.New("%d upstreams, but %d, %d and %d values", count, len(w.Running), len(w.UsedTokens), len(w.PendingPrefill))
 	}
-	if w.AgeMS < 0 || w.AgeMS > maxLoadAge.Milliseconds() {
-		return errorx.IllegalFormat.New("the age is %d ms", w.AgeMS)
-	}
-	takenAt := now.Add(-milliseconds(w.AgeMS))
 	for i, name := range w.Upstreams {
-		p.sink.HandleReport(name, decide.Report{TakenAt: takenAt, Running: w.Running[i], UsedTokens: w.UsedTokens[i], PendingPrefillTokens: w.PendingPrefill[i]})
+		p.sink.HandleReport(name, decide.Report{TakenAt: now, Running: w.Running[i], UsedTokens: w.UsedTokens[i], PendingPrefillTokens: w.PendingPrefill[i]})
 	}
 	return nil
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -45,7 +45,7 @@
 	Notices []noticeWire                `json:"notices,omitempty"`
 	Leaving []leavingWire               `json:"leaving,omitempty"`
 	List    *listWire                   `json:"list,omitempty"`
-	// Loads contains the loads of one or more data centres.
+	// Loads contains the loads of the engines of a data centre.
 	Loads []loadsWire `json:"loads,omitempty"`
 }
 
@@ -67,8 +67,6 @@
 // loadsWire contains the loads of engines of one data centre, as tracked by its
 // instances. The fields have one element for each engine.
 type loadsWire struct {
-	// AgeMS is the age of the loads in milliseconds.
-	AgeMS          int64    `json:"age_ms,omitempty"`
 	Upstreams      []string `json:"upstreams"`
 	Running        []int    `json:"running"`
 	UsedTokens     []int    `json:"used_tokens"`
