Gateway: server errors of an engine count against it

As it fails at once, it is idle and gets more streams. Change: the response is still returned to the caller, and counts as a failure.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -486,6 +486,20 @@
 	}
 }
 
+// TestFailingEngineIsEjected checks that an engine which answers every stream with a
+// server error soon gets no more streams.
+func TestFailingEngineIsEjected(t *testing.T) {
+	bad, good := startBackend(t, "bad", respond500), startBackend(t, "good", streamEvents(3, true))
+	g := startGateway(t, &fakeEngines{}, bad, good)
+	const streams, maxFailed = 40, 3
+	for range streams {
+		_, _, err := g.send(t, "POST", "/long/x", "", nil)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, bad.runCount() <= maxFailed, "%d of %d streams failed", bad.runCount(), streams)
+	assert.Assert(t, good.runCount() >= streams-maxFailed)
+}
+
 // TestStopCutsRequest checks that the log distinguishes a request that the instance
 // cut off at the end of its planned stop from one whose caller disconnected.
 func TestStopCutsRequest(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,7 +69,13 @@
 	plain, err := s.relay(ctx)
 	// A move that is still in progress is no longer needed. The run was not moved.
 	s.cancelMove(false)
-	g.Dispatcher.End(q.id, s.delivered*s.tokensPerEvent, verdict.OutcomeOf(err))
+	outcome := verdict.OutcomeOf(err)
+	if plain != nil && plain.status >= http.StatusInternalServerError {
+		// Otherwise an engine that fails at once would look healthy and idle, and
+		// attract ever more streams.
+		outcome.Reason = verdict.UpstreamFailed
+	}
+	g.Dispatcher.End(q.id, s.delivered*s.tokensPerEvent, outcome)
 	switch {
 	case plain != nil:
 		g.writeResponse(w, q, plain)
@@ -203,6 +209,9 @@
 		s.g.reportAttempt(s.request, s.placement, nil, err)
 		return nil, err
 	}
+	if plain.status >= http.StatusInternalServerError {
+		s.g.reportAttempt(s.request, s.placement, plain, nil)
+	}
 	return plain, nil
 }
 
