Catalog, telemetry: the store's era and revisions in the log, and when the table was confirmed

Revisions become history.Position from the adapter to the follower; no decision uses the era yet, and no behaviour changes.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/pause"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -29,16 +30,16 @@
 
 // Store is the part of the platform's store that the follower uses.
 type Store interface {
-	// Table returns the routing table as published, and the store's revision.
-	Table(ctx context.Context) (raw []byte, revision uint64, err error)
+	// Table returns the routing table as published, and the store's position.
+	Table(ctx context.Context) (raw []byte, at history.Position, err error)
 	// List returns all upstreams. The list contains all changes up to the
-	// revision.
-	List(ctx context.Context) (items []upstream.Item, revision uint64, err error)
-	// WatchTable waits for a table newer than the revision until the deadline;
+	// position.
+	List(ctx context.Context) (items []upstream.Item, at history.Position, err error)
+	// WatchTable waits for a table newer than the position until the deadline;
 	// raw is nil if none was published.
-	WatchTable(ctx context.Context, after uint64, deadline time.Time) (raw []byte, revision uint64, err error)
-	// WatchList waits for changes after the revision until the deadline.
-	WatchList(ctx context.Context, after uint64, deadline time.Time) (items []upstream.Item, revision uint64, err error)
+	WatchTable(ctx context.Context, after history.Position, deadline time.Time) (raw []byte, at history.Position, err error)
+	// WatchList waits for changes after the position until the deadline.
+	WatchList(ctx context.Context, after history.Position, deadline time.Time) (items []upstream.Item, at history.Position, err error)
 }
 
 // Sink receives the tables and lists that were read.
@@ -105,6 +106,11 @@
 
 	// calls counts the calls to the store.
 	calls atomic.Uint64
+	// era is the latest era of the store that a response declared.
+	era atomic.Uint64
+	// tableConfirmedAt is the time in Unix nanoseconds of the latest response of the
+	// store to a read or watch of the table; 0 if there was none.
+	tableConfirmedAt atomic.Int64
 	// tableUnavailable and listUnavailable report whether the latest attempt to
 	// read each failed.
 	tableUnavailable, listUnavailable atomic.Bool
@@ -177,6 +183,19 @@
 // the list succeeded.
 func (f *Follower) ReadsList() bool { return f.readsList.Load() }
 
+// Era returns the latest era of the store that the instance has read; 0 if the store
+// does not report it.
+func (f *Follower) Era() uint64 { return f.era.Load() }
+
+// TableConfirmedAt returns the time of the latest response of the store to a read or
+// watch of the table; zero if there was none.
+func (f *Follower) TableConfirmedAt() time.Time {
+	if ns := f.tableConfirmedAt.Load(); ns != 0 {
+		return time.Unix(0, ns)
+	}
+	return time.Time{}
+}
+
 // nextListPause returns the time until the next watch of the list.
 func (f *Follower) nextListPause() time.Duration {
 	average := min(maxListPause, listPause*time.Duration(max(1, f.Readers())))
@@ -197,7 +216,8 @@
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		raw, newRevision, err := f.readTable(f.tableCall.start(ctx), revision)
+		startedAt := time.Now()
+		raw, at, err := f.readTable(f.tableCall.start(ctx), revision)
 		switch superseded := f.tableCall.end(); {
 		case ctx.Err() != nil:
 			return nil
@@ -213,13 +233,14 @@
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		case err != nil:
-			backoff = f.handleFailure(ctx, "table", &f.tableUnavailable, backoff, err)
+			backoff = f.handleFailure(ctx, "table", &f.tableUnavailable, startedAt, backoff, err)
 			continue
 		}
-		f.handleSuccess("table", &f.tableUnavailable, newRevision)
-		revision, backoff = max(revision, newRevision), 0
+		f.handleSuccess("table", &f.tableUnavailable, at)
+		f.tableConfirmedAt.Store(time.Now().UnixNano())
+		revision, backoff = max(revision, at.Revision), 0
 		if raw != nil {
-			f.deliverTable(raw)
+			f.deliverTable(raw, at)
 		}
 		pause.Sleep(ctx, watchPause)
 	}
@@ -227,21 +248,22 @@
 }
 
 // readTable reads the table, or waits for one newer than a revision that is not 0.
-func (f *Follower) readTable(ctx context.Context, revision uint64) ([]byte, uint64, error) {
+func (f *Follower) readTable(ctx context.Context, revision uint64) ([]byte, history.Position, error) {
 	f.calls.Add(1)
 	if revision == 0 {
 		return f.Store.Table(ctx)
 	}
-	return f.Store.WatchTable(ctx, revision, time.Now().Add(watchTimeout))
+	return f.Store.WatchTable(ctx, history.Position{Revision: revision}, time.Now().Add(watchTimeout))
 }
 
-func (f *Follower) deliverTable(raw []byte) {
+// deliverTable submits a table that the store returned at the position.
+func (f *Follower) deliverTable(raw []byte, at history.Position) {
 	table, err := f.Decoder.Table(raw)
 	if err != nil {
 		f.Log.Emit(event.TableRefused, "error", err.Error())
 		return
 	}
-	f.Sink.UpdateTable(routing.Document{Table: table, Raw: raw}, storeName)
+	f.Sink.UpdateTable(routing.Document{Table: table, Raw: raw, ReadAt: at}, storeName)
 }
 
 // FollowList follows the list of upstreams.
@@ -261,7 +283,8 @@
 		// Other readers may have announced later changes.
 		revision = max(revision, f.ListRevision())
 		complete = complete || revision == 0
-		items, newRevision, err := f.readList(f.listCall.start(ctx), revision, complete)
+		startedAt := time.Now()
+		items, at, err := f.readList(f.listCall.start(ctx), revision, complete)
 		switch superseded := f.listCall.end(); {
 		case ctx.Err() != nil:
 			return nil
@@ -274,39 +297,42 @@
 		case err != nil:
 			f.readsList.Store(false)
 			f.Sink.SetListUnreadable()
-			backoff = f.handleFailure(ctx, "list", &f.listUnavailable, backoff, err)
+			backoff = f.handleFailure(ctx, "list", &f.listUnavailable, startedAt, backoff, err)
 			continue
 		}
-		f.handleSuccess("list", &f.listUnavailable, newRevision)
+		f.handleSuccess("list", &f.listUnavailable, at)
 		f.readsList.Store(true)
-		revision, backoff = max(revision, newRevision), 0
-		f.Sink.UpdateList(items, newRevision, complete, upstream.FromList)
+		revision, backoff = max(revision, at.Revision), 0
+		f.Sink.UpdateList(items, at.Revision, complete, upstream.FromList)
 		complete = false
 		f.listCall.pause(ctx, f.nextListPause())
 	}
 	return nil
 }
 
-func (f *Follower) readList(ctx context.Context, revision uint64, complete bool) ([]upstream.Item, uint64, error) {
+func (f *Follower) readList(ctx context.Context, revision uint64, complete bool) ([]upstream.Item, history.Position, error) {
 	f.calls.Add(1)
 	if complete {
 		return f.Store.List(ctx)
 	}
-	return f.Store.WatchList(ctx, revision, time.Now().Add(watchTimeout))
+	return f.Store.WatchList(ctx, history.Position{Revision: revision}, time.Now().Add(watchTimeout))
 }
 
-// handleSuccess logs the first success after failures.
-func (f *Follower) handleSuccess(document string, unavailable *atomic.Bool, revision uint64) {
+// handleSuccess logs the first success after failures, and a change of the era.
+func (f *Follower) handleSuccess(document string, unavailable *atomic.Bool, at history.Position) {
 	if unavailable.CompareAndSwap(true, false) {
-		f.Log.Emit(event.StoreRecovered, "what", document, "revision", revision)
+		f.Log.Emit(event.StoreRecovered, "what", document, "era", at.Era, "revision", at.Revision)
+	}
+	if before := f.era.Swap(at.Era); before != at.Era {
+		f.Log.Emit(event.StoreEraChanged, "what", document, "before", before, "era", at.Era, "revision", at.Revision)
 	}
 }
 
 // handleFailure logs the first of consecutive failures, waits for a jittered
-// backoff, and returns the backoff.
-func (f *Follower) handleFailure(ctx context.Context, document string, unavailable *atomic.Bool, backoff time.Duration, err error) time.Duration {
+// backoff, and returns the backoff. The failed call started at startedAt.
+func (f *Follower) handleFailure(ctx context.Context, document string, unavailable *atomic.Bool, startedAt time.Time, backoff time.Duration, err error) time.Duration {
 	if unavailable.CompareAndSwap(false, true) {
-		f.Log.Emit(event.StoreLost, "what", document, "error", err.Error())
+		f.Log.Emit(event.StoreLost, "what", document, "error", err.Error(), "waited_ms", time.Since(startedAt).Milliseconds())
 	}
 	backoff = min(max(2*backoff, minBackoff), maxBackoff)
 	pause.Sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -14,6 +14,7 @@
 
 	"mangoloft/catalog"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -48,27 +49,29 @@
 	return response{err: ctx.Err()}
 }
 
-func (s *store) Table(ctx context.Context) ([]byte, uint64, error) {
+func (r response) position() history.Position { return history.Position{Revision: r.revision} }
+
+func (s *store) Table(ctx context.Context) ([]byte, history.Position, error) {
 	r := s.respond(ctx, "table")
-	return []byte(r.raw), r.revision, r.err
+	return []byte(r.raw), r.position(), r.err
 }
 
-func (s *store) List(ctx context.Context) ([]upstream.Item, uint64, error) {
+func (s *store) List(ctx context.Context) ([]upstream.Item, history.Position, error) {
 	r := s.respond(ctx, "list")
-	return r.items, r.revision, r.err
+	return r.items, r.position(), r.err
 }
 
-func (s *store) WatchTable(ctx context.Context, _ uint64, _ time.Time) ([]byte, uint64, error) {
+func (s *store) WatchTable(ctx context.Context, _ history.Position, _ time.Time) ([]byte, history.Position, error) {
 	r := s.respond(ctx, "watch")
 	if r.raw == "" {
-		return nil, r.revision, r.err
+		return nil, r.position(), r.err
 	}
-	return []byte(r.raw), r.revision, r.err
+	return []byte(r.raw), r.position(), r.err
 }
 
-func (s *store) WatchList(ctx context.Context, _ uint64, _ time.Time) ([]upstream.Item, uint64, error) {
+func (s *store) WatchList(ctx context.Context, _ history.Position, _ time.Time) ([]upstream.Item, history.Position, error) {
 	r := s.respond(ctx, "watch")
-	return r.items, r.revision, r.err
+	return r.items, r.position(), r.err
 }
 
 // sink records the tables and lists that were read.
@@ -242,11 +245,11 @@
 	after []uint64
 }
 
-func (s *changingStore) WatchList(_ context.Context, after uint64, _ time.Time) ([]upstream.Item, uint64, error) {
+func (s *changingStore) WatchList(_ context.Context, after history.Position, _ time.Time) ([]upstream.Item, history.Position, error) {
 	s.watches++
 	s.revision++
-	s.after = append(s.after, after)
-	return []upstream.Item{{ID: "u", Revision: s.revision}}, s.revision, nil
+	s.after = append(s.after, after.Revision)
+	return []upstream.Item{{ID: "u", Revision: s.revision}}, history.Position{Revision: s.revision}, nil
 }
 
 // TestReadersShareTheWatches checks that a reader watches a list that changes all the
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -52,7 +52,8 @@
 		return
 	}
 	table := cmd.document.Table
-	c.log.Emit(event.TableAccepted, "version", table.Version, "before", versionBefore, "routes", len(table.Routes), "credentials", table.CredentialCount(), "source", cmd.source)
+	c.log.Emit(event.TableAccepted, "version", table.Version, "before", versionBefore, "routes", len(table.Routes), "credentials", table.CredentialCount(), "source", cmd.source,
+		"era", cmd.document.ReadAt.Era, "revision", cmd.document.ReadAt.Revision)
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
--- a/entry/run.go
+++ b/entry/run.go
@@ -143,7 +143,7 @@
 		OpenRequests: i.gateway.OpenRequests, PeersAlive: i.peers.Alive, FleetSize: i.peers.FleetSize, ControlBacklog: i.controller.Backlog,
 		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListRevision },
 		LinesDropped: i.log.Dropped, StoreLost: i.follower.Unavailable, Ready: i.ready, Upstreams: i.upstreams,
-		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic,
+		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
 	}
 }
 
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -24,6 +24,7 @@
 
 	"mangoloft/catalog"
 	"mangoloft/gateway"
+	"mangoloft/history"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -50,27 +51,27 @@
 
 var errFake = fmt.Errorf("fake error")
 
-func (s *fakeStore) Table(context.Context) ([]byte, uint64, error) {
+func (s *fakeStore) Table(context.Context) ([]byte, history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.down:
-		return nil, 0, errFake
+		return nil, history.Position{}, errFake
 	case s.version == 0:
-		return nil, 0, catalog.ErrNoTable.New("none")
+		return nil, history.Position{}, catalog.ErrNoTable.New("none")
 	}
-	return fmt.Append(nil, s.version), s.version, nil
+	return fmt.Append(nil, s.version), history.Position{Revision: s.version}, nil
 }
 
-func (s *fakeStore) List(context.Context) ([]upstream.Item, uint64, error) {
+func (s *fakeStore) List(context.Context) ([]upstream.Item, history.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.items, 1, nil
+	return s.items, history.Position{Revision: 1}, nil
 }
 
-func (s *fakeStore) WatchTable(ctx context.Context, after uint64, deadline time.Time) ([]byte, uint64, error) {
+func (s *fakeStore) WatchTable(ctx context.Context, after history.Position, deadline time.Time) ([]byte, history.Position, error) {
 	s.mu.Lock()
-	changed, newer := s.changed, s.version > after
+	changed, newer := s.changed, s.version > after.Revision
 	s.mu.Unlock()
 	if newer {
 		return s.Table(ctx)
@@ -82,17 +83,17 @@
 	case <-timer.C:
 		return nil, after, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, history.Position{}, ctx.Err()
 	}
 	return s.Table(ctx)
 }
 
-func (s *fakeStore) WatchList(ctx context.Context, after uint64, deadline time.Time) ([]upstream.Item, uint64, error) {
+func (s *fakeStore) WatchList(ctx context.Context, after history.Position, deadline time.Time) ([]upstream.Item, history.Position, error) {
 	select {
 	case <-time.After(time.Until(deadline)):
 		return nil, after, nil
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, history.Position{}, ctx.Err()
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,7 @@
 	TableRefused        ID = 206
 	StoreLost           ID = 207
 	StoreRecovered      ID = 208
+	StoreEraChanged     ID = 209
 
 	PeerAlive    ID = 301
 	PeerSilent   ID = 302
@@ -104,6 +105,7 @@
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
 	StoreRecovered:        "store_back",
+	StoreEraChanged:       "store_era_changed",
 	RequestPlaced:         "request_placed",
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
--- a/routing/register.go
+++ b/routing/register.go
@@ -1,10 +1,15 @@
 package routing
 
+import "mangoloft/history"
+
 // Document is a table with its encoded form, which is forwarded to peers
 // unchanged.
 type Document struct {
 	Table *Table
 	Raw   []byte
+	// ReadAt is the store's position at which the instance read the table; zero if a
+	// peer sent it.
+	ReadAt history.Position
 }
 
 // Register contains the newest table received. Its version never decreases.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -38,6 +38,8 @@
 	storeCalls    = "mangoloft_store_calls_total"
 	datagrams     = "mangoloft_datagrams_total"
 	datagramBytes = "mangoloft_datagram_bytes_total"
+	storeEra      = "mangoloft_store_era"
+	tableAge      = "mangoloft_table_confirmed_age_seconds"
 )
 
 // Names returns the names of all metrics.
@@ -45,6 +47,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
+		storeEra, tableAge,
 	}
 }
 
@@ -90,8 +93,11 @@
 type Source struct {
 	OpenRequests, PeersAlive, FleetSize, ControlBacklog func() int
 	TableVersion, ListRevision                          func() uint64
-	LinesDropped, StoreCalls                            func() uint64
-	StoreLost, Ready                                    func() bool
+	LinesDropped, StoreCalls, StoreEra                  func() uint64
+	// TableConfirmedAt returns the time at which the store last confirmed the table;
+	// zero if the instance does not read it.
+	TableConfirmedAt func() time.Time
+	StoreLost, Ready func() bool
 	// Datagrams returns the datagrams between instances by content. The contents
 	// don't change.
 	Datagrams func() map[string]gossip.Traffic
@@ -115,6 +121,14 @@
 	m.set.NewGauge(peersAlive, fromInt(s.PeersAlive))
 	m.set.NewGauge(fleetSize, fromInt(s.FleetSize))
 	m.set.NewGauge(storeCalls, fromUint(s.StoreCalls))
+	m.set.NewGauge(storeEra, fromUint(s.StoreEra))
+	m.set.NewGauge(tableAge, func() float64 {
+		confirmedAt := s.TableConfirmedAt()
+		if confirmedAt.IsZero() {
+			return 0
+		}
+		return time.Since(confirmedAt).Seconds()
+	})
 	for content := range s.Datagrams() {
 		m.registerTraffic(content, func() gossip.Traffic { return s.Datagrams()[content] })
 	}
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -29,6 +29,7 @@
 			return map[string]gossip.Traffic{"notices": {Sent: 1, SentBytes: 20, Received: 3, ReceivedBytes: 60}}
 		},
 		Upstreams: func() map[string]int { return map[string]int{"ready": 3} },
+		StoreEra:  func() uint64 { return 2 }, TableConfirmedAt: func() time.Time { return time.Time{} },
 	})
 	var out bytes.Buffer
 	m.Write(&out)
@@ -45,6 +46,8 @@
 		`mangoloft_ready 0`,
 		`mangoloft_upstreams{state="ready"} 3`,
 		`mangoloft_store_calls_total 4`,
+		`mangoloft_store_era 2`,
+		`mangoloft_table_confirmed_age_seconds 0`,
 		`mangoloft_datagrams_total{content="notices",direction="received"} 3`,
 		`mangoloft_datagram_bytes_total{content="notices",direction="sent"} 20`,
 	} {
