Catalog: a restored store is read anew, whatever its revisions

What callers saw: requests were handled by an older table more than 2 s after a newer one was acknowledged (404 on a new route). Cause: the follower watched on from a revision of the store's previous life; after a restore from an older copy revisions are issued again, so changes up to that one were never seen. 410 shows it only while the store is behind. Now each answer's era is compared first: a later era makes both documents be read anew, and an answer of an earlier era is dropped as a failure (a late answer must not count). Positions are compared as era and revision.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -26,6 +26,9 @@
 	// ErrHistoryGone is returned when the store no longer has all changes after
 	// the revision of a watch.
 	ErrHistoryGone = storeErrors.NewType("history_gone")
+	// errEarlierEra reports a response from an earlier era than the latest one, which
+	// was delayed or came from a replica that is not restored yet.
+	errEarlierEra = storeErrors.NewType("earlier_era")
 )
 
 // Store is the part of the platform's store that the follower uses.
@@ -106,7 +109,7 @@
 
 	// calls counts the calls to the store.
 	calls atomic.Uint64
-	// era is the latest era of the store that a response declared.
+	// era is the latest known era of the store.
 	era atomic.Uint64
 	// tableConfirmedAt is the time in Unix nanoseconds of the latest response of the
 	// store to a read or watch of the table; 0 if there was none.
@@ -183,8 +186,7 @@
 // the list succeeded.
 func (f *Follower) ReadsList() bool { return f.readsList.Load() }
 
-// Era returns the latest era of the store that the instance has read; 0 if the store
-// does not report it.
+// Era returns the latest known era of the store; 0 if the store does not report it.
 func (f *Follower) Era() uint64 { return f.era.Load() }
 
 // TableConfirmedAt returns the time of the latest response of the store to a read or
@@ -204,7 +206,9 @@
 
 // FollowTable follows the routing table.
 func (f *Follower) FollowTable(ctx context.Context) error {
-	var revision uint64
+	// position is the store's position up to which the table is known; zero if the
+	// table must be read.
+	var position history.Position
 	var backoff time.Duration
 	// noTable is true once the store has reported that it has no table. After
 	// that only readers continue to read the store, and the first table reaches
@@ -212,20 +216,27 @@
 	noTable := false
 	for ctx.Err() == nil {
 		if !f.IsReader() && (f.HasTable() || noTable) {
-			revision = 0
+			position = history.Position{}
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		}
+		if position.Era < f.Era() {
+			position = history.Position{}
+		}
 		startedAt := time.Now()
-		raw, at, err := f.readTable(f.tableCall.start(ctx), revision)
-		switch superseded := f.tableCall.end(); {
+		raw, at, err := f.readTable(f.tableCall.start(ctx), position)
+		superseded := f.tableCall.end()
+		if err == nil {
+			at, err = f.observeEra("table", at)
+		}
+		switch {
 		case ctx.Err() != nil:
 			return nil
 		case superseded && err != nil:
-			revision = 0
+			position = history.Position{}
 			continue
 		case errorx.IsOfType(err, ErrHistoryGone):
-			revision = 0
+			position = history.Position{}
 			continue
 		case errorx.IsOfType(err, ErrNoTable):
 			noTable = true
@@ -238,7 +249,13 @@
 		}
 		f.handleSuccess("table", &f.tableUnavailable, at)
 		f.tableConfirmedAt.Store(time.Now().UnixNano())
-		revision, backoff = max(revision, at.Revision), 0
+		backoff = 0
+		if !position.IsZero() && at.Era != position.Era {
+			// The watch started in the previous era and may have missed changes.
+			position = history.Position{}
+			continue
+		}
+		position = history.Max(position, at)
 		if raw != nil {
 			f.deliverTable(raw, at)
 		}
@@ -247,13 +264,37 @@
 	return nil
 }
 
-// readTable reads the table, or waits for one newer than a revision that is not 0.
-func (f *Follower) readTable(ctx context.Context, revision uint64) ([]byte, history.Position, error) {
+// readTable reads the table, or waits for one newer than a position that is not zero.
+func (f *Follower) readTable(ctx context.Context, after history.Position) ([]byte, history.Position, error) {
 	f.calls.Add(1)
-	if revision == 0 {
+	if after.IsZero() {
 		return f.Store.Table(ctx)
 	}
-	return f.Store.WatchTable(ctx, history.Position{Revision: revision}, time.Now().Add(watchTimeout))
+	return f.Store.WatchTable(ctx, after, time.Now().Add(watchTimeout))
+}
+
+// observeEra records the era of a response. If the store was restored, both documents are
+// read anew, because changes since the restore may have revisions that were already
+// watched. The position that it returns has the known era if the response declares none.
+func (f *Follower) observeEra(document string, at history.Position) (history.Position, error) {
+	for {
+		known := f.era.Load()
+		switch {
+		case at.Era == 0 || at.Era == known:
+			at.Era = known
+			return at, nil
+		case at.Era < known:
+			return at, errEarlierEra.New("the response is from era %d, the store has reached era %d", at.Era, known)
+		}
+		if !f.era.CompareAndSwap(known, at.Era) {
+			continue
+		}
+		if known != 0 {
+			f.Log.Emit(event.StoreEraChanged, "what", document, "before", known, "era", at.Era, "revision", at.Revision)
+			f.Reread()
+		}
+		return at, nil
+	}
 }
 
 // deliverTable submits a table that the store returned at the position.
@@ -283,9 +324,13 @@
 		// Other readers may have announced later changes.
 		revision = max(revision, f.ListRevision())
 		complete = complete || revision == 0
-		startedAt := time.Now()
+		startedAt, era := time.Now(), f.Era()
 		items, at, err := f.readList(f.listCall.start(ctx), revision, complete)
-		switch superseded := f.listCall.end(); {
+		superseded := f.listCall.end()
+		if err == nil {
+			at, err = f.observeEra("list", at)
+		}
+		switch {
 		case ctx.Err() != nil:
 			return nil
 		case superseded && err != nil:
@@ -302,7 +347,12 @@
 		}
 		f.handleSuccess("list", &f.listUnavailable, at)
 		f.readsList.Store(true)
-		revision, backoff = max(revision, at.Revision), 0
+		backoff = 0
+		if !complete && at.Era != era {
+			complete = true
+			continue
+		}
+		revision = max(revision, at.Revision)
 		f.Sink.UpdateList(items, at.Revision, complete, upstream.FromList)
 		complete = false
 		f.listCall.pause(ctx, f.nextListPause())
@@ -318,14 +368,11 @@
 	return f.Store.WatchList(ctx, history.Position{Revision: revision}, time.Now().Add(watchTimeout))
 }
 
-// handleSuccess logs the first success after failures, and a change of the era.
+// handleSuccess logs the first success after failures.
 func (f *Follower) handleSuccess(document string, unavailable *atomic.Bool, at history.Position) {
 	if unavailable.CompareAndSwap(true, false) {
 		f.Log.Emit(event.StoreRecovered, "what", document, "era", at.Era, "revision", at.Revision)
 	}
-	if before := f.era.Swap(at.Era); before != at.Era {
-		f.Log.Emit(event.StoreEraChanged, "what", document, "before", before, "era", at.Era, "revision", at.Revision)
-	}
 }
 
 // handleFailure logs the first of consecutive failures, waits for a jittered
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -24,6 +24,7 @@
 	raw      string
 	items    []upstream.Item
 	revision uint64
+	era      uint64
 	err      error
 }
 
@@ -49,7 +50,9 @@
 	return response{err: ctx.Err()}
 }
 
-func (r response) position() history.Position { return history.Position{Revision: r.revision} }
+func (r response) position() history.Position {
+	return history.Position{Era: r.era, Revision: r.revision}
+}
 
 func (s *store) Table(ctx context.Context) ([]byte, history.Position, error) {
 	r := s.respond(ctx, "table")
@@ -193,12 +196,20 @@
 		calls     []string
 		versions  []uint64
 	}{
-		"read, then watched":             {[]response{{raw: "2", revision: 5}, {raw: "3", revision: 9}}, []string{"table", "watch", "watch"}, []uint64{2, 3}},
-		"no table yet":                   {[]response{{err: catalog.ErrNoTable.New("none")}, {raw: "2", revision: 5}}, []string{"table", "table", "watch"}, []uint64{2}},
-		"watch ends without a change":    {[]response{{raw: "2", revision: 5}, {revision: 9}}, []string{"table", "watch", "watch"}, []uint64{2}},
-		"store outage":                   {[]response{{raw: "2", revision: 5}, {err: errDown}, {err: errDown}, {raw: "4", revision: 12}}, []string{"table", "watch", "watch", "watch", "watch"}, []uint64{2, 4}},
-		"history is no longer available": {[]response{{raw: "2", revision: 5}, {err: catalog.ErrHistoryGone.New("gone")}, {raw: "6", revision: 40}}, []string{"table", "watch", "table", "watch"}, []uint64{2, 6}},
-		"undecodable table":              {[]response{{raw: "x", revision: 5}, {raw: "3", revision: 9}}, []string{"table", "watch", "watch"}, []uint64{3}},
+		"read, then watched":               {[]response{{raw: "2", revision: 5}, {raw: "3", revision: 9}}, []string{"table", "watch", "watch"}, []uint64{2, 3}},
+		"no table yet":                     {[]response{{err: catalog.ErrNoTable.New("none")}, {raw: "2", revision: 5}}, []string{"table", "table", "watch"}, []uint64{2}},
+		"watch ends without a change":      {[]response{{raw: "2", revision: 5}, {revision: 9}}, []string{"table", "watch", "watch"}, []uint64{2}},
+		"store outage":                     {[]response{{raw: "2", revision: 5}, {err: errDown}, {err: errDown}, {raw: "4", revision: 12}}, []string{"table", "watch", "watch", "watch", "watch"}, []uint64{2, 4}},
+		"history is no longer available":   {[]response{{raw: "2", revision: 5}, {err: catalog.ErrHistoryGone.New("gone")}, {raw: "6", revision: 40}}, []string{"table", "watch", "table", "watch"}, []uint64{2, 6}},
+		"restored, revisions passed again": {[]response{{raw: "2", revision: 50, era: 1}, {revision: 60, era: 2}, {raw: "3", revision: 61, era: 2}}, []string{"table", "watch", "table", "watch"}, []uint64{2, 3}},
+		"restored twice": {
+			[]response{{raw: "2", revision: 50, era: 1}, {raw: "4", revision: 60, era: 2}, {raw: "3", revision: 20, era: 3}, {raw: "5", revision: 21, era: 3}},
+			[]string{"table", "watch", "table", "watch", "watch"},
+			[]uint64{2, 3, 5},
+		},
+		"delayed response of an earlier era": {[]response{{raw: "2", revision: 50, era: 2}, {raw: "4", revision: 60, era: 1}, {raw: "3", revision: 51, era: 2}}, []string{"table", "watch", "watch", "watch"}, []uint64{2, 3}},
+		"era not always declared":            {[]response{{raw: "2", revision: 50, era: 2}, {raw: "3", revision: 60}, {raw: "4", revision: 61, era: 2}}, []string{"table", "watch", "watch", "watch"}, []uint64{2, 3, 4}},
+		"undecodable table":                  {[]response{{raw: "x", revision: 5}, {raw: "3", revision: 9}}, []string{"table", "watch", "watch"}, []uint64{3}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
