--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -49,9 +49,9 @@
 type Sink interface {
 	// UpdateTable submits a routing table that was read from the named source.
 	UpdateTable(d routing.Document, sourceName string)
-	// UpdateList submits the changes of the list up to the revision, or the
+	// UpdateList submits the changes of the list up to the position, or the
 	// complete list if complete is true.
-	UpdateList(items []upstream.Item, revision uint64, complete bool, source upstream.Source)
+	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that the latest attempt to read the list failed.
 	SetListUnreadable()
 }
@@ -103,9 +103,9 @@
 	// without a table, or without a list, reads the store even if it is not a
 	// reader.
 	HasTable func() bool
-	// ListRevision returns the revision of the instance's list; 0 if it has
+	// ListPosition returns the position of the instance's list; zero if it has
 	// none.
-	ListRevision func() uint64
+	ListPosition func() history.Position
 
 	// calls counts the calls to the store.
 	calls atomic.Uint64
@@ -309,23 +309,23 @@
 
 // FollowList follows the list of upstreams.
 func (f *Follower) FollowList(ctx context.Context) error {
-	var revision uint64
+	var position history.Position
 	var backoff time.Duration
 	// complete is true if the next read must return the complete list, and not
-	// only the changes after the revision.
+	// only the changes after the position.
 	complete := false
 	for ctx.Err() == nil {
-		if !f.IsReader() && f.ListRevision() != 0 {
-			revision = 0
+		if !f.IsReader() && !f.ListPosition().IsZero() {
+			position = history.Position{}
 			f.readsList.Store(false)
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		}
 		// Other readers may have announced later changes.
-		revision = max(revision, f.ListRevision())
-		complete = complete || revision == 0
-		startedAt, era := time.Now(), f.Era()
-		items, at, err := f.readList(f.listCall.start(ctx), revision, complete)
+		position = history.Max(position, f.ListPosition())
+		complete = complete || position.IsZero() || position.Era < f.Era()
+		startedAt := time.Now()
+		items, at, err := f.readList(f.listCall.start(ctx), position, complete)
 		superseded := f.listCall.end()
 		if err == nil {
 			at, err = f.observeEra("list", at)
@@ -348,24 +348,25 @@
 		f.handleSuccess("list", &f.listUnavailable, at)
 		f.readsList.Store(true)
 		backoff = 0
-		if !complete && at.Era != era {
+		if !complete && at.Era != position.Era {
+			// The watch started in the previous era and may have missed changes.
 			complete = true
 			continue
 		}
-		revision = max(revision, at.Revision)
-		f.Sink.UpdateList(items, at.Revision, complete, upstream.FromList)
+		position = history.Max(position, at)
+		f.Sink.UpdateList(items, at, complete, upstream.FromList)
 		complete = false
 		f.listCall.pause(ctx, f.nextListPause())
 	}
 	return nil
 }
 
-func (f *Follower) readList(ctx context.Context, revision uint64, complete bool) ([]upstream.Item, history.Position, error) {
+func (f *Follower) readList(ctx context.Context, after history.Position, complete bool) ([]upstream.Item, history.Position, error) {
 	f.calls.Add(1)
 	if complete {
 		return f.Store.List(ctx)
 	}
-	return f.Store.WatchList(ctx, history.Position{Revision: revision}, time.Now().Add(watchTimeout))
+	return f.Store.WatchList(ctx, after, time.Now().Add(watchTimeout))
 }
 
 // handleSuccess logs the first success after failures.
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -91,7 +91,7 @@
 	s.versions = append(s.versions, d.Table.Version)
 }
 
-func (s *sink) UpdateList(items []upstream.Item, _ uint64, complete bool, _ upstream.Source) {
+func (s *sink) UpdateList(items []upstream.Item, _ history.Position, complete bool, _ upstream.Source) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	content := "changes"
@@ -122,12 +122,14 @@
 
 func oneReader() int { return 1 }
 
+func noList() history.Position { return history.Position{} }
+
 // follow follows the list or the table until the store has returned all responses.
 func follow(t *testing.T, responses []response, list bool) (*store, *sink) {
 	t.Helper()
 	st, si := &store{responses: responses}, &sink{}
 	log := event.NewLog(&bytes.Buffer{}, "i", time.Now)
-	f := &catalog.Follower{Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, HasTable: func() bool { return false }, Readers: oneReader, ListRevision: func() uint64 { return 0 }}
+	f := &catalog.Follower{Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, HasTable: func() bool { return false }, Readers: oneReader, ListPosition: noList}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() {
@@ -281,7 +283,7 @@
 				announced := uint64(100)
 				f := &catalog.Follower{
 					Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, Readers: func() int { return test.readers },
-					HasTable: func() bool { return true }, ListRevision: func() uint64 { return announced },
+					HasTable: func() bool { return true }, ListPosition: func() history.Position { return history.Position{Revision: announced} },
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), length)
 				defer cancel()
@@ -302,7 +304,7 @@
 	u1, u2 := upstream.Item{ID: "u1", Revision: 3}, upstream.Item{ID: "u2", Revision: 8}
 	st := &store{responses: []response{{items: []upstream.Item{u1}, revision: 5}}}
 	si, log := &sink{}, event.NewLog(&bytes.Buffer{}, "i", time.Now)
-	f := &catalog.Follower{Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, HasTable: func() bool { return false }, Readers: oneReader, ListRevision: func() uint64 { return 0 }}
+	f := &catalog.Follower{Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, HasTable: func() bool { return false }, Readers: oneReader, ListPosition: noList}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = f.FollowList(ctx) })
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -5,6 +5,7 @@
 
 	"mangoloft/decide"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -61,45 +62,55 @@
 
 type updateListCommand struct {
 	items    []upstream.Item
-	revision uint64
+	at       history.Position
 	complete bool
 	source   upstream.Source
 }
 
 func (cmd updateListCommand) apply(c *Controller, now time.Time) {
-	revisionBefore := c.directory.Revision()
+	before := c.directory.Position()
 	var changes []upstream.Change
 	if cmd.complete {
-		changes = c.directory.Replace(now, cmd.items, cmd.revision)
+		changes = c.directory.Replace(now, cmd.items, cmd.at)
 	} else {
-		changes = c.directory.Apply(now, cmd.items)
+		changes = c.directory.Apply(now, cmd.items, cmd.at.Era)
 	}
-	c.directory.Advance(cmd.newestRevision(revisionBefore, len(changes) > 0))
+	c.directory.Advance(cmd.newestPosition(before, len(changes) > 0))
 	for i := range changes {
 		changes[i].Source = cmd.source
 	}
 	if len(changes) > 0 {
 		c.handleChanges(now, changes)
 	}
-	if c.directory.Revision() == revisionBefore {
+	after := c.directory.Position()
+	if after == before {
 		return
 	}
 	c.publish()
-	if cmd.source == upstream.FromList && len(cmd.items) > 0 {
-		c.announcer.ListChanged(cmd.items, revisionBefore)
+	switch {
+	case cmd.source != upstream.FromList || len(cmd.items) == 0:
+	case !before.IsZero() && after.Era != before.Era:
+		// The complete list of a new era is pulled by the other instances.
+		c.announcer.ListChanged(nil, before, after)
+	default:
+		c.announcer.ListChanged(cmd.items, before, after)
 	}
 }
 
-// newestRevision returns the revision of the newest change in the command. The
-// store's own revision also grows with unrelated changes, which other
-// instances need not fetch.
-func (cmd updateListCommand) newestRevision(revisionBefore uint64, changed bool) uint64 {
-	if cmd.source == upstream.FromPeer || cmd.complete && (changed || revisionBefore == 0) {
-		return cmd.revision
+// newestPosition returns the position of the newest change in the command, or before if
+// it was not applied completely. The store's own revision also grows with unrelated
+// changes, which other instances need not fetch.
+func (cmd updateListCommand) newestPosition(before history.Position, changed bool) history.Position {
+	newEra := !before.IsZero() && cmd.at.Era != before.Era
+	switch {
+	case cmd.at.Revision == 0 || newEra && !cmd.complete:
+		return before
+	case cmd.source == upstream.FromPeer || cmd.complete && (changed || before.IsZero() || newEra):
+		return cmd.at
 	}
-	var newest uint64
+	newest := history.Position{Era: cmd.at.Era}
 	for _, item := range cmd.items {
-		newest = max(newest, item.Revision)
+		newest.Revision = max(newest.Revision, item.Revision)
 	}
 	return newest
 }
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -11,6 +11,7 @@
 
 	"mangoloft/decide"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -36,9 +37,9 @@
 	// SendLeaving announces that an incarnation of an upstream, identified by its
 	// start time, is leaving.
 	SendLeaving(id string, startUnixMS int64, leavesAt time.Time)
-	// ListChanged announces the items of the list of upstreams that changed since
-	// a revision.
-	ListChanged(items []upstream.Item, since uint64)
+	// ListChanged announces the items of the list of upstreams that changed between
+	// two positions; none if the other instances need the complete list.
+	ListChanged(items []upstream.Item, after, upTo history.Position)
 	// TableChanged announces a newer routing table.
 	TableChanged()
 }
@@ -48,9 +49,9 @@
 	// Document is the active routing table; its Table is nil until one is
 	// received.
 	Document routing.Document
-	// ListRevision is the revision of the list of upstreams; 0 until one is
-	// received.
-	ListRevision uint64
+	// ListPosition is the position of the list of upstreams in the store's history;
+	// zero until one is received.
+	ListPosition history.Position
 }
 
 // Placement is the upstream that a request is placed on.
@@ -253,7 +254,7 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListRevision: c.directory.Revision()})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position()})
 }
 
 // Upstreams returns the statuses of the upstreams that are not Removed; nil if the
@@ -262,15 +263,15 @@
 	return query(context.Background(), c, func(time.Time) []upstream.Status { return c.directory.All() })
 }
 
-// List returns the list of upstreams in encoded form, for peers, and its revision; nil
+// List returns the list of upstreams in encoded form, for peers, and its position; nil
 // if the context ends first.
-func (c *Controller) List(ctx context.Context) ([]upstream.Item, uint64) {
+func (c *Controller) List(ctx context.Context) ([]upstream.Item, history.Position) {
 	type list struct {
-		items    []upstream.Item
-		revision uint64
+		items []upstream.Item
+		at    history.Position
 	}
-	l := query(ctx, c, func(time.Time) list { return list{c.directory.Items(), c.directory.Revision()} })
-	return l.items, l.revision
+	l := query(ctx, c, func(time.Time) list { return list{c.directory.Items(), c.directory.Position()} })
+	return l.items, l.at
 }
 
 // query runs a function on the control goroutine and returns its result, or the zero
@@ -382,10 +383,10 @@
 	c.send(updateTableCommand{d, source})
 }
 
-// UpdateList submits the changes of the list of upstreams up to a revision, or
-// the complete list if complete is true.
-func (c *Controller) UpdateList(items []upstream.Item, revision uint64, complete bool, source upstream.Source) {
-	c.send(updateListCommand{items, revision, complete, source})
+// UpdateList submits the changes of the list of upstreams up to a position, or
+// the complete list if complete is true. Revision 0 keeps the current position.
+func (c *Controller) UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source) {
+	c.send(updateListCommand{items, at, complete, source})
 }
 
 // Loads returns the known loads of up to limit engines of a data centre, those with
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -14,6 +14,7 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -41,7 +42,7 @@
 	a.leaving = append(a.leaving, id)
 }
 
-func (a *recordingAnnouncer) ListChanged([]upstream.Item, uint64) {
+func (a *recordingAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lists++
@@ -99,12 +100,12 @@
 	assert.Equal(t, verdict.OutcomeOf(err).Reason, verdict.NoUpstream)
 	assert.Equal(t, verdict.OutcomeOf(err).Verdict, verdict.NotRun)
 
-	c.UpdateList([]upstream.Item{engine("e1", 1, false)}, 1, true, upstream.FromList)
+	c.UpdateList([]upstream.Item{engine("e1", 1, false)}, history.Position{Revision: 1}, true, upstream.FromList)
 	place, err := c.Place(ctx, request(2))
 	assert.NilError(t, err)
 	assert.Equal(t, place.Name, "e1")
 
-	c.UpdateList([]upstream.Item{engine("e1", 2, true), engine("e2", 3, false)}, 3, false, upstream.FromList)
+	c.UpdateList([]upstream.Item{engine("e1", 2, true), engine("e2", 3, false)}, history.Position{Revision: 3}, false, upstream.FromList)
 	select {
 	case status := <-place.Leaving:
 		assert.Equal(t, status.State, upstream.Draining)
@@ -137,7 +138,7 @@
 	c, _ := start(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	c.UpdateList([]upstream.Item{engine("e1", 1, false), engine("e2", 2, false)}, 2, true, upstream.FromList)
+	c.UpdateList([]upstream.Item{engine("e1", 1, false), engine("e2", 2, false)}, history.Position{Revision: 2}, true, upstream.FromList)
 	_, err := c.Place(ctx, request(1))
 	assert.NilError(t, err)
 	cancelled, stop := context.WithCancel(ctx)
@@ -179,7 +180,7 @@
 			c, announcer := start(t)
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
-			c.UpdateList([]upstream.Item{engine("e1", 1, false)}, 1, true, upstream.FromList)
+			c.UpdateList([]upstream.Item{engine("e1", 1, false)}, history.Position{Revision: 1}, true, upstream.FromList)
 			c.ReportLeaving("e1", 1, time.Now().Add(time.Second), test.source)
 			c.Loads(ctx, "a", 1)
 			announcer.mu.Lock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,6 +20,7 @@
 	"mangoloft/event"
 	"mangoloft/gateway"
 	"mangoloft/gossip"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/pause"
 	"mangoloft/reports"
@@ -123,7 +124,7 @@
 	i.follower = &catalog.Follower{
 		Store: deps.Store(func() netip.AddrPort { return i.settings.Load().Store.Address }), Sink: i.controller, Decoder: deps.Decoder, Log: i.log,
 		IsReader: i.peers.ShouldReadStore, Readers: i.peers.StoreReaders, HasTable: func() bool { return i.controller.Snapshot().Document.Table != nil },
-		ListRevision: func() uint64 { return i.controller.Snapshot().ListRevision },
+		ListPosition: func() history.Position { return i.controller.Snapshot().ListPosition },
 	}
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
 	i.metrics = telemetry.New()
@@ -141,7 +142,7 @@
 func (i *instance) metricsSource() telemetry.Source {
 	return telemetry.Source{
 		OpenRequests: i.gateway.OpenRequests, PeersAlive: i.peers.Alive, FleetSize: i.peers.FleetSize, ControlBacklog: i.controller.Backlog,
-		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListRevision },
+		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListPosition.Revision },
 		LinesDropped: i.log.Dropped, StoreLost: i.follower.Unavailable, Ready: i.ready, Upstreams: i.upstreams,
 		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
 	}
@@ -172,7 +173,7 @@
 func (i *instance) state() gossip.State {
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
-		ListRevision: snapshot.ListRevision, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
+		ListPosition: snapshot.ListPosition, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
@@ -192,7 +193,7 @@
 // ready reports whether the instance accepts work from the load balancer.
 func (i *instance) ready() bool {
 	snapshot := i.controller.Snapshot()
-	return !i.stopping.Load() && snapshot.Document.Table != nil && snapshot.ListRevision > 0
+	return !i.stopping.Load() && snapshot.Document.Table != nil && !snapshot.ListPosition.IsZero()
 }
 
 func (i *instance) serveReadiness(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/gateway"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/telemetry"
@@ -66,10 +67,10 @@
 
 type noopAnnouncer struct{}
 
-func (noopAnnouncer) SendNotice(decide.Notice)             {}
-func (noopAnnouncer) SendLeaving(string, int64, time.Time) {}
-func (noopAnnouncer) ListChanged([]upstream.Item, uint64)  {}
-func (noopAnnouncer) TableChanged()                        {}
+func (noopAnnouncer) SendNotice(decide.Notice)                                        {}
+func (noopAnnouncer) SendLeaving(string, int64, time.Time)                            {}
+func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
+func (noopAnnouncer) TableChanged()                                                   {}
 
 // fakeEngines records the requested copies; every copy succeeds.
 type fakeEngines struct {
@@ -297,7 +298,7 @@
 	for i, b := range backends {
 		items = append(items, item(b, uint64(i+1), false))
 	}
-	control.UpdateList(items, uint64(len(items)), true, upstream.FromList)
+	control.UpdateList(items, history.Position{Revision: uint64(len(items))}, true, upstream.FromList)
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	recorder := &loadRecorder{Dispatcher: control}
 	handler := gateway.New(gateway.Options{
@@ -311,7 +312,7 @@
 		log.Close(time.Now().Add(time.Second))
 	})
 	g := &testGateway{url: server.URL, gateway: handler, server: server, logs: logs, control: control, loadRecorder: recorder}
-	for control.Snapshot().ListRevision == 0 && len(backends) > 0 {
+	for control.Snapshot().ListPosition.IsZero() && len(backends) > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	return g
@@ -732,7 +733,7 @@
 	e.mu.Lock()
 	e.fullUntil = time.Now().Add(fullFor)
 	e.mu.Unlock()
-	g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
+	g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, history.Position{Revision: 10}, false, upstream.FromList)
 	rest, err := io.ReadAll(reader)
 	assert.NilError(t, err)
 	content := line + string(rest)
@@ -775,7 +776,7 @@
 			if b1.runCount() > 0 {
 				leaving = b1
 			}
-			g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
+			g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, history.Position{Revision: 10}, false, upstream.FromList)
 			time.Sleep(200 * time.Millisecond)
 			close(release)
 			content, err := io.ReadAll(response.Body)
@@ -826,7 +827,7 @@
 	if b1.runCount() > 0 {
 		leaving = b1
 	}
-	g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, 10, false, upstream.FromList)
+	g.control.UpdateList([]upstream.Item{item(leaving, 10, true)}, history.Position{Revision: 10}, false, upstream.FromList)
 	content, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, strings.Count(string(content), "id: "), 4, string(content))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -314,7 +314,7 @@
 	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service,
 		"prompt_tokens", q.info.PromptTokens, "max_output_tokens", q.info.MaxOutputTokens,
 		"upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "why", placement.Explanation,
-		"table_version", q.table.Version, "list_revision", snapshot.ListRevision, "waited_ms", time.Since(q.received).Milliseconds())
+		"table_version", q.table.Version, "list_revision", snapshot.ListPosition.Revision, "waited_ms", time.Since(q.received).Milliseconds())
 }
 
 // recordEvent counts an event that was forwarded to the caller.
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"mangoloft/decide"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -92,10 +93,10 @@
 	n.reports[name] = true
 }
 
-func (n *simulatedNode) UpdateList(_ []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
+func (n *simulatedNode) UpdateList(_ []upstream.Item, at history.Position, _ bool, _ upstream.Source) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.revision = max(n.revision, revision)
+	n.revision = max(n.revision, at.Revision)
 }
 
 func (n *simulatedNode) ReportLeaving(string, int64, time.Time, upstream.Source) {}
@@ -115,7 +116,7 @@
 func (n *simulatedNode) state() State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return State{TableVersion: 1, ListRevision: n.revision}
+	return State{TableVersion: 1, ListPosition: history.Position{Revision: n.revision}}
 }
 
 // runFleet starts a fleet with the same number of instances in each data centre and
@@ -266,7 +267,7 @@
 	for i := range items {
 		items[i] = upstream.Item{ID: fmt.Sprint("u", i), Revision: uint64(i + 2), Deleted: true}
 	}
-	reader.peers.ListChanged(items, 1)
+	reader.peers.ListChanged(items, history.Position{Revision: 1}, history.Position{Revision: 5})
 	time.Sleep(deliveryTime)
 	for _, n := range f.nodes {
 		n.mu.Lock()
@@ -323,7 +324,8 @@
 	p.handleList(&listWire{After: 10, Revision: 13})
 	p.handleList(&listWire{After: 13, Revision: 16})
 	p.handleList(&listWire{After: 20, Revision: 22})
-	assert.DeepEqual(t, sink.revisions, []uint64{13, 16, 0})
+	p.handleList(&listWire{Era: 1, After: 13, Revision: 16})
+	assert.DeepEqual(t, sink.revisions, []uint64{13, 16, 0, 0})
 }
 
 // recordingSink records the revisions that are submitted, and doesn't apply them.
@@ -332,8 +334,8 @@
 	revisions []uint64
 }
 
-func (s *recordingSink) UpdateList(_ []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
-	s.revisions = append(s.revisions, revision)
+func (s *recordingSink) UpdateList(_ []upstream.Item, at history.Position, _ bool, _ upstream.Source) {
+	s.revisions = append(s.revisions, at.Revision)
 }
 
 // TestDeferrableNotices checks that deferrable notices are sent together, soon after
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"mangoloft/history"
 )
 
 // Member is another instance, with the contents of its latest datagram.
@@ -23,9 +25,10 @@
 	Addr        netip.AddrPort
 	Control     netip.AddrPort
 	Incarnation uint64
-	// TableVersion is the version of its routing table, ListRevision the revision
-	// of its list of upstreams.
-	TableVersion, ListRevision uint64
+	// TableVersion is the version of its routing table, ListPosition the position of
+	// its list of upstreams.
+	TableVersion uint64
+	ListPosition history.Position
 	// StoreLost reports that its latest attempt to read the store failed, and
 	// ReadsStore that it reads the list and its latest attempt succeeded.
 	StoreLost, ReadsStore bool
@@ -321,10 +324,10 @@
 // wantList is set, a newer list. Members of the local data centre are
 // preferred. In a large fleet, only relays consider the others as long as the data
 // centre has other instances, because the relays forward what is new there.
-func (t *MemberTable) FindNewer(tableVersion, listRevision uint64, wantList bool) (Member, bool) {
+func (t *MemberTable) FindNewer(tableVersion uint64, listPosition history.Position, wantList bool) (Member, bool) {
 	var candidates, remote []Member
 	for _, m := range t.members {
-		if !m.Alive || m.TableVersion <= tableVersion && (!wantList || m.ListRevision <= listRevision) {
+		if !m.Alive || m.TableVersion <= tableVersion && (!wantList || !m.ListPosition.After(listPosition)) {
 			continue
 		}
 		if m.DataCentre == t.dataCentre {
--- a/gossip/members_test.go
+++ b/gossip/members_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangoloft/gossip"
+	"mangoloft/history"
 )
 
 var start = time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
@@ -92,7 +93,7 @@
 	earlier := member(1, "a")
 	earlier.TableVersion = 12
 	assert.Assert(t, !table.Update(start, earlier))
-	_, found := table.FindNewer(9, 0, false)
+	_, found := table.FindNewer(9, history.Position{}, false)
 	assert.Assert(t, !found)
 	table.Remove(addr(1), 1)
 	assert.Equal(t, table.Count(), 1, "the stop of an earlier process must not remove the later one")
@@ -102,23 +103,26 @@
 
 func TestFindNewer(t *testing.T) {
 	local, remote := member(1, "a"), member(2, "b")
-	local.TableVersion, local.ListRevision = 5, 50
-	remote.TableVersion, remote.ListRevision = 6, 60
+	local.TableVersion, local.ListPosition = 5, history.Position{Era: 1, Revision: 50}
+	remote.TableVersion, remote.ListPosition = 6, history.Position{Era: 1, Revision: 60}
 	tests := map[string]struct {
 		version, revision uint64
 		wantList          bool
 		want              string
+		// era is the era of the list; 0 stands for that of the members.
+		era uint64
 	}{
-		"both are newer":                {4, 40, true, "m1"},
-		"only the remote one is newer":  {5, 50, true, "m2"},
-		"only the remote list is newer": {6, 55, true, "m2"},
-		"newer list is not wanted":      {6, 55, false, ""},
-		"none is newer":                 {6, 60, true, ""},
-		"the local list is newer":       {6, 45, true, "m1"},
+		"both are newer":                  {4, 40, true, "m1", 0},
+		"only the remote one is newer":    {5, 50, true, "m2", 0},
+		"only the remote list is newer":   {6, 55, true, "m2", 0},
+		"newer list is not wanted":        {6, 55, false, "", 0},
+		"none is newer":                   {6, 60, true, "", 0},
+		"the local list is newer":         {6, 45, true, "m1", 0},
+		"the lists are of an earlier era": {6, 45, true, "", 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			m, ok := fleet(local, remote).FindNewer(test.version, test.revision, test.wantList)
+			m, ok := fleet(local, remote).FindNewer(test.version, history.Position{Era: max(1, test.era), Revision: test.revision}, test.wantList)
 			assert.Equal(t, ok, test.want != "")
 			assert.Equal(t, m.Name, test.want)
 		})
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -10,6 +10,7 @@
 
 	"mangoloft/decide"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -79,7 +80,8 @@
 
 // State is the state that the instance shares with other instances.
 type State struct {
-	TableVersion, ListRevision uint64
+	TableVersion uint64
+	ListPosition history.Position
 	// StoreLost reports that the instance's latest attempt to read the store
 	// failed, and ReadsStore that it reads the list and its latest attempt succeeded.
 	StoreLost, ReadsStore bool
@@ -100,9 +102,9 @@
 	// sent it.
 	UpdateTable(d routing.Document, sourceName string)
 	// UpdateList submits entries of the list of upstreams. complete reports
-	// whether items is the whole list. Revision 0 keeps the current revision. The
+	// whether items is the whole list. Revision 0 keeps the current position. The
 	// source is always upstream.FromPeer.
-	UpdateList(items []upstream.Item, revision uint64, complete bool, source upstream.Source)
+	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that no instance can read the list at present.
 	SetListUnreadable()
 	// HandleReport submits a load report of the upstream with this name.
@@ -132,8 +134,8 @@
 	// gossip port of this instance.
 	Seeds func() []netip.AddrPort
 	State func() State
-	// List returns the list of upstreams and its revision.
-	List    func(ctx context.Context) ([]upstream.Item, uint64)
+	// List returns the list of upstreams and its position.
+	List    func(ctx context.Context) ([]upstream.Item, history.Position)
 	Decoder Decoder
 	Log     *event.Log
 }
@@ -149,8 +151,9 @@
 	pendingNotices []decide.Notice
 	leaving        []leavingAnnouncement
 	items          []upstream.Item
-	// itemsAfter is the list revision after which the items changed.
-	itemsAfter uint64
+	// itemsAfter and itemsUpTo are the positions of the list between which the items
+	// changed.
+	itemsAfter, itemsUpTo history.Position
 	// deferred is true if a flush has been requested for deferrable notices.
 	deferred bool
 	// urgent is true if the next flush must not wait for more notices.
@@ -184,14 +187,14 @@
 	lastSilentRetry     time.Time
 	lastLoads           time.Time
 	lastRemoteHeartbeat time.Time
-	// submittedRevision is the highest list revision up to which all changes have
-	// been submitted to the sink.
-	submittedRevision uint64
+	// submittedPosition is the latest position of the list up to which all changes
+	// have been submitted to the sink.
+	submittedPosition history.Position
 	// relayedNotices are notices from other data centres that the next flush
-	// sends to the local one. relayedRevision is the highest list revision that
+	// sends to the local one. relayedPosition is the latest position of the list that
 	// was relayed in this way.
 	relayedNotices  []noticeWire
-	relayedRevision uint64
+	relayedPosition history.Position
 
 	// pulling is true while a pull is in progress; pulls waits for its goroutine.
 	pulling atomic.Bool
@@ -282,13 +285,17 @@
 	p.wakeUp()
 }
 
-// ListChanged queues the list changes after the revision for the other instances.
-func (p *Peers) ListChanged(items []upstream.Item, afterRevision uint64) {
+// ListChanged queues the list changes between two positions for the other instances.
+// Without items it announces the new position.
+func (p *Peers) ListChanged(items []upstream.Item, after, upTo history.Position) {
 	p.mu.Lock()
+	if upTo.Era != p.itemsUpTo.Era {
+		p.items = nil
+	}
 	if len(p.items) == 0 {
-		p.itemsAfter = afterRevision
+		p.itemsAfter = after
 	}
-	p.items = append(p.items, items...)
+	p.items, p.itemsUpTo = append(p.items, items...), upTo
 	p.urgent = true
 	p.mu.Unlock()
 	p.wakeUp()
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -17,6 +17,7 @@
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/gossip"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -51,11 +52,11 @@
 	n.state.TableVersion, n.state.Table = d.Table.Version, d.Raw
 }
 
-func (n *node) UpdateList(items []upstream.Item, revision uint64, _ bool, _ upstream.Source) {
+func (n *node) UpdateList(items []upstream.Item, at history.Position, _ bool, _ upstream.Source) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.items = append(n.items, items...)
-	n.state.ListRevision = max(n.state.ListRevision, revision)
+	n.state.ListPosition = history.Max(n.state.ListPosition, at)
 }
 
 func (n *node) SetListUnreadable() {}
@@ -64,10 +65,10 @@
 
 func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
 
-func (n *node) list(context.Context) ([]upstream.Item, uint64) {
+func (n *node) list(context.Context) ([]upstream.Item, history.Position) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.items, n.state.ListRevision
+	return n.items, n.state.ListPosition
 }
 
 func (n *node) current() gossip.State {
@@ -180,12 +181,12 @@
 	other := startNode(t, "127.0.0.2", port, seed)
 	waitFor(t, "both instances alive", func() bool { return other.peers.Alive() == 1 && reader.peers.Alive() == 1 })
 	reader.mu.Lock()
-	reader.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListRevision: 8}
+	reader.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListPosition: history.Position{Revision: 8}}
 	reader.items = []upstream.Item{{ID: "u1", Revision: 8, Raw: []byte("x")}}
 	reader.mu.Unlock()
 	reader.peers.TableChanged()
 	waitFor(t, "the table", func() bool { return other.current().TableVersion == 3 })
-	waitFor(t, "the list", func() bool { return other.current().ListRevision == 8 })
+	waitFor(t, "the list", func() bool { return other.current().ListPosition.Revision == 8 })
 	other.mu.Lock()
 	defer other.mu.Unlock()
 	assert.Equal(t, other.items[0].ID, "u1")
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/upstream"
 )
 
@@ -49,12 +50,12 @@
 	} else {
 		m := Member{
 			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
-			TableVersion: w.TableVersion, ListRevision: w.ListRevision,
+			TableVersion: w.TableVersion, ListPosition: w.listPosition(),
 			StoreLost: w.StoreLost, ReadsStore: w.ReadsStore, ListCurrent: w.ListCurrent, LocalCount: w.LocalCount, Relays: w.Relays,
 			NextBy: now.Add(min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval)),
 		}
 		if p.members.Update(now, m) {
-			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListRevision)
+			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListPosition.Revision)
 			p.write(p.encode(datagramWire{
 				Known:       p.members.KnownAddresses(m.DataCentre, maxMemberAddrsToNew, maxRemoteAddrsToNew),
 				DataCentres: p.remoteDataCentres(now),
@@ -107,14 +108,15 @@
 // handleList submits changes of the list.
 func (p *Peers) handleList(w *listWire) {
 	// The changes before these may have been submitted, but not applied yet. Without
-	// them, the list is incomplete at the revision of these; revision 0 keeps the
+	// them, the list is incomplete at the position of these; revision 0 keeps the
 	// current one.
-	revision := uint64(0)
-	if max(p.submittedRevision, p.options.State().ListRevision) >= w.After {
-		revision = w.Revision
-		p.submittedRevision = max(p.submittedRevision, revision)
+	at := history.Position{Era: w.Era}
+	known := history.Max(p.submittedPosition, p.options.State().ListPosition)
+	if known.IsZero() && w.After == 0 || known.Era == w.Era && known.Revision >= w.After {
+		at = w.position()
+		p.submittedPosition = history.Max(p.submittedPosition, at)
 	}
-	p.sink.UpdateList(p.decodeItems(w.Items), revision, false, upstream.FromPeer)
+	p.sink.UpdateList(p.decodeItems(w.Items), at, false, upstream.FromPeer)
 }
 
 // catchUp pulls the state of a member if newer state has been available for
@@ -122,7 +124,7 @@
 func (p *Peers) catchUp(ctx context.Context, now time.Time) {
 	state := p.options.State()
 	// true: members that have only a newer list count as well.
-	m, found := p.members.FindNewer(state.TableVersion, state.ListRevision, true)
+	m, found := p.members.FindNewer(state.TableVersion, state.ListPosition, true)
 	switch {
 	case !found:
 		p.behindSince = time.Time{}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/decide"
+	"mangoloft/history"
 )
 
 // In a large fleet, the data centres exchange datagrams only through relays. Within
@@ -57,8 +58,8 @@
 		p.wakeUp()
 	}
 	// Several data centres may have read and forwarded the same change.
-	if w.List != nil && w.List.Revision > max(p.relayedRevision, p.options.State().ListRevision) {
-		p.relayedRevision = w.List.Revision
+	if w.List != nil && w.List.position().After(history.Max(p.relayedPosition, p.options.State().ListPosition)) {
+		p.relayedPosition = w.List.position()
 		p.sendLocally(datagramWire{List: w.List})
 	}
 	if len(w.Loads) > 0 {
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/upstream"
 )
 
@@ -20,7 +21,7 @@
 // the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
-	notices, leaving, items, afterRevision := p.pendingNotices, p.leaving, p.items, p.itemsAfter
+	notices, leaving, items, after, upTo := p.pendingNotices, p.leaving, p.items, p.itemsAfter, p.itemsUpTo
 	p.pendingNotices, p.leaving, p.items, p.urgent, p.deferred = nil, nil, nil, false, false
 	p.mu.Unlock()
 	var datagram datagramWire
@@ -44,7 +45,7 @@
 			p.forward(now, dataCentre, datagramWire{Notices: chunk})
 		}
 	}
-	for _, changes := range p.chunkChanges(items, afterRevision) {
+	for _, changes := range p.chunkChanges(items, after, upTo) {
 		p.sendLocally(datagramWire{List: changes})
 		p.forward(now, allDataCentres, datagramWire{List: changes})
 	}
@@ -63,10 +64,10 @@
 	}
 }
 
-// chunkChanges splits list changes into datagrams. Each contains the changes after
-// the revision of the previous one, so that a receiver notices a lost datagram. It
-// returns none if there are too many changes to send.
-func (p *Peers) chunkChanges(items []upstream.Item, after uint64) []*listWire {
+// chunkChanges splits the list changes between two positions into datagrams. Each
+// contains the changes after the revision of the previous one, so that a receiver notices
+// a lost datagram. It returns none if there are too many changes to send.
+func (p *Peers) chunkChanges(items []upstream.Item, after, upTo history.Position) []*listWire {
 	if len(items) == 0 || len(items) > maxListChanges {
 		return nil
 	}
@@ -74,11 +75,11 @@
 	var changes []*listWire
 	for chunk := range slices.Chunk(items, maxListItems) {
 		revision := chunk[len(chunk)-1].Revision
-		changes = append(changes, &listWire{After: after, Revision: revision, Items: encodeItems(chunk)})
-		after = revision
+		changes = append(changes, &listWire{Era: upTo.Era, After: after.Revision, Revision: revision, Items: encodeItems(chunk)})
+		after.Revision = revision
 	}
 	last := changes[len(changes)-1]
-	last.Revision = max(last.Revision, p.options.State().ListRevision)
+	last.Revision = max(last.Revision, upTo.Revision)
 	return changes
 }
 
@@ -127,7 +128,8 @@
 func (p *Peers) encode(w datagramWire) datagram {
 	o, state := p.options, p.options.State()
 	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
-	w.TableVersion, w.ListRevision, w.StoreLost = state.TableVersion, state.ListRevision, state.StoreLost
+	w.TableVersion, w.StoreLost = state.TableVersion, state.StoreLost
+	w.ListEra, w.ListRevision = state.ListPosition.Era, state.ListPosition.Revision
 	w.Stopping, w.LocalCount = p.stopping.Load(), p.members.LocalCount()
 	if p.members.IsLarge() {
 		w.Relays = p.members.LocalRelays()
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"mangoloft/history"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -30,14 +31,16 @@
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
-		state := p.options.State()
+		state, query := p.options.State(), r.URL.Query()
 		body := stateWire{}
-		if version, err := strconv.ParseUint(r.URL.Query().Get("table_version"), 10, 64); err == nil && state.TableVersion > version {
+		if version, err := strconv.ParseUint(query.Get("table_version"), 10, 64); err == nil && state.TableVersion > version {
 			body.Table = state.Table
 		}
-		if revision, err := strconv.ParseUint(r.URL.Query().Get("list_revision"), 10, 64); err == nil && state.ListRevision > revision {
-			items, revision := p.options.List(r.Context())
-			body.Items, body.ListRevision = encodeItems(items), revision
+		era, errEra := strconv.ParseUint(query.Get("list_era"), 10, 64)
+		revision, errRevision := strconv.ParseUint(query.Get("list_revision"), 10, 64)
+		if errEra == nil && errRevision == nil && state.ListPosition.After(history.Position{Era: era, Revision: revision}) {
+			items, at := p.options.List(r.Context())
+			body.Items, body.ListEra, body.ListRevision = encodeItems(items), at.Era, at.Revision
 		}
 		w.Header().Set("Content-Type", "application/json")
 		// Encoding fails if the member has disconnected. The member retries its
@@ -52,7 +55,7 @@
 func (p *Peers) pull(ctx context.Context, m Member, current State) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s%s?table_version=%d&list_revision=%d", m.Control, statePath, current.TableVersion, current.ListRevision)
+	url := fmt.Sprintf("http://%s%s?table_version=%d&list_era=%d&list_revision=%d", m.Control, statePath, current.TableVersion, current.ListPosition.Era, current.ListPosition.Revision)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -76,8 +79,8 @@
 		}
 		p.sink.UpdateTable(routing.Document{Table: table, Raw: wire.Table}, m.Name)
 	}
-	if wire.ListRevision > current.ListRevision {
-		p.sink.UpdateList(p.decodeItems(wire.Items), wire.ListRevision, true, upstream.FromPeer)
+	if wire.listPosition().After(current.ListPosition) {
+		p.sink.UpdateList(p.decodeItems(wire.Items), wire.listPosition(), true, upstream.FromPeer)
 	}
 	return nil
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -7,6 +7,7 @@
 
 	"mangoloft/config"
 	"mangoloft/decide"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/upstream"
 )
@@ -20,8 +21,10 @@
 	Control      netip.AddrPort `json:"control"`
 	Incarnation  uint64         `json:"incarnation,string"`
 	TableVersion uint64         `json:"table_version"`
-	ListRevision uint64         `json:"list_revision"`
-	StoreLost    bool           `json:"store_lost,omitempty"`
+	// ListEra and ListRevision are the position of the sender's list.
+	ListEra      uint64 `json:"list_era,omitempty"`
+	ListRevision uint64 `json:"list_revision"`
+	StoreLost    bool   `json:"store_lost,omitempty"`
 	// HeartbeatMS is the time in milliseconds after which the sender sends its next
 	// datagram at the latest.
 	HeartbeatMS int64 `json:"heartbeat_ms,omitempty"`
@@ -57,8 +60,9 @@
 }
 
 // listWire contains the changes of the list of upstreams after a revision, up to
-// another.
+// another one of the same era.
 type listWire struct {
+	Era      uint64     `json:"era,omitempty"`
 	After    uint64     `json:"after"`
 	Revision uint64     `json:"revision"`
 	Items    []itemWire `json:"items"`
@@ -148,7 +152,8 @@
 type stateWire struct {
 	// Table contains the routing table as it was published.
 	Table json.RawMessage `json:"table,omitempty"`
-	// ListRevision is the revision of Items; 0 if the list is not newer.
+	// ListEra and ListRevision are the position of Items; 0 if the list is not newer.
+	ListEra      uint64     `json:"list_era,omitempty"`
 	ListRevision uint64     `json:"list_revision"`
 	Items        []itemWire `json:"items,omitempty"`
 }
@@ -163,6 +168,21 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// listPosition returns the position of the sender's list.
+func (w datagramWire) listPosition() history.Position {
+	return history.Position{Era: w.ListEra, Revision: w.ListRevision}
+}
+
+// position returns the position up to which the changes are complete.
+func (w listWire) position() history.Position {
+	return history.Position{Era: w.Era, Revision: w.Revision}
+}
+
+// listPosition returns the position of the items.
+func (w stateWire) listPosition() history.Position {
+	return history.Position{Era: w.ListEra, Revision: w.ListRevision}
+}
+
 func encodeItems(items []upstream.Item) []itemWire {
 	wire := make([]itemWire, len(items))
 	for i, item := range items {
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -13,6 +13,7 @@
 	"mangoloft/config"
 	"mangoloft/decide"
 	"mangoloft/event"
+	"mangoloft/history"
 	"mangoloft/ident"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -35,8 +36,8 @@
 
 func (s *fuzzSink) UpdateTable(routing.Document, string) {}
 
-func (s *fuzzSink) UpdateList(items []upstream.Item, _ uint64, _ bool, _ upstream.Source) {
-	s.directory.Apply(s.now, items)
+func (s *fuzzSink) UpdateList(items []upstream.Item, at history.Position, _ bool, _ upstream.Source) {
+	s.directory.Apply(s.now, items, at.Era)
 }
 
 func (s *fuzzSink) SetListUnreadable() {}
@@ -84,7 +85,7 @@
 		defer log.Close(time.Now())
 		p, err := Listen(Options{
 			Name: "a", DataCentre: "a", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: log, Decoder: failingDecoder{},
-			State: func() State { return State{TableVersion: 1, ListRevision: 1} },
+			State: func() State { return State{TableVersion: 1, ListPosition: history.Position{Revision: 1}} },
 		}, sink)
 		assert.NilError(t, err)
 		defer p.conn.Close()
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"mangoloft/history"
 )
 
 // State is the state of one incarnation of an upstream, that is, of one process
@@ -98,8 +100,9 @@
 // Status is the known status of one upstream.
 type Status struct {
 	Entry
-	State    State
-	Revision uint64
+	State State
+	// Position is the position of the latest change of the list that was applied.
+	Position history.Position
 	// Since is the time at which the state was entered.
 	Since time.Time
 	// GraceEndsAt is the end of the Lapsed or Draining state of an upstream that
@@ -164,39 +167,78 @@
 	statuses map[string]*Status
 	// lastListFailure is the time of the latest failure to read the list.
 	lastListFailure time.Time
-	revision        uint64
+	position        history.Position
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{statuses: map[string]*Status{}} }
 
-// Revision returns the revision of the list up to which all changes have been
-// applied.
-func (d *Directory) Revision() uint64 { return d.revision }
+// Position returns the position up to which all changes of the list have been applied;
+// zero until there is a list.
+func (d *Directory) Position() history.Position { return d.position }
 
 // SetListUnreadable records a failure to read the list.
 func (d *Directory) SetListUnreadable(now time.Time) { d.lastListFailure = now }
 
-// Replace applies the complete list as of a revision. Known entries that the
-// list does not contain are deleted, unless they are newer.
-func (d *Directory) Replace(now time.Time, items []Item, revision uint64) []Change {
+// Replace applies the complete list as of a position. Known entries that the
+// list does not contain are deleted, unless they are newer. It ignores the list of an
+// earlier era.
+func (d *Directory) Replace(now time.Time, items []Item, at history.Position) []Change {
+	if d.isEarlierEra(at.Era) {
+		return nil
+	}
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.ID] = true
 	}
+	if d.isLaterEra(at.Era) {
+		// Upstreams that are missing in the copy write their entries again soon.
+		d.lastListFailure = now
+		items = slices.DeleteFunc(slices.Clone(items), func(item Item) bool { return d.skipOutdated(item, at.Era) })
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.statuses)) {
-		if u := d.statuses[id]; !listed[id] && u.Revision <= revision && u.raw != nil {
-			items = append(items, Item{ID: id, Revision: revision, Deleted: true})
+		if u := d.statuses[id]; !listed[id] && !u.Position.After(at) && u.raw != nil {
+			items = append(items, Item{ID: id, Revision: at.Revision, Deleted: true})
 		}
 	}
-	return d.Apply(now, items)
+	return d.applyItems(now, items, at.Era)
+}
+
+// isEarlierEra and isLaterEra compare an era with that of the list, if there is one.
+func (d *Directory) isEarlierEra(era uint64) bool { return era < d.position.Era }
+
+func (d *Directory) isLaterEra(era uint64) bool { return !d.position.IsZero() && era > d.position.Era }
+
+// skipOutdated reports whether an entry in the first list of a later era only repeats
+// what the store's copy contained: the upstream had left the list since, or a later
+// incarnation had replaced it. Its later changes in the era apply.
+func (d *Directory) skipOutdated(item Item, era uint64) bool {
+	u := d.statuses[item.ID]
+	if u == nil || item.Entry == nil {
+		return false
+	}
+	hasLeft := u.raw == nil && u.State >= Draining && item.Revision <= u.Position.Revision
+	replaced := item.Entry.StartUnixMS != 0 && item.Entry.StartUnixMS < u.StartUnixMS
+	if hasLeft || replaced {
+		u.Position = history.Position{Era: era, Revision: item.Revision}
+		return true
+	}
+	return false
+}
+
+// Apply applies changes of the list. It ignores those of another era than that of the
+// list: they are incomplete without the complete list of theirs.
+func (d *Directory) Apply(now time.Time, items []Item, era uint64) []Change {
+	if d.isEarlierEra(era) || d.isLaterEra(era) {
+		return nil
+	}
+	return d.applyItems(now, items, era)
 }
 
-// Apply applies changes of the list.
-func (d *Directory) Apply(now time.Time, items []Item) []Change {
+func (d *Directory) applyItems(now time.Time, items []Item, era uint64) []Change {
 	var changes []Change
 	for _, item := range items {
-		if c, ok := d.applyItem(now, item); ok {
+		if c, ok := d.applyItem(now, item, history.Position{Era: era, Revision: item.Revision}); ok {
 			c.ChangeRevision = item.Revision
 			changes = append(changes, c)
 		}
@@ -204,12 +246,12 @@
 	return changes
 }
 
-// Advance records that all changes up to a revision have been applied.
-func (d *Directory) Advance(revision uint64) { d.revision = max(d.revision, revision) }
+// Advance records that all changes up to a position have been applied.
+func (d *Directory) Advance(to history.Position) { d.position = history.Max(d.position, to) }
 
-func (d *Directory) applyItem(now time.Time, item Item) (Change, bool) {
+func (d *Directory) applyItem(now time.Time, item Item, at history.Position) (Change, bool) {
 	u := d.statuses[item.ID]
-	if u != nil && item.Revision <= u.Revision {
+	if u != nil && !at.After(u.Position) {
 		// Several instances read the list and forward the same change.
 		return Change{}, false
 	}
@@ -217,13 +259,13 @@
 	case item.Deleted && u == nil:
 		return Change{}, false
 	case item.Deleted:
-		u.Revision, u.raw = item.Revision, nil
+		u.Position, u.raw = at, nil
 		return d.handleDeleted(now, u)
 	case item.Entry == nil:
 		// An entry that can't be decoded contains no information about the upstream.
 		return Change{}, false
 	}
-	return d.applyEntry(now, u, item)
+	return d.applyEntry(now, u, item, at)
 }
 
 // handleDeleted handles the deletion of an entry from the list.
@@ -243,14 +285,14 @@
 
 // applyEntry applies a decoded entry to the status u, which is nil for a new
 // upstream.
-func (d *Directory) applyEntry(now time.Time, u *Status, item Item) (Change, bool) {
+func (d *Directory) applyEntry(now time.Time, u *Status, item Item, at history.Position) (Change, bool) {
 	e := *item.Entry
 	if u == nil || isNewIncarnation(u.Entry, e) {
 		before := Removed
 		if u != nil {
 			before = u.State
 		}
-		created := &Status{Entry: e, State: stateOf(e), Revision: item.Revision, Since: now, raw: item.Raw, announcedLeaving: e.Draining}
+		created := &Status{Entry: e, State: stateOf(e), Position: at, Since: now, raw: item.Raw, announcedLeaving: e.Draining}
 		d.statuses[e.ID] = created
 		return Change{Status: *created, Before: before, New: true, Source: FromList}, true
 	}
@@ -264,7 +306,7 @@
 		state = Draining
 	}
 	moved := u.Addr != e.Addr || u.Service != e.Service
-	u.Entry, u.Revision, u.raw, u.GraceEndsAt = e, item.Revision, item.Raw, time.Time{}
+	u.Entry, u.Position, u.raw, u.GraceEndsAt = e, at, item.Raw, time.Time{}
 	u.announcedLeaving = u.announcedLeaving || e.Draining
 	if state == u.State && !moved {
 		return Change{}, false
@@ -367,7 +409,7 @@
 	var items []Item
 	for _, id := range slices.Sorted(maps.Keys(d.statuses)) {
 		if u := d.statuses[id]; u.raw != nil {
-			items = append(items, Item{ID: id, Revision: u.Revision, Raw: u.raw})
+			items = append(items, Item{ID: id, Revision: u.Position.Revision, Raw: u.raw})
 		}
 	}
 	return items
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"mangoloft/history"
 	"mangoloft/upstream"
 )
 
@@ -34,7 +35,20 @@
 }
 
 func apply(items ...upstream.Item) func(*upstream.Directory, time.Time) {
-	return func(d *upstream.Directory, now time.Time) { d.Apply(now, items) }
+	return func(d *upstream.Directory, now time.Time) { d.Apply(now, items, 0) }
+}
+
+// replace applies a complete list, and change a change, of an era.
+func replace(era, revision uint64, items ...upstream.Item) func(*upstream.Directory, time.Time) {
+	return func(d *upstream.Directory, now time.Time) {
+		at := history.Position{Era: era, Revision: revision}
+		d.Replace(now, items, at)
+		d.Advance(at)
+	}
+}
+
+func change(era uint64, item upstream.Item) func(*upstream.Directory, time.Time) {
+	return func(d *upstream.Directory, now time.Time) { d.Apply(now, []upstream.Item{item}, era) }
 }
 
 // TestStatus checks the state of an upstream after a sequence of inputs.
@@ -70,6 +84,42 @@
 		"another incarnation at its address": {[]step{{0, apply(listed(1, entry(7, false)))}, {0, func(d *upstream.Directory, now time.Time) {
 			d.MarkRemoved(now, "u1", 7, upstream.FromAnswer)
 		}}, {0, apply(listed(2, entry(7, false)))}}, upstream.Removed},
+		"drains after a restore at a lower revision": {[]step{
+			{0, replace(1, 90, listed(90, entry(7, false)))}, {0, replace(2, 60, listed(50, entry(7, false)))}, {0, change(2, listed(62, entry(7, true)))},
+		}, upstream.Draining},
+		"change of a later era before its list": {[]step{
+			{0, replace(1, 90, listed(90, entry(7, false)))}, {0, change(2, listed(95, entry(7, true)))},
+		}, upstream.Ready},
+		"change of an earlier era": {[]step{
+			{0, replace(2, 60, listed(60, entry(7, false)))}, {0, change(1, listed(95, entry(7, true)))},
+		}, upstream.Ready},
+		"list of an earlier era": {[]step{
+			{0, replace(2, 60, listed(60, entry(7, false)))}, {0, replace(1, 95)},
+		}, upstream.Ready},
+		"missing after a restore": {[]step{
+			{0, replace(1, 90, listed(90, entry(7, false)))}, {0, replace(2, 60)},
+		}, upstream.Lapsed},
+		"missing after a restore, not written again": {[]step{
+			{0, replace(1, 90, listed(90, entry(7, false)))}, {0, replace(2, 60)}, {1600 * time.Millisecond, tick},
+		}, upstream.Draining},
+		"missing after a restore, written again": {[]step{
+			{0, replace(1, 90, listed(90, entry(7, false)))}, {0, replace(2, 60)}, {time.Second, change(2, listed(61, entry(7, false)))},
+		}, upstream.Ready},
+		"removed before a restore, in the copy": {[]step{
+			{0, replace(1, 50, listed(50, entry(7, false)))}, {0, change(1, deleted(90))}, {0, replace(2, 60, listed(50, entry(7, false)))},
+		}, upstream.Draining},
+		"removed before a restore, written again": {[]step{
+			{0, replace(1, 50, listed(50, entry(7, false)))},
+			{0, change(1, deleted(90))},
+			{0, replace(2, 60, listed(50, entry(7, false)))},
+			{0, change(2, listed(62, entry(7, false)))},
+		}, upstream.Ready},
+		"restarted before a restore, previous incarnation in the copy": {[]step{
+			{0, replace(1, 50, listed(50, entry(7, false)))},
+			{0, change(1, listed(90, entry(8, false)))},
+			{0, replace(2, 60, listed(50, entry(7, false)))},
+			{0, change(2, listed(62, entry(8, true)))},
+		}, upstream.Draining},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -91,11 +141,11 @@
 
 func TestReplaceDeletesMissingEntries(t *testing.T) {
 	d := upstream.NewDirectory()
-	d.Apply(start, []upstream.Item{listed(1, entry(7, false))})
-	changes := d.Replace(start.Add(time.Minute), nil, 5)
+	d.Apply(start, []upstream.Item{listed(1, entry(7, false))}, 0)
+	changes := d.Replace(start.Add(time.Minute), nil, history.Position{Revision: 5})
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].State, upstream.Draining)
-	assert.Equal(t, len(d.Replace(start.Add(time.Minute), nil, 6)), 0, "a missing entry must be reported once")
+	assert.Equal(t, len(d.Replace(start.Add(time.Minute), nil, history.Position{Revision: 6})), 0, "a missing entry must be reported once")
 }
 
 // TestLeavingIsSticky applies random sequences of announcements, entries and
@@ -104,18 +154,18 @@
 func TestLeavingIsSticky(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d, now := upstream.NewDirectory(), start
-		d.Apply(now, []upstream.Item{listed(1, entry(7, false))})
+		d.Apply(now, []upstream.Item{listed(1, entry(7, false))}, 0)
 		announced := false
 		for revision := uint64(2); revision < 20; revision++ {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
-				d.Apply(now, []upstream.Item{listed(revision, entry(7, true))})
+				d.Apply(now, []upstream.Item{listed(revision, entry(7, true))}, 0)
 				announced = true
 			case 1:
-				d.Apply(now, []upstream.Item{listed(revision-uint64(rapid.IntRange(0, 1).Draw(t, "late")), entry(7, false))})
+				d.Apply(now, []upstream.Item{listed(revision-uint64(rapid.IntRange(0, 1).Draw(t, "late")), entry(7, false))}, 0)
 			case 2:
-				d.Apply(now, []upstream.Item{deleted(revision)})
+				d.Apply(now, []upstream.Item{deleted(revision)}, 0)
 			case 3:
 				_, ok := d.MarkLeaving(now, "u1", 7, time.Time{}, upstream.FromPeer)
 				announced = announced || ok
