Catalog: a watch is abandoned within the time in which a change must be applied

What callers saw: as before, an older table more than 2 s after a newer one was acknowledged, here while the connection of a watch is silent or its answer is lost. Cause: a watch waited for 5 s and was abandoned after 7 s; keep-alive probes need up to 3 s, and don't notice a lost answer. If all readers are hit, as by a fault of the store's network, no instance learns of the change. The class: a deadline that is longer than the bound that depends on it. The list's watch had the same deadlines, and has the new ones.

A watch now lasts 0.4 of the time to apply a change, and is abandoned after 0.7 of it. The time is a setting, store.apply_ms, filled in by the platform.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -62,9 +62,12 @@
 }
 
 const (
-	// watchTimeout is the maximum time for which the store keeps a watch
-	// request open.
-	watchTimeout = 5 * time.Second
+	// watchShare is the share of the time to apply a change for which the store keeps
+	// a watch open, and watchTimeoutShare the share after which a watch without a
+	// response is abandoned. The rest of the time is needed to read again and to tell
+	// the other instances.
+	watchShare        = 0.4
+	watchTimeoutShare = 0.7
 	// watchPause is the time between two watches of the table, so that changes
 	// published in quick succession are read together.
 	watchPause = 100 * time.Millisecond
@@ -99,6 +102,9 @@
 	// listPause, whatever its size.
 	IsReader func() bool
 	Readers  func() int
+	// ApplyTime returns the time within which all instances must apply a published
+	// change.
+	ApplyTime func() time.Duration
 	// HasTable reports whether the instance has a routing table. An instance
 	// without a table, or without a list, reads the store even if it is not a
 	// reader.
@@ -270,7 +276,13 @@
 	if after.IsZero() {
 		return f.Store.Table(ctx)
 	}
-	return f.Store.WatchTable(ctx, after, time.Now().Add(watchTimeout))
+	ctx, cancel := context.WithTimeout(ctx, f.shareOfApplyTime(watchTimeoutShare))
+	defer cancel()
+	return f.Store.WatchTable(ctx, after, time.Now().Add(f.shareOfApplyTime(watchShare)))
+}
+
+func (f *Follower) shareOfApplyTime(share float64) time.Duration {
+	return time.Duration(share * float64(f.ApplyTime()))
 }
 
 // observeEra records the era of a response. If the store was restored, both documents are
@@ -366,7 +378,9 @@
 	if complete {
 		return f.Store.List(ctx)
 	}
-	return f.Store.WatchList(ctx, after, time.Now().Add(watchTimeout))
+	ctx, cancel := context.WithTimeout(ctx, f.shareOfApplyTime(watchTimeoutShare))
+	defer cancel()
+	return f.Store.WatchList(ctx, after, time.Now().Add(f.shareOfApplyTime(watchShare)))
 }
 
 // handleSuccess logs the first success after failures.
--- a/entry/run.go
+++ b/entry/run.go
@@ -123,7 +123,8 @@
 	i.controller.SetAnnouncer(i.peers)
 	i.follower = &catalog.Follower{
 		Store: deps.Store(func() netip.AddrPort { return i.settings.Load().Store.Address }), Sink: i.controller, Decoder: deps.Decoder, Log: i.log,
-		IsReader: i.peers.ShouldReadStore, Readers: i.peers.StoreReaders, HasTable: func() bool { return i.controller.Snapshot().Document.Table != nil },
+		IsReader: i.peers.ShouldReadStore, Readers: i.peers.StoreReaders, ApplyTime: func() time.Duration { return i.settings.Load().Store.applyTime() },
+		HasTable:     func() bool { return i.controller.Snapshot().Document.Table != nil },
 		ListPosition: func() history.Position { return i.controller.Snapshot().ListPosition },
 	}
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -38,6 +38,20 @@
 // Store describes the store with the published configuration.
 type Store struct {
 	Address netip.AddrPort `json:"address"`
+	// ApplyMS is the time in milliseconds within which all instances must apply a
+	// published change; 0 stands for defaultApplyMS.
+	ApplyMS float64 `json:"apply_ms"`
+}
+
+const defaultApplyMS = 2000
+
+// applyTime returns the time within which a published change must be applied.
+func (s Store) applyTime() time.Duration {
+	ms := s.ApplyMS
+	if ms == 0 {
+		ms = defaultApplyMS
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // Limits are the resource limits of the machine.
@@ -87,6 +101,7 @@
 	check(s.Listen.Readiness.IsValid(), "listen.readiness", s.Listen.Readiness, "an address and a port")
 	check(s.Listen.Peers.IsValid(), "listen.peers", s.Listen.Peers, "an address and a port")
 	check(s.Store.Address.IsValid(), "store.address", s.Store.Address, "an address and a port")
+	check(s.Store.ApplyMS >= 0, "store.apply_ms", s.Store.ApplyMS, "a number of milliseconds, 0 or more")
 	check(s.Stop.GraceSeconds > 0, "stop.grace_seconds", s.Stop.GraceSeconds, "a number of seconds above 0")
 	check(s.Limits.MemoryMB > 0, "limits.memory_mb", s.Limits.MemoryMB, "a number of megabytes above 0")
 	check(s.Limits.Descriptors > 0, "limits.descriptors", s.Limits.Descriptors, "a number above 0")
