Soak: the store is restored, and every run ends with a check of it

A new fault restores a copy of up to 4 s ago, with cut or open watches; at the end of each run the store is restored from before the latest configuration, its revisions pass those issued before, and all instances must have the next version within 2 s.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"os"
 	"syscall"
@@ -85,6 +86,7 @@
 		return nil
 	}},
 	{"store forgets", func(env *environment, _ context.Context, _ *rand.Rand) error { env.store.DropHistory(); return nil }},
+	{"store restored", func(env *environment, ctx context.Context, r *rand.Rand) error { return env.restoreStore(ctx, r) }},
 	{"bad entries", func(env *environment, _ context.Context, r *rand.Rand) error {
 		env.store.AddMalformedEntry("odd", []byte([]string{"{", `{"service":"llm"}`, `[]`, "\xff\xfe"}[r.IntN(4)]))
 		return nil
@@ -103,6 +105,78 @@
 	}},
 }
 
+// restoreStore restores the store from a copy of some seconds ago, and has the
+// configuration and all entries written again. It has no effect while another fault does
+// the same.
+func (env *environment) restoreStore(ctx context.Context, r *rand.Rand) error {
+	if !env.restoring.TryLock() {
+		return nil
+	}
+	defer env.restoring.Unlock()
+	saved := env.store.Copy()
+	pause.Sleep(ctx, randomDuration(r, 200*time.Millisecond, 4*time.Second))
+	err := env.restoreCopy(ctx, r, saved)
+	pause.Sleep(ctx, randomDuration(r, 0, 1500*time.Millisecond))
+	return errors.Join(err, env.writeEntries())
+}
+
+// restoreCopy restores the store from the copy and publishes a new configuration. Some
+// restores close the watches and make the store unavailable for a while.
+func (env *environment) restoreCopy(ctx context.Context, r *rand.Rand, saved standin.Copy) error {
+	if r.IntN(3) > 0 {
+		env.store.SetMode(standin.ModeUnavailable)
+		env.store.CutWatches()
+		pause.Sleep(ctx, randomDuration(r, 0, time.Second))
+	}
+	env.store.Restore(saved)
+	err := errors.Join(env.writeConfiguration(), env.publish())
+	env.store.SetMode(standin.ModeNormal)
+	return err
+}
+
+// writeEntries stores the entries of all servers again.
+func (env *environment) writeEntries() error {
+	var err error
+	for _, id := range serverIDs {
+		env.mu.Lock()
+		server := env.servers[id]
+		env.mu.Unlock()
+		if server != nil {
+			err = errors.Join(err, env.store.AddEntry(server.Server))
+		}
+	}
+	return err
+}
+
+// checkRestore restores the store from a copy that is older than the configuration in
+// force, lets its revisions pass those that were issued before, and checks that all
+// instances have the latest version in time.
+func (env *environment) checkRestore(ctx context.Context, r *rand.Rand) error {
+	const rewrites = 3
+	saved := env.store.Copy()
+	var err error
+	for range rewrites {
+		err = errors.Join(err, env.writeEntries())
+	}
+	err = errors.Join(err, env.publish())
+	pause.Sleep(ctx, applyTime)
+	err = errors.Join(err, env.restoreCopy(ctx, r, saved))
+	for range 2 * rewrites {
+		err = errors.Join(err, env.writeEntries())
+	}
+	if err != nil {
+		return err
+	}
+	pause.Sleep(ctx, applyTime)
+	client := newClient()
+	for _, i := range env.instances {
+		if version, err := readVersion(client, i); err != nil || version != env.version {
+			env.addViolation("%v after a restore of the store instance %s has version %d, want %d; error %v", applyTime, i.name, version, env.version, err)
+		}
+	}
+	return nil
+}
+
 // disturbProxy applies a random fault to a proxy's connections for a random time, or
 // blackholes the open ones permanently.
 func (env *environment) disturbProxy(ctx context.Context, r *rand.Rand, p *bench.Proxy) error {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -70,6 +70,9 @@
 	storeHTTP    *http.Server
 	storeAddr    netip.AddrPort
 	executionLog *standin.ExecutionLog
+	// publishing is locked while the configuration is written, and restoring while
+	// a fault restores the store.
+	publishing, restoring sync.Mutex
 
 	mu              sync.Mutex
 	servers         map[string]*proxiedServer
@@ -206,6 +209,16 @@
 func (env *environment) publish() error {
 	env.mu.Lock()
 	env.version += 1 + uint64(env.random.IntN(3))
+	env.mu.Unlock()
+	return env.writeConfiguration()
+}
+
+// writeConfiguration stores the configuration with the latest version number.
+func (env *environment) writeConfiguration() error {
+	// Versions reach the store in order.
+	env.publishing.Lock()
+	defer env.publishing.Unlock()
+	env.mu.Lock()
 	version := env.version
 	env.mu.Unlock()
 	return env.store.Publish(standin.Configuration{
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,6 +24,8 @@
 	// recoveryTime is the time between the last fault and the final checks.
 	recoveryTime        = 4 * time.Second
 	versionPollInterval = 200 * time.Millisecond
+	// applyTime is the time within which a published configuration must be in force.
+	applyTime = 2 * time.Second
 )
 
 // Run runs a soak and returns its results. An error means that the soak itself
@@ -98,7 +100,7 @@
 	if err := env.waitUntilServing(ctx, startTimeout); err != nil {
 		env.addViolation("after all faults have ended: %v", err)
 	}
-	return nil
+	return env.checkRestore(ctx, rand.New(rand.NewPCG(env.plan.Seed, 300)))
 }
 
 // injectFaults injects random faults, one after the other, until ctx ends.
