--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -91,6 +91,8 @@
 		s.changeUpstream(e.Upstream, e.Removed)
 	case ReportReceived:
 		s.handleReport(now, e)
+	case LimitReported:
+		s.handleLimitReported(now, e)
 	case Arrived:
 		return s.handleArrival(now, e.Request)
 	case Progressed:
@@ -383,7 +385,7 @@
 	if w.Class.Kind == config.Stream {
 		s.notify(Notice{Kind: NoticePlaced, Request: w.Request, Upstream: c.upstream.Name})
 	}
-	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
+	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Limited: c.upstream.limit.active, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
 }
 
 // choose returns an upstream that has capacity for the request, if there is
--- a/decide/types.go
+++ b/decide/types.go
@@ -169,6 +169,8 @@
 type Place struct {
 	ID       ident.Request
 	Upstream Upstream
+	// Limited reports whether the upstream has declared a limit.
+	Limited bool
 	// Priority is for engines: requests with a higher priority are preempted
 	// later.
 	Priority int
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -30,6 +30,7 @@
 	// tokens squared.
 	meanSquaredError float64
 	health           health
+	limit            requestLimit
 
 	// base is the memory forecast without the request to be placed, as of baseAt,
 	// and baseLoad are the generations in it. stale reports whether the requests
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -57,6 +57,8 @@
 // Placement is the upstream that a request is placed on.
 type Placement struct {
 	decide.Upstream
+	// Limited reports whether the upstream has declared a limit on its requests.
+	Limited bool
 	// Explanation contains the figures behind the choice.
 	Explanation string
 	// Leaving receives the status of the upstream when it leaves.
@@ -170,6 +172,8 @@
 			c.announcer.SendNotice(a.Notice)
 		case decide.Ejected:
 			c.logEjection(now, a)
+		case decide.LimitChanged:
+			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before)
 		}
 	}
 }
@@ -319,7 +323,7 @@
 	case d := <-cmd.reply:
 		switch a := d.action.(type) {
 		case decide.Place:
-			return Placement{Upstream: a.Upstream, Explanation: a.Explanation, Leaving: d.leaving}, nil
+			return Placement{Upstream: a.Upstream, Limited: a.Limited, Explanation: a.Explanation, Leaving: d.leaving}, nil
 		case decide.Refuse:
 			return Placement{}, verdict.FailAt(verdict.NotRun, a.Reason, a.RetryAt, "%s", a.Explanation)
 		}
@@ -367,6 +371,10 @@
 	c.send(schedulerEventCommand{decide.ReportReceived{Upstream: name, Report: r}})
 }
 
+// ReportLimit forwards the limit that an upstream declared in a response, or that it
+// declared none.
+func (c *Controller) ReportLimit(r decide.LimitReported) { c.send(schedulerEventCommand{r}) }
+
 // HandleNotice forwards a notice from another instance to the scheduler.
 func (c *Controller) HandleNotice(n decide.Notice) {
 	c.send(schedulerEventCommand{decide.NoticeReceived{Notice: n}})
--- a/event/event.go
+++ b/event/event.go
@@ -59,6 +59,8 @@
 	ReportFailed          ID = 406
 	UpstreamEjected       ID = 407
 	DataCentreRecovered   ID = 408
+	UpstreamLimited       ID = 409
+	UpstreamHeaderRefused ID = 410
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -101,6 +103,8 @@
 	ReportFailed:          "report_failed",
 	UpstreamEjected:       "left_out",
 	DataCentreRecovered:   "data_centre_back",
+	UpstreamLimited:       "upstream_limited",
+	UpstreamHeaderRefused: "upstream_header_refused",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 	ReportFailure(name string, r verdict.Reason)
 	// HandleReport submits an upstream's load report.
 	HandleReport(name string, r decide.Report)
+	// ReportLimit submits the limit that an upstream declared in a response, or that
+	// it declared none.
+	ReportLimit(r decide.LimitReported)
 	// ReportMisdirected reports that another incarnation responds at the
 	// address of an upstream.
 	ReportMisdirected(id string, startUnixMS int64)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -118,9 +118,24 @@
 	if responseInfo.Load != nil && !responseInfo.Misdirected && !q.usesEngine() {
 		g.Dispatcher.HandleReport(placement.Name, decide.Report{TakenAt: time.Now(), Running: responseInfo.Load.Running, Waiting: responseInfo.Load.Waiting})
 	}
+	g.reportLimit(q, placement, responseInfo)
 	return checkResponse(response, responseInfo, q.info.ID)
 }
 
+// reportLimit reports to the dispatcher the limit that a response declares, or its end.
+// A response with another ID may have been sent before the limit changed.
+func (g *Gateway) reportLimit(q *request, placement dispatch.Placement, info ResponseInfo) {
+	switch {
+	case info.Malformed != nil:
+		g.Log.EmitRateLimited(event.UpstreamHeaderRefused, "upstream", placement.Name, "request", q.info.ID, "error", info.Malformed.Error())
+	case info.Misdirected || info.ID != q.info.ID:
+	case info.Limit != nil:
+		g.Dispatcher.ReportLimit(decide.LimitReported{Upstream: placement.Name, Incarnation: placement.Incarnation, Limited: true, PerSecond: *info.Limit})
+	case placement.Limited:
+		g.Dispatcher.ReportLimit(decide.LimitReported{Upstream: placement.Name, Incarnation: placement.Incarnation})
+	}
+}
+
 // usesEngine reports whether the request's service consists of model engines.
 // The request counts in an engine's responses are not used as its load, because
 // they include neither its KV cache use nor its pending prefill, which other
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -80,6 +80,12 @@
 	Misdirected bool
 	// Load is nil if the response contains no load.
 	Load *Load
+	// Limit is the number of requests per second that the upstream accepts from all
+	// instances together; nil if it declares none.
+	Limit *float64
+	// Malformed describes a header that could not be decoded and was ignored; nil if
+	// there is none.
+	Malformed error
 }
 
 // Protocol translates between RequestInfo, AttemptInfo and ResponseInfo and the
