--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -44,7 +44,7 @@
 	executions *standin.ExecutionLog
 	group      *sync.WaitGroup
 	callers    []netip.AddrPort
-	sent       int
+	sent       atomic.Int64
 	// firstIP is the address of the first instance; those of the others follow.
 	firstIP netip.Addr
 }
@@ -158,11 +158,10 @@
 // the status; 0 if there was no response.
 func (f *fleet) send(t *testing.T, n int, version uint64) int {
 	t.Helper()
-	f.sent++
 	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/x", f.callers[n], version), nil)
 	assert.NilError(t, err)
 	r.Host = host
-	r.Header = standin.CallerRequest{ID: fmt.Sprintf("r%d", f.sent), Key: credential, Timeout: sendTimeout}.Header()
+	r.Header = standin.CallerRequest{ID: fmt.Sprintf("r%d", f.sent.Add(1)), Key: credential, Timeout: sendTimeout}.Header()
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0
@@ -354,7 +353,7 @@
 			}
 			f.rewrite(t, 1, s)
 			for end := time.Now().Add(2 * drainTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				assert.Equal(t, f.send(t, f.sent%instances, 1), http.StatusOK)
+				assert.Equal(t, f.send(t, int(f.sent.Load())%instances, 1), http.StatusOK)
 			}
 		})
 	}
