Decide, gossip: the limit that an upstream declares is kept by all instances together

What callers and upstreams saw: upstreams in need got twice the requests that they had declared to accept (46 and 56 in 4 s, 28 and 39 allowed). Cause: nothing read the limit; the class: what an upstream says of itself is not part of the placement.

Every instance now keeps a token bucket for each limited upstream, filled at the declared rate, and tells the others of each request that it sends there and of a new or ended limit (newest statement of the upstream wins). Requests that were sent at the same time put the buckets into debt, which is paid before the next one; a random threshold keeps instances from using the same token. A call goes to another upstream first; if all are at their limits, it is refused at once, with a time that this instance's share of the limits can keep. Streams wait as for room, and moves avoid the upstream.

--- a/decide/move.go
+++ b/decide/move.go
@@ -24,10 +24,11 @@
 	}
 	r := f.Request
 	r.Excluded = append([]string{source.Name}, e.Excluded...)
-	u, free := s.destination(now, f, s.candidates(now, r))
+	u, free := s.destination(now, f, s.withinLimits(now, r.ID, s.candidates(now, r)))
 	if u == nil {
 		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "no upstream can take the running request"}}
 	}
+	s.useLimit(now, u)
 	copied := *f
 	u.addRequest(&copied)
 	s.moves[e.ID] = u.Name
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -18,6 +18,9 @@
 	// scheduler placed or received notices of. Their ratio yields the number of generations
 	// that are placed without a notice.
 	reportedCount, knownCount float64
+	// retryAt is the retry time of the latest request that was refused because all
+	// upstreams were at their limits.
+	retryAt time.Time
 }
 
 const (
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -50,6 +50,8 @@
 	// fleet, instances send them to other data centres instead of a notice for
 	// each placement.
 	receivesPeerReports bool
+	// instances is the number of live instances, including this one.
+	instances int
 	// outgoing contains the notices and ejections to return from the current
 	// step.
 	outgoing []Action
@@ -63,6 +65,7 @@
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
 		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, retries: newRetryBudget(),
+		instances: 1,
 	}
 }
 
@@ -72,6 +75,9 @@
 	s.retries = retryBudget{available: min(max(s.retries.available, capacity/2), capacity), share: share, capacity: capacity}
 }
 
+// SetInstances sets the number of live instances, including this one.
+func (s *Scheduler) SetInstances(n int) { s.instances = max(1, n) }
+
 // Waiting returns the length of the queue.
 func (s *Scheduler) Waiting() int { return len(s.queue.list) }
 
@@ -93,6 +99,9 @@
 		s.handleReport(now, e)
 	case LimitReported:
 		s.handleLimitReported(now, e)
+	case LimitNoticeReceived:
+		s.handleLimitNotice(now, e.Notice)
+		return nil
 	case Arrived:
 		return s.handleArrival(now, e.Request)
 	case Progressed:
@@ -340,6 +349,9 @@
 		if place, ok := s.place(now, w, candidates); ok {
 			return []Action{place}
 		}
+		if r.Class.Kind != config.Stream {
+			return []Action{s.refuseAtLimits(now, r, candidates)}
+		}
 	}
 	start := optimisticStart(now, ahead, s.pool(r.Class.Pool).placements.perSecond(now))
 	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
@@ -381,6 +393,10 @@
 	if !ok {
 		return Place{}, false
 	}
+	if l := &c.upstream.limit; l.active {
+		c.explanation += fmt.Sprintf("; %.1f of its limit of %.4g/s available", l.tokens, l.perSecond)
+	}
+	s.useLimit(now, c.upstream)
 	s.recordPlacement(now, c.upstream, w.Request, c.lengths, false)
 	if w.Class.Kind == config.Stream {
 		s.notify(Notice{Kind: NoticePlaced, Request: w.Request, Upstream: c.upstream.Name})
@@ -388,9 +404,12 @@
 	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Limited: c.upstream.limit.active, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
 }
 
-// choose returns an upstream that has capacity for the request, if there is
-// one.
+// choose returns an upstream that has capacity for the request and is within its limit,
+// if there is one.
 func (s *Scheduler) choose(now time.Time, w *waitingRequest, candidates []*upstream) (choice, bool) {
+	if candidates = s.withinLimits(now, w.ID, candidates); len(candidates) == 0 {
+		return choice{}, false
+	}
 	lengths := s.lengthsOf(w.Request)
 	anyForecastable := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.forecastable(now) })
 	if w.Class.Kind != config.Stream || !anyForecastable {
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -42,6 +42,12 @@
 	c.scheduler.LimitRetries(cmd.share, cmd.capacity)
 }
 
+type setInstancesCommand struct{ instances int }
+
+func (cmd setInstancesCommand) apply(c *Controller, _ time.Time) {
+	c.scheduler.SetInstances(cmd.instances)
+}
+
 type updateTableCommand struct {
 	document routing.Document
 	source   string
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -34,6 +34,8 @@
 type Announcer interface {
 	// SendNotice sends a notice of the scheduler.
 	SendNotice(n decide.Notice)
+	// SendLimit sends a notice of an upstream's limit and its use.
+	SendLimit(n decide.LimitNotice)
 	// SendLeaving announces that an incarnation of an upstream, identified by its
 	// start time, is leaving.
 	SendLeaving(id string, startUnixMS int64, leavesAt time.Time)
@@ -173,7 +175,9 @@
 		case decide.Ejected:
 			c.logEjection(now, a)
 		case decide.LimitChanged:
-			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before)
+			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
+		case decide.NotifyLimit:
+			c.announcer.SendLimit(a.Notice)
 		}
 	}
 }
@@ -380,6 +384,14 @@
 	c.send(schedulerEventCommand{decide.NoticeReceived{Notice: n}})
 }
 
+// HandleLimit forwards another instance's notice of an upstream's limit to the scheduler.
+func (c *Controller) HandleLimit(n decide.LimitNotice) {
+	c.send(schedulerEventCommand{decide.LimitNoticeReceived{Notice: n}})
+}
+
+// SetInstances sets the number of live instances, including this one.
+func (c *Controller) SetInstances(n int) { c.send(setInstancesCommand{n}) }
+
 // LimitRetries sets the retry budget.
 func (c *Controller) LimitRetries(share, capacity float64) {
 	c.send(limitRetriesCommand{share, capacity})
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -48,6 +48,8 @@
 	a.lists++
 }
 
+func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
+
 func (a *recordingAnnouncer) TableChanged() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/run.go
+++ b/entry/run.go
@@ -249,14 +249,16 @@
 // of which reports a connection that a caller aborted.
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
 
-// updateRetryBudget adapts the instance's share of the fleet-wide retry budget to
-// the number of instances.
+// updateRetryBudget adapts the instance's shares of the fleet-wide retry budget and of
+// the upstreams' limits to the number of instances.
 func (i *instance) updateRetryBudget(ctx context.Context) error {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		r := i.settings.Load().Retries
-		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(i.peers.FleetSize()))
+		instances := i.peers.FleetSize()
+		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(instances))
+		i.controller.SetInstances(instances)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -69,6 +69,7 @@
 
 func (noopAnnouncer) SendNotice(decide.Notice)                                        {}
 func (noopAnnouncer) SendLeaving(string, int64, time.Time)                            {}
+func (noopAnnouncer) SendLimit(decide.LimitNotice)                                    {}
 func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
 func (noopAnnouncer) TableChanged()                                                   {}
 
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -32,13 +32,15 @@
 // simulatedNode is an instance of a simulatedFleet. It is its own network connection
 // and sink.
 type simulatedNode struct {
-	fleet      *simulatedFleet
-	addr       netip.AddrPort
-	dataCentre string
-	peers      *Peers
-	inbox      chan []byte
-	closed     chan struct{}
-	down       atomic.Bool
+	// limitedSent is the number of requests to limited upstreams in notices.
+	limitedSent int
+	fleet       *simulatedFleet
+	addr        netip.AddrPort
+	dataCentre  string
+	peers       *Peers
+	inbox       chan []byte
+	closed      chan struct{}
+	down        atomic.Bool
 
 	// sent and sentBytes count the datagrams that the node sent, remoteBytes those
 	// bytes that it sent to other data centres.
@@ -103,6 +105,12 @@
 
 func (n *simulatedNode) SetListUnreadable() {}
 
+func (n *simulatedNode) HandleLimit(l decide.LimitNotice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limitedSent += l.Sent
+}
+
 func (n *simulatedNode) UpdateTable(routing.Document, string) {}
 
 func (n *simulatedNode) Loads(_ context.Context, dataCentre string, limit int) []decide.Load {
@@ -267,16 +275,23 @@
 	for i := range items {
 		items[i] = upstream.Item{ID: fmt.Sprint("u", i), Revision: uint64(i + 2), Deleted: true}
 	}
+	// Notices of a limit's use are collected while they contain only a small share of it.
+	for range limitUses {
+		sender.peers.SendLimit(decide.LimitNotice{Upstream: "u1", Incarnation: 1, Limited: true, PerSecond: 1000, HeardAt: time.Now(), Sent: 1})
+	}
 	reader.peers.ListChanged(items, history.Position{Revision: 1}, history.Position{Revision: 5})
 	time.Sleep(deliveryTime)
 	for _, n := range f.nodes {
 		n.mu.Lock()
-		notices, revision, reports := n.notices, n.revision, len(n.reports)
+		notices, revision, reports, limitedSent := n.notices, n.revision, len(n.reports), n.limitedSent
 		n.mu.Unlock()
 		if n != sender && n.dataCentre == "dc1" {
 			assert.Equal(t, notices, 1, "notices at %s", n.addr)
 		}
 		assert.Equal(t, revision, uint64(5), "list revision at %s", n.addr)
+		if n != sender {
+			assert.Equal(t, limitedSent, limitUses, "requests to a limited upstream known at %s", n.addr)
+		}
 		if large {
 			others := len(f.nodes)/f.perDataCentre() - 1
 			assert.Equal(t, reports, others*maxLoads, "loads of other data centres at %s", n.addr)
@@ -284,6 +299,9 @@
 	}
 }
 
+// limitUses is the number of requests to a limited upstream that a test announces.
+const limitUses = 7
+
 func (f *simulatedFleet) perDataCentre() int {
 	count := 0
 	for _, n := range f.nodes {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -49,6 +49,11 @@
 	// maxPending is the maximum number of notices, and of leaving
 	// announcements, that wait for a flush. Further ones are dropped.
 	maxPending = 512
+	// limitNoticeShare is the share of the requests that a limit allows in a second
+	// from which a notice of them is not deferred.
+	limitNoticeShare = 0.02
+	// maxLimitAge is the maximum time since an upstream declared its limit in a notice.
+	maxLimitAge = 24 * time.Hour
 	// maxListItems is the maximum number of list entries in one datagram, so that
 	// it fits into an Ethernet frame. If more than maxListChanges have changed, none
 	// are sent, and the receivers pull the list.
@@ -107,6 +112,8 @@
 	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that no instance can read the list at present.
 	SetListUnreadable()
+	// HandleLimit receives a notice of an upstream's limit.
+	HandleLimit(n decide.LimitNotice)
 	// HandleReport submits a load report of the upstream with this name.
 	HandleReport(name string, r decide.Report)
 	// Loads is a query: it returns the loads of up to limit engines of a data
@@ -150,7 +157,9 @@
 	// pendingNotices, leaving and items are sent by the next flush.
 	pendingNotices []decide.Notice
 	leaving        []leavingAnnouncement
-	items          []upstream.Item
+	// limits contains the next notice of each upstream's limit, by the upstream's ID.
+	limits map[string]decide.LimitNotice
+	items  []upstream.Item
 	// itemsAfter and itemsUpTo are the positions of the list between which the items
 	// changed.
 	itemsAfter, itemsUpTo history.Position
@@ -275,6 +284,30 @@
 	}
 }
 
+// SendLimit queues a notice of an upstream's limit. Notices of its use are collected
+// while they contain only a small share of the limit.
+func (p *Peers) SendLimit(n decide.LimitNotice) {
+	p.mu.Lock()
+	if p.limits == nil {
+		p.limits = map[string]decide.LimitNotice{}
+	}
+	changed := n.Sent == 0
+	if previous, ok := p.limits[n.Upstream]; ok && previous.Incarnation == n.Incarnation {
+		n.Sent += previous.Sent
+	}
+	p.limits[n.Upstream] = n
+	requested := p.deferred
+	isPrompt := changed || float64(n.Sent) >= limitNoticeShare*n.PerSecond
+	p.deferred = p.deferred || !isPrompt
+	p.mu.Unlock()
+	switch {
+	case isPrompt:
+		p.wakeUp()
+	case !requested:
+		time.AfterFunc(maxDeferral, p.wakeUp)
+	}
+}
+
 // SendLeaving announces that an upstream is leaving.
 func (p *Peers) SendLeaving(id string, startUnixMS int64, leavesAt time.Time) {
 	p.mu.Lock()
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -61,6 +61,8 @@
 
 func (n *node) SetListUnreadable() {}
 
+func (n *node) HandleLimit(decide.LimitNotice) {}
+
 func (n *node) HandleReport(string, decide.Report) {}
 
 func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -94,6 +94,14 @@
 		}
 		p.sink.HandleNotice(notice)
 	}
+	for _, l := range w.Limits {
+		notice, err := decodeLimit(now, l)
+		if err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed limit", "peer", w.Name, "error", err.Error())
+			continue
+		}
+		p.sink.HandleLimit(notice)
+	}
 	if w.List != nil {
 		p.handleList(w.List)
 	}
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -26,7 +26,7 @@
 
 // content returns the part of a datagram that is forwarded.
 func (w datagramWire) content() datagramWire {
-	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads}
+	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads, Limits: w.Limits}
 }
 
 // forward sends the content to another data centre, or to all, through the relays.
@@ -65,6 +65,9 @@
 	if len(w.Loads) > 0 {
 		p.sendLocally(datagramWire{Loads: w.Loads})
 	}
+	if len(w.Limits) > 0 {
+		p.sendLocally(datagramWire{Limits: w.Limits})
+	}
 }
 
 // remoteDataCentres returns the other data centres of which the instance tells its
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/upstream"
@@ -21,6 +23,8 @@
 // the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
+	limits := p.limits
+	p.limits = nil
 	notices, leaving, items, after, upTo := p.pendingNotices, p.leaving, p.items, p.itemsAfter, p.itemsUpTo
 	p.pendingNotices, p.leaving, p.items, p.urgent, p.deferred = nil, nil, nil, false, false
 	p.mu.Unlock()
@@ -45,12 +49,16 @@
 			p.forward(now, dataCentre, datagramWire{Notices: chunk})
 		}
 	}
+	p.sendLimits(now, limits)
 	for _, changes := range p.chunkChanges(items, after, upTo) {
 		p.sendLocally(datagramWire{List: changes})
 		p.forward(now, allDataCentres, datagramWire{List: changes})
 	}
 	wires = append(wires, p.relayedNotices...)
 	p.relayedNotices = nil
+	if len(wires) == 0 && len(limits) > 0 && len(datagram.Leaving) == 0 {
+		return
+	}
 	if len(wires) == 0 {
 		// Without changes, this announces a newer routing table.
 		p.broadcast(now, datagram)
@@ -64,6 +72,21 @@
 	}
 }
 
+// sendLimits sends notices of limits to all instances.
+func (p *Peers) sendLimits(now time.Time, limits map[string]decide.LimitNotice) {
+	var wires []limitWire
+	for _, id := range slices.Sorted(maps.Keys(limits)) {
+		wires = append(wires, encodeLimit(now, limits[id]))
+	}
+	for chunk := range slices.Chunk(wires, maxNotices) {
+		w := datagramWire{Limits: chunk}
+		p.broadcast(now, w)
+		if p.members.IsLarge() {
+			p.forward(now, allDataCentres, w)
+		}
+	}
+}
+
 // chunkChanges splits the list changes between two positions into datagrams. Each
 // contains the changes after the revision of the previous one, so that a receiver notices
 // a lost datagram. It returns none if there are too many changes to send.
--- a/gossip/traffic.go
+++ b/gossip/traffic.go
@@ -13,6 +13,7 @@
 	contentList      = "list"
 	contentLoads     = "loads"
 	contentLeaving   = "leaving"
+	contentLimits    = "limits"
 	contentHeartbeat = "heartbeat"
 )
 
@@ -27,7 +28,7 @@
 
 func newTrafficCounters() map[string]*trafficCounters {
 	counters := map[string]*trafficCounters{}
-	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentHeartbeat} {
+	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentLimits, contentHeartbeat} {
 		counters[content] = &trafficCounters{}
 	}
 	return counters
@@ -46,6 +47,8 @@
 		return contentLoads
 	case len(w.Leaving) > 0:
 		return contentLeaving
+	case len(w.Limits) > 0:
+		return contentLimits
 	}
 	return contentHeartbeat
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"mangoloft/config"
 	"mangoloft/decide"
 	"mangoloft/history"
@@ -47,6 +49,7 @@
 	Known   map[string][]netip.AddrPort `json:"known,omitempty"`
 	Notices []noticeWire                `json:"notices,omitempty"`
 	Leaving []leavingWire               `json:"leaving,omitempty"`
+	Limits  []limitWire                 `json:"limits,omitempty"`
 	List    *listWire                   `json:"list,omitempty"`
 	// Loads contains the loads of the engines of a data centre.
 	Loads []loadsWire `json:"loads,omitempty"`
@@ -118,6 +121,33 @@
 	LeavesInMS int64 `json:"leaves_in_ms,omitempty"`
 }
 
+// limitWire tells of the limit that an upstream declared, and of the requests sent there
+// since the sender's previous notice. StartUnixMS identifies the incarnation.
+type limitWire struct {
+	ID          string `json:"id"`
+	StartUnixMS uint64 `json:"born"`
+	Limited     bool   `json:"limited,omitempty"`
+	// PerSecond is the limit in requests per second.
+	PerSecond float64 `json:"per_second,omitempty"`
+	// HeardAgoMS is the time in milliseconds since the upstream declared it.
+	HeardAgoMS int64 `json:"heard_ago_ms"`
+	Sent       int   `json:"sent,omitempty"`
+}
+
+func encodeLimit(now time.Time, n decide.LimitNotice) limitWire {
+	return limitWire{n.Upstream, uint64(n.Incarnation), n.Limited, n.PerSecond, now.Sub(n.HeardAt).Milliseconds(), n.Sent}
+}
+
+func decodeLimit(now time.Time, w limitWire) (decide.LimitNotice, error) {
+	if w.PerSecond < 0 || w.Sent < 0 || w.HeardAgoMS < 0 || w.HeardAgoMS > maxLimitAge.Milliseconds() {
+		return decide.LimitNotice{}, errorx.IllegalFormat.New("a value in the limit of %q is out of range", w.ID)
+	}
+	return decide.LimitNotice{
+		Upstream: w.ID, Incarnation: ident.Incarnation(w.StartUnixMS), Limited: w.Limited, PerSecond: w.PerSecond,
+		HeardAt: now.Add(-milliseconds(w.HeardAgoMS)), Sent: w.Sent,
+	}, nil
+}
+
 func encodeNotice(now time.Time, n decide.Notice) noticeWire {
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -42,6 +42,10 @@
 
 func (s *fuzzSink) SetListUnreadable() {}
 
+func (s *fuzzSink) HandleLimit(n decide.LimitNotice) {
+	s.scheduler.Step(s.now, decide.LimitNoticeReceived{Notice: n})
+}
+
 func (s *fuzzSink) HandleReport(name string, r decide.Report) {
 	s.scheduler.Step(s.now, decide.ReportReceived{Upstream: name, Report: r})
 }
@@ -67,7 +71,7 @@
 	} {
 		content, err := json.Marshal(datagramWire{
 			From: netip.MustParseAddrPort("10.0.0.1:7200"), Name: "b", Notices: []noticeWire{n},
-			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Loads: []loadsWire{{Upstreams: []string{"e1"}, Running: []int{-1}, UsedTokens: []int{-1 << 62}, PendingPrefill: []int{1 << 62}}},
+			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Limits: []limitWire{{ID: "e1", StartUnixMS: 1, Limited: true, PerSecond: 1e300, HeardAgoMS: 1 << 62, Sent: 1 << 62}}, Loads: []loadsWire{{Upstreams: []string{"e1"}, Running: []int{-1}, UsedTokens: []int{-1 << 62}, PendingPrefill: []int{1 << 62}}},
 		})
 		assert.NilError(f, err)
 		f.Add(content)
