Gateway: an upstream that declares in its answers that it is leaving gets no more requests

Callers' requests still went to an upstream 2 s after it had declared in all its answers that it is leaving, if neither the list nor its report said so (38 to 40 arrivals in 2 s). It now counts as leaving like one whose report says so: other instances are told, and its runs are moved. A malformed value is logged and ignored; a malformed limit no longer hides other headers.

Evidence: entry.TestServerThatLeavesInItsAnswersGetsNoRequests failed with one and three instances, passes.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -9,6 +9,7 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/upstream"
 	"mangoloft/verdict"
 )
 
@@ -118,20 +119,27 @@
 	if responseInfo.Load != nil && !responseInfo.Misdirected && !q.usesEngine() {
 		g.Dispatcher.HandleReport(placement.Name, decide.Report{TakenAt: time.Now(), Running: responseInfo.Load.Running, Waiting: responseInfo.Load.Waiting})
 	}
-	g.reportLimit(q, placement, responseInfo)
+	g.reportDeclarations(q, placement, responseInfo)
 	return checkResponse(response, responseInfo, q.info.ID)
 }
 
-// reportLimit reports to the dispatcher the limit that a response declares, or its end.
-// A response with another ID may have been sent before the limit changed.
-func (g *Gateway) reportLimit(q *request, placement dispatch.Placement, info ResponseInfo) {
-	switch {
-	case info.Malformed != nil:
+// reportDeclarations reports to the dispatcher what the upstream declares in a response:
+// its limit or that it has none, and that it is leaving. A response with another ID may
+// have been sent by another upstream, or before a change.
+func (g *Gateway) reportDeclarations(q *request, placement dispatch.Placement, info ResponseInfo) {
+	if info.Malformed != nil {
 		g.Log.EmitRateLimited(event.UpstreamHeaderRefused, "upstream", placement.Name, "request", q.info.ID, "error", info.Malformed.Error())
-	case info.Misdirected || info.ID != q.info.ID:
+	}
+	if info.Misdirected || info.ID != q.info.ID {
+		return
+	}
+	if info.Leaving {
+		g.Dispatcher.ReportLeaving(placement.Name, int64(placement.Incarnation), time.Time{}, upstream.FromAnswer)
+	}
+	switch {
 	case info.Limit != nil:
 		g.Dispatcher.ReportLimit(decide.LimitReported{Upstream: placement.Name, Incarnation: placement.Incarnation, Limited: true, PerSecond: *info.Limit})
-	case placement.Limited:
+	case placement.Limited && !info.HasLimit:
 		g.Dispatcher.ReportLimit(decide.LimitReported{Upstream: placement.Name, Incarnation: placement.Incarnation})
 	}
 }
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -80,11 +80,15 @@
 	Misdirected bool
 	// Load is nil if the response contains no load.
 	Load *Load
-	// Limit is the number of requests per second that the upstream accepts from all
-	// instances together; nil if it declares none.
-	Limit *float64
-	// Malformed describes a header that could not be decoded and was ignored; nil if
-	// there is none.
+	// HasLimit reports whether the upstream declares a limit. Limit is the number of
+	// requests per second that it accepts from all instances together; nil if there is
+	// none or it could not be decoded.
+	HasLimit bool
+	Limit    *float64
+	// Leaving reports whether the upstream declares that it is leaving.
+	Leaving bool
+	// Malformed describes the headers that could not be decoded and were ignored; nil
+	// if there are none.
 	Malformed error
 }
 
