Decide, gateway: an upstream that rejects a request with a pause gets none until its end

The pause is kept for this instance alone: calls go elsewhere, or are refused at once with the earliest end of a pause; streams wait for one that ends in time; moves avoid the upstream.

--- a/decide/limit.go
+++ b/decide/limit.go
@@ -1,14 +1,10 @@
 package decide
 
 import (
-	"fmt"
-	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"mangoloft/ident"
-	"mangoloft/verdict"
 )
 
 // Limits. An upstream in need declares the rate of requests that it accepts from all
@@ -190,35 +186,30 @@
 	}})
 }
 
-// withinLimits returns the candidates to which the request may be sent now without
-// exceeding the limits that they declared.
-func (s *Scheduler) withinLimits(now time.Time, id ident.Request, candidates []*upstream) []*upstream {
-	exhausted := func(u *upstream) bool { return !u.limit.allows(now, hashFraction(id, ^u.hash)) }
-	if !slices.ContainsFunc(candidates, exhausted) {
+// accepting returns the candidates to which the request may be sent now: those that have
+// not asked for a pause, within the limits that they declared.
+func (s *Scheduler) accepting(now time.Time, id ident.Request, candidates []*upstream) []*upstream {
+	rejects := func(u *upstream) bool {
+		return now.Before(u.pausedUntil) || !u.limit.allows(now, hashFraction(id, ^u.hash))
+	}
+	if !slices.ContainsFunc(candidates, rejects) {
 		return candidates
 	}
-	return slices.DeleteFunc(slices.Clone(candidates), exhausted)
+	return slices.DeleteFunc(slices.Clone(candidates), rejects)
 }
 
-// refuseAtLimits refuses a request all of whose candidates are at their limits. Each
-// refused request gets a later retry time, at the rate that this instance's share of the
-// limits allows.
-func (s *Scheduler) refuseAtLimits(now time.Time, r Request, candidates []*upstream) Refuse {
+// retryAtLimits returns the retry time of a request that is refused because the upstreams
+// are at their limits. Each refused request gets a later one, at the rate that this
+// instance's share of the limits allows.
+func (s *Scheduler) retryAtLimits(now time.Time, p *pool, limited []*upstream) time.Time {
 	rate := 0.0
-	var limits []string
-	for _, u := range candidates {
+	for _, u := range limited {
 		rate += u.limit.rate()
-		limits = append(limits, fmt.Sprintf("%s %.4g/s", u.Name, u.limit.perSecond))
 	}
-	interval := time.Duration(float64(s.instances) / rate * float64(time.Second))
-	p := s.pool(r.Class.Pool)
+	interval := min(float64(s.instances)/rate, maxRetryDelay.Seconds())
 	if p.retryAt.Before(now) || p.retryAt.Sub(now) > maxRetryDelay {
 		p.retryAt = now.Add(minRetryDelay)
 	}
-	p.retryAt = p.retryAt.Add(time.Duration(math.Min(float64(interval), float64(maxRetryDelay))))
-	retryAt := p.retryAt
-	if latest := now.Add(maxRetryDelay); retryAt.After(latest) {
-		retryAt = latest
-	}
-	return Refuse{ID: r.ID, Reason: verdict.Overloaded, RetryAt: retryAt, Explanation: "all candidates are at their limits: " + strings.Join(limits, ", ")}
+	p.retryAt = p.retryAt.Add(time.Duration(interval * float64(time.Second)))
+	return p.retryAt
 }
--- a/decide/move.go
+++ b/decide/move.go
@@ -24,7 +24,7 @@
 	}
 	r := f.Request
 	r.Excluded = append([]string{source.Name}, e.Excluded...)
-	u, free := s.destination(now, f, s.withinLimits(now, r.ID, s.candidates(now, r)))
+	u, free := s.destination(now, f, s.accepting(now, r.ID, s.candidates(now, r)))
 	if u == nil {
 		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "no upstream can take the running request"}}
 	}
--- /dev/null
+++ b/decide/pushback_test.go
@@ -0,0 +1,70 @@
+package decide_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/decide"
+	"mangoloft/verdict"
+)
+
+func TestRequestsAvoidPausedUpstream(t *testing.T) {
+	now := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
+	s, step := limitedEngines("limited", "e1", "e2")
+	s.Step(now, decide.PushedBack{Upstream: "e1", Incarnation: 1, Until: now.Add(time.Second)})
+	used := map[string]int{}
+	for n := range uint64(100) {
+		for _, name := range placements(step(decide.Arrived{Request: streamRequest(n)})) {
+			used[name]++
+		}
+		step(decide.Ended{ID: streamRequest(n).ID, Tokens: 10, Outcome: verdict.Outcome{Verdict: verdict.Ran, Reason: verdict.Completed}})
+		if n < 20 { // Each pass takes 40 ms.
+			assert.Equal(t, used["e1"], 0)
+		}
+	}
+	assert.Assert(t, used["e1"] > 0, "%v", used)
+}
+
+func TestPauseOfAllUpstreams(t *testing.T) {
+	now := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
+	tests := map[string]struct {
+		pause   time.Duration
+		refused bool
+	}{
+		"ends in time":                {3 * time.Second, false},
+		"ends after the latest start": {12 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, step := limitedEngines("e1")
+			s.Step(now, decide.LimitReported{Upstream: "e1", Incarnation: 1})
+			s.Step(now, decide.PushedBack{Upstream: "e1", Incarnation: 1, Until: now.Add(test.pause)})
+			actions := step(decide.Arrived{Request: streamRequest(1)})
+			assert.Equal(t, len(placements(actions)), 0)
+			refused := false
+			for _, a := range actions {
+				if refusal, ok := a.(decide.Refuse); ok {
+					refused = true
+					assert.Equal(t, refusal.RetryAt, now.Add(test.pause))
+				}
+			}
+			assert.Equal(t, refused, test.refused)
+			for tick := 0; !refused && tick < 160; tick++ {
+				if len(placements(step(decide.Tick{}))) > 0 {
+					assert.Assert(t, tick > 140, "placed %d ticks of 20 ms after the arrival", tick)
+					return
+				}
+			}
+			assert.Assert(t, refused, "the stream must be placed after the pause")
+		})
+	}
+}
+
+func TestPauseOfEarlierIncarnationIsIgnored(t *testing.T) {
+	now := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
+	s, step := limitedEngines("limited", "e1")
+	s.Step(now, decide.PushedBack{Upstream: "e1", Incarnation: 7, Until: now.Add(time.Minute)})
+	assert.DeepEqual(t, placements(step(decide.Arrived{Request: streamRequest(1)})), []string{"e1"})
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -99,6 +99,9 @@
 		s.handleReport(now, e)
 	case LimitReported:
 		s.handleLimitReported(now, e)
+	case PushedBack:
+		s.handlePushBack(e)
+		return nil
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
 		return nil
@@ -349,8 +352,10 @@
 		if place, ok := s.place(now, w, candidates); ok {
 			return []Action{place}
 		}
-		if r.Class.Kind != config.Stream {
-			return []Action{s.refuseAtLimits(now, r, candidates)}
+		if len(s.accepting(now, r.ID, candidates)) == 0 {
+			if refusal, ok := s.refuseUnaccepted(now, w, candidates); ok {
+				return []Action{refusal}
+			}
 		}
 	}
 	start := optimisticStart(now, ahead, s.pool(r.Class.Pool).placements.perSecond(now))
@@ -404,10 +409,10 @@
 	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Limited: c.upstream.limit.active, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
 }
 
-// choose returns an upstream that has capacity for the request and is within its limit,
-// if there is one.
+// choose returns an upstream that has capacity for the request and accepts it, if there
+// is one.
 func (s *Scheduler) choose(now time.Time, w *waitingRequest, candidates []*upstream) (choice, bool) {
-	if candidates = s.withinLimits(now, w.ID, candidates); len(candidates) == 0 {
+	if candidates = s.accepting(now, w.ID, candidates); len(candidates) == 0 {
 		return choice{}, false
 	}
 	lengths := s.lengthsOf(w.Request)
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -31,6 +31,9 @@
 	meanSquaredError float64
 	health           health
 	limit            requestLimit
+	// pausedUntil is the time before which the upstream wants no requests from this
+	// instance.
+	pausedUntil time.Time
 
 	// base is the memory forecast without the request to be placed, as of baseAt,
 	// and baseLoad are the generations in it. stale reports whether the requests
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -176,6 +176,8 @@
 			c.logEjection(now, a)
 		case decide.LimitChanged:
 			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
+		case decide.Paused:
+			c.log.Emit(event.UpstreamPaused, "upstream", a.Upstream, "for_ms", a.Until.Sub(now).Milliseconds())
 		case decide.NotifyLimit:
 			c.announcer.SendLimit(a.Notice)
 		}
@@ -379,6 +381,9 @@
 // declared none.
 func (c *Controller) ReportLimit(r decide.LimitReported) { c.send(schedulerEventCommand{r}) }
 
+// ReportPushBack forwards the time before which an upstream wants no requests.
+func (c *Controller) ReportPushBack(e decide.PushedBack) { c.send(schedulerEventCommand{e}) }
+
 // HandleNotice forwards a notice from another instance to the scheduler.
 func (c *Controller) HandleNotice(n decide.Notice) {
 	c.send(schedulerEventCommand{decide.NoticeReceived{Notice: n}})
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -122,7 +122,7 @@
 	return http.Header{"X-Id": h["X-Id"]}
 }
 
-func (fakeProtocol) ParseResponse(_ int, h http.Header) gateway.ResponseInfo {
+func (fakeProtocol) ParseResponse(_ int, h http.Header, _ time.Time) gateway.ResponseInfo {
 	return gateway.ResponseInfo{ID: h.Get("X-Id"), Signed: true}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,7 @@
 	DataCentreRecovered   ID = 408
 	UpstreamLimited       ID = 409
 	UpstreamHeaderRefused ID = 410
+	UpstreamPaused        ID = 411
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -105,6 +106,7 @@
 	DataCentreRecovered:   "data_centre_back",
 	UpstreamLimited:       "upstream_limited",
 	UpstreamHeaderRefused: "upstream_header_refused",
+	UpstreamPaused:        "upstream_paused",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,9 @@
 	// ReportLimit submits the limit that an upstream declared in a response, or that
 	// it declared none.
 	ReportLimit(r decide.LimitReported)
+	// ReportPushBack reports that an upstream wants no requests from this instance for
+	// a while.
+	ReportPushBack(e decide.PushedBack)
 	// ReportMisdirected reports that another incarnation responds at the
 	// address of an upstream.
 	ReportMisdirected(id string, startUnixMS int64)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -53,7 +53,7 @@
 	return h
 }
 
-func (testProtocol) ParseResponse(status int, h http.Header) gateway.ResponseInfo {
+func (testProtocol) ParseResponse(status int, h http.Header, _ time.Time) gateway.ResponseInfo {
 	info := gateway.ResponseInfo{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	if h.Get("X-Load") != "" {
 		info.Load = &gateway.Load{Running: 3, Slots: 8}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -112,7 +112,7 @@
 // checkHeader checks the status and headers of a response and reports the
 // upstream's load and identity to the dispatcher.
 func (g *Gateway) checkHeader(q *request, placement dispatch.Placement, response *http.Response) error {
-	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header)
+	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now())
 	if responseInfo.Misdirected {
 		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
 	}
@@ -124,7 +124,8 @@
 }
 
 // reportDeclarations reports to the dispatcher what the upstream declares in a response:
-// its limit or that it has none, and that it is leaving. A response with another ID may
+// its limit or that it has none, that it is leaving, and for how long it wants no
+// requests. A response with another ID may
 // have been sent by another upstream, or before a change.
 func (g *Gateway) reportDeclarations(q *request, placement dispatch.Placement, info ResponseInfo) {
 	if info.Malformed != nil {
@@ -133,6 +134,9 @@
 	if info.Misdirected || info.ID != q.info.ID {
 		return
 	}
+	if !info.RetryAt.IsZero() {
+		g.Dispatcher.ReportPushBack(decide.PushedBack{Upstream: placement.Name, Incarnation: placement.Incarnation, Until: info.RetryAt})
+	}
 	if info.Leaving {
 		g.Dispatcher.ReportLeaving(placement.Name, int64(placement.Incarnation), time.Time{}, upstream.FromAnswer)
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -85,6 +85,9 @@
 	// none or it could not be decoded.
 	HasLimit bool
 	Limit    *float64
+	// RetryAt is the time before which the upstream wants no requests from this
+	// instance; zero if it declares none.
+	RetryAt time.Time
 	// Leaving reports whether the upstream declares that it is leaving.
 	Leaving bool
 	// Malformed describes the headers that could not be decoded and were ignored; nil
@@ -98,7 +101,7 @@
 	ParseRequest(h http.Header, received time.Time) (RequestInfo, error)
 	// UpstreamHeader returns the request headers for an upstream.
 	UpstreamHeader(callerHeader http.Header, attempt AttemptInfo, now time.Time) http.Header
-	ParseResponse(status int, h http.Header) ResponseInfo
+	ParseResponse(status int, h http.Header, received time.Time) ResponseInfo
 	// CallerHeader returns the headers of an upstream's response for the
 	// caller.
 	CallerHeader(h http.Header) http.Header
