--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -102,25 +102,37 @@
 // same UDP port.
 func startNode(t *testing.T, host string, port uint16, seeds ...netip.AddrPort) *node {
 	t.Helper()
-	n := &node{}
 	control, listener := listen(t, host)
+	n := startNodeWithControl(t, "a", host, control, port, seeds...)
+	server := &http.Server{Handler: n.peers.Handler(), ReadHeaderTimeout: time.Second}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		server.Close()
+		group.Wait()
+	})
+	return n
+}
+
+// startNodeWithControl starts an instance of the data centre that announces the control
+// address, at which it does not listen.
+func startNodeWithControl(t *testing.T, dataCentre, host string, control netip.AddrPort, port uint16, seeds ...netip.AddrPort) *node {
+	t.Helper()
+	n := &node{}
 	at := netip.AddrPortFrom(netip.MustParseAddr(host), port)
 	log := event.NewLog(&bytes.Buffer{}, host, time.Now)
 	peers, err := gossip.Listen(gossip.Options{
-		Name: host, DataCentre: "a", Listen: at, Control: control, Incarnation: ident.NewIncarnation(time.Now()),
+		Name: host, DataCentre: dataCentre, Listen: at, Control: control, Incarnation: ident.NewIncarnation(time.Now()),
 		Seeds: func() []netip.AddrPort { return seeds }, State: n.current, List: n.list, Decoder: digitDecoder{}, Log: log,
 	}, n)
 	assert.NilError(t, err)
 	n.peers = peers
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &http.Server{Handler: peers.Handler(), ReadHeaderTimeout: time.Second}
 	var group sync.WaitGroup
 	group.Go(func() { _ = peers.Receive(ctx) })
 	group.Go(func() { _ = peers.Run(ctx) })
-	group.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
 		cancel()
-		server.Close()
 		group.Wait()
 		log.Close(time.Now().Add(time.Second))
 	})
@@ -193,3 +205,32 @@
 	defer other.mu.Unlock()
 	assert.Equal(t, other.items[0].ID, "u1")
 }
+
+func TestStateIsPulledThoughOnlyLocalSourceIsSilent(t *testing.T) {
+	const applyTime = 2 * time.Second
+	port := freePort(t)
+	seed := netip.MustParseAddrPort("127.0.0.1:1")
+	// The listener accepts connections and never responds.
+	silentControl, silent := listen(t, "127.0.0.1")
+	defer silent.Close()
+	first := startNodeWithControl(t, "a", "127.0.0.1", silentControl, port, seed)
+	other := startNode(t, "127.0.0.2", port, seed)
+	remoteControl, listener := listen(t, "127.0.0.3")
+	remote := startNodeWithControl(t, "b", "127.0.0.3", remoteControl, port, seed)
+	server := &http.Server{Handler: remote.peers.Handler(), ReadHeaderTimeout: time.Second}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(listener) })
+	defer group.Wait()
+	defer server.Close()
+	waitFor(t, "all instances alive", func() bool {
+		return first.peers.Alive() == 2 && other.peers.Alive() == 2 && remote.peers.Alive() == 2
+	})
+	for _, n := range []*node{first, remote} {
+		n.mu.Lock()
+		n.state = gossip.State{TableVersion: 3, Table: []byte("3"), ListPosition: history.Position{Revision: 8}}
+		n.mu.Unlock()
+		n.peers.TableChanged()
+	}
+	time.Sleep(applyTime)
+	assert.Equal(t, other.current().TableVersion, uint64(3))
+}
