Gossip: state is pulled from a second member if the first does not respond

What callers saw: a new route was refused with 404 in a whole data centre 2.3 s after its table had been acknowledged. Cause: the reader announced the table and lost power 14 ms later. The others of its data centre pulled from it, the only member there that had it, for the whole timeout of 1.5 s, and then chose it again until it counted as lost, though the other data centres had the table. The class: waiting for one peer for longer than the bound allows, and asking again the one that just failed.

A member whose pull failed is skipped until something is heard of it.

--- a/gossip/members.go
+++ b/gossip/members.go
@@ -321,13 +321,13 @@
 }
 
 // FindNewer returns a random member that has a newer routing table or, if
-// wantList is set, a newer list. Members of the local data centre are
-// preferred. In a large fleet, only relays consider the others as long as the data
-// centre has other instances, because the relays forward what is new there.
-func (t *MemberTable) FindNewer(tableVersion uint64, listPosition history.Position, wantList bool) (Member, bool) {
+// wantList is set, a newer list, and that is not skipped. Members of the local data
+// centre are preferred. In a large fleet, only relays consider the others as long as the
+// data centre has other instances, because the relays forward what is new there.
+func (t *MemberTable) FindNewer(tableVersion uint64, listPosition history.Position, wantList bool, skip func(Member) bool) (Member, bool) {
 	var candidates, remote []Member
 	for _, m := range t.members {
-		if !m.Alive || m.TableVersion <= tableVersion && (!wantList || !m.ListPosition.After(listPosition)) {
+		if !m.Alive || skip(*m) || m.TableVersion <= tableVersion && (!wantList || !m.ListPosition.After(listPosition)) {
 			continue
 		}
 		if m.DataCentre == t.dataCentre {
--- a/gossip/members_test.go
+++ b/gossip/members_test.go
@@ -93,7 +93,7 @@
 	earlier := member(1, "a")
 	earlier.TableVersion = 12
 	assert.Assert(t, !table.Update(start, earlier))
-	_, found := table.FindNewer(9, history.Position{}, false)
+	_, found := table.FindNewer(9, history.Position{}, false, skipNone)
 	assert.Assert(t, !found)
 	table.Remove(addr(1), 1)
 	assert.Equal(t, table.Count(), 1, "the stop of an earlier process must not remove the later one")
@@ -101,6 +101,16 @@
 	assert.Equal(t, table.Count(), 0)
 }
 
+func skipNone(gossip.Member) bool { return false }
+
+func TestFindNewerSkipsMembers(t *testing.T) {
+	local, remote := member(1, "a"), member(2, "b")
+	local.TableVersion, remote.TableVersion = 5, 5
+	m, ok := fleet(local, remote).FindNewer(4, history.Position{}, false, func(m gossip.Member) bool { return m.Name == "m1" })
+	assert.Assert(t, ok)
+	assert.Equal(t, m.Name, "m2")
+}
+
 func TestFindNewer(t *testing.T) {
 	local, remote := member(1, "a"), member(2, "b")
 	local.TableVersion, local.ListPosition = 5, history.Position{Era: 1, Revision: 50}
@@ -122,7 +132,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			m, ok := fleet(local, remote).FindNewer(test.version, history.Position{Era: max(1, test.era), Revision: test.revision}, test.wantList)
+			m, ok := fleet(local, remote).FindNewer(test.version, history.Position{Era: max(1, test.era), Revision: test.revision}, test.wantList, skipNone)
 			assert.Equal(t, ok, test.want != "")
 			assert.Equal(t, m.Name, test.want)
 		})
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -205,9 +205,7 @@
 	relayedNotices  []noticeWire
 	relayedPosition history.Position
 
-	// pulling is true while a pull is in progress; pulls waits for its goroutine.
-	pulling atomic.Bool
-	pulls   sync.WaitGroup
+	pulls *pullTracker
 }
 
 // leavingAnnouncement announces that an upstream is leaving. leavesAt is zero if
@@ -238,7 +236,7 @@
 	p := &Peers{
 		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
 		members: NewMemberTable(o.Listen, o.DataCentre),
-		traffic: newTrafficCounters(),
+		traffic: newTrafficCounters(), pulls: newPullTracker(),
 	}
 	p.fleetSize.Store(1)
 	return p
@@ -365,7 +363,7 @@
 
 // Run sends and handles datagrams until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
-	defer p.pulls.Wait()
+	defer p.pulls.group.Wait()
 	p.startedAt = time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -376,6 +374,8 @@
 		case datagram := <-p.received:
 			p.handleDatagram(ctx, datagram)
 			continue
+		case <-p.pulls.due:
+			p.catchUp(ctx, time.Now())
 		case <-p.wake:
 			if !p.isUrgent() {
 				p.handleDatagramsUntil(ctx, time.After(flushInterval))
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -126,33 +126,3 @@
 	}
 	p.sink.UpdateList(p.decodeItems(w.Items), at, false, upstream.FromPeer)
 }
-
-// catchUp pulls the state of a member if newer state has been available for
-// longer than the pull delay.
-func (p *Peers) catchUp(ctx context.Context, now time.Time) {
-	state := p.options.State()
-	// true: members that have only a newer list count as well.
-	m, found := p.members.FindNewer(state.TableVersion, state.ListPosition, true)
-	switch {
-	case !found:
-		p.behindSince = time.Time{}
-		return
-	case p.behindSince.IsZero():
-		p.behindSince = now
-	}
-	delay := readerPullDelay
-	if !p.isReader.Load() {
-		delay = nonReaderPullDelay
-	}
-	// An instance without a routing table pulls immediately.
-	if state.TableVersion != 0 && now.Sub(p.behindSince) < delay || !p.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	p.behindSince = now
-	p.pulls.Go(func() {
-		defer p.pulling.Store(false)
-		if err := p.pull(ctx, m, state); err != nil {
-			p.options.Log.EmitRateLimited(event.StatePullFailed, "peer", m.Name, "error", err.Error())
-		}
-	})
-}
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -96,7 +96,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		p.handleDatagram(ctx, w)
-		p.pulls.Wait()
+		p.pulls.group.Wait()
 
 		for range 3 {
 			sink.now = sink.now.Add(10 * time.Second)
