--- a/decide/limit_test.go
+++ b/decide/limit_test.go
@@ -265,8 +265,9 @@
 func TestStreamWaitsForLimitOfOnlyEngine(t *testing.T) {
 	_, step := limitedEngines("e1")
 	assert.Equal(t, len(placements(step(decide.Arrived{Request: streamRequest(1)}))), 0)
-	ticks := 0
-	for ; ticks < 200 && len(placements(step(decide.Tick{}))) == 0; ticks++ {
+	ticks := 1
+	for ticks < 200 && len(placements(step(decide.Tick{}))) == 0 {
+		ticks++
 	}
 	// The limit allows one request a second, which any request may send after two.
 	assert.Assert(t, ticks > 45 && ticks < 105, "placed after %d ticks of 20 ms", ticks)
