--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,207 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mangoloft/bench"
+	"mangoloft/catalog"
+	"mangoloft/entry"
+	"mangoloft/gateway"
+	"mangoloft/platform"
+	"mangoloft/platform/standin"
+)
+
+const (
+	host        = "test.example"
+	plain       = "shop"
+	credential  = "key"
+	sendTimeout = 2 * time.Second
+	// applyTime is the time within which a published table must be in force, and
+	// drainTime the one after which a leaving server gets no more requests.
+	applyTime = 2 * time.Second
+	drainTime = 2 * time.Second
+)
+
+// fleet is a store, plain servers and instances that run in this process.
+type fleet struct {
+	store      *standin.Store
+	proxy      *bench.Proxy
+	executions *standin.ExecutionLog
+	group      *sync.WaitGroup
+	callers    []netip.AddrPort
+	sent       atomic.Int64
+	// firstIP is the address of the first instance; those of the others follow.
+	firstIP netip.Addr
+}
+
+// fleets is the number of fleets so far.
+var fleets atomic.Uint32
+
+// startFleet starts the given number of instances in one data centre, behind a proxy in
+// front of the store.
+func startFleet(t *testing.T, instances int) *fleet {
+	t.Helper()
+	f := &fleet{store: standin.NewStore(), executions: &standin.ExecutionLog{}, group: &sync.WaitGroup{}, firstIP: fleetIP(fleets.Add(1))}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	var err error
+	f.proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), server.Listener.Addr().(*net.TCPAddr).AddrPort())
+	assert.NilError(t, err)
+	t.Cleanup(f.proxy.Close)
+	f.publish(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	// The instances stop before the store.
+	t.Cleanup(func() { cancel(); f.group.Wait() })
+	gossip := freePort(t, f.firstIP).Port()
+	ip := f.firstIP
+	for n := range instances {
+		f.startInstance(ctx, t, n, ip, gossip)
+		ip = ip.Next()
+	}
+	return f
+}
+
+// fleetIP returns the loopback address of the first instance of the nth fleet. It is
+// derived from the process id, so that concurrent tests don't share addresses.
+func fleetIP(n uint32) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(70 + pid>>8&0x3f), byte(pid), byte(maxInstances * n)})
+}
+
+// maxInstances is the maximum number of instances of a fleet.
+const maxInstances = 4
+
+func freePort(t *testing.T, ip netip.Addr) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (f *fleet) startInstance(ctx context.Context, t *testing.T, n int, ip netip.Addr, gossip uint16) {
+	t.Helper()
+	callers := freePort(t, ip)
+	content, err := json.Marshal(map[string]any{
+		"instance": fmt.Sprintf("i%d", n), "data_centre": "a",
+		"listen": map[string]any{
+			"callers": callers, "readiness": freePort(t, ip), "control": freePort(t, ip), "metrics": freePort(t, ip), "peers": netip.AddrPortFrom(ip, gossip),
+		},
+		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": f.proxy.Addr()},
+		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
+		"retries": map[string]any{"share": 0.2, "slack": 100, "window_seconds": 10},
+	})
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.jsonc")
+	assert.NilError(t, os.WriteFile(path, content, 0o600))
+	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	assert.NilError(t, err)
+	f.callers = append(f.callers, callers)
+	f.group.Go(func() {
+		defer logs.Close()
+		err := entry.Run(ctx, path, nil, entry.Dependencies{
+			Store:    func(addr func() netip.AddrPort) catalog.Store { return platform.NewStore(addr) },
+			Protocol: platform.Headers{}, Engines: gateway.EngineClient(platform.NewEngineClient()), Decoder: platform.DocumentDecoder{},
+		}, logs)
+		if err != nil {
+			t.Errorf("instance %d: %v", n, err)
+		}
+	})
+}
+
+// publish publishes a table with one route for each version up to the given one.
+func (f *fleet) publish(t *testing.T, version uint64) {
+	t.Helper()
+	c := standin.Configuration{Version: version, Host: host, ModelService: "llm", PlainService: plain, Slots: 8, KVCacheTokens: 1000, Team: "team", Key: credential}
+	for v := range version {
+		c.Routes = append(c.Routes, standin.Route{Name: fmt.Sprintf("v%d", v+1), Kind: "safe", Service: plain, MaxAttempts: 2, Timeout: sendTimeout, Target: time.Second})
+	}
+	assert.NilError(t, f.store.Publish(c))
+}
+
+// addServer starts a plain server and lists it.
+func (f *fleet) addServer(t *testing.T, id string) *standin.Server {
+	t.Helper()
+	s := &standin.Server{ID: id, Service: plain, Zone: "a", StartUnixMS: 1, Slots: 8, Executions: f.executions}
+	assert.NilError(t, s.Start("127.0.0.1", f.group))
+	t.Cleanup(s.Crash)
+	assert.NilError(t, f.store.AddEntry(s))
+	return s
+}
+
+// rewrite stores the servers' entries repeatedly, so that the revision grows.
+func (f *fleet) rewrite(t *testing.T, times int, servers ...*standin.Server) {
+	t.Helper()
+	for range times {
+		for _, s := range servers {
+			assert.NilError(t, f.store.AddEntry(s))
+		}
+	}
+}
+
+// send sends a request on the route of a version through the nth instance and returns
+// the status; 0 if there was no response.
+func (f *fleet) send(t *testing.T, n int, version uint64) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/x", f.callers[n], version), nil)
+	assert.NilError(t, err)
+	r.Host = host
+	r.Header = standin.CallerRequest{ID: fmt.Sprintf("r%d", f.sent.Add(1)), Key: credential, Timeout: sendTimeout}.Header()
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// waitUntilServed waits until all instances serve the route of the version.
+func (f *fleet) waitUntilServed(t *testing.T, version uint64) {
+	t.Helper()
+	for n := range f.callers {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if status := f.send(t, n, version); status != http.StatusOK {
+				return poll.Continue("instance %d answers with status %d", n, status)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+	}
+}
+
+// checkInForce checks that all instances serve the route of the version.
+func (f *fleet) checkInForce(t *testing.T, version uint64) {
+	t.Helper()
+	for n := range f.callers {
+		assert.Equal(t, f.send(t, n, version), http.StatusOK, "instance %d, route of version %d", n, version)
+	}
+}
+
+// executionsOn returns the number of requests that ran on the server so far.
+func (f *fleet) executionsOn(id string) int {
+	count := 0
+	for _, e := range f.executions.Executions() {
+		if e.Server == id {
+			count++
+		}
+	}
+	return count
+}
+
+// settle is the time in which a starting instance becomes a reader, and in which watches
+// continue after a change.
+const settle = 1500 * time.Millisecond
