--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,7 @@
 	UpstreamLimited       ID = 409
 	UpstreamHeaderRefused ID = 410
 	UpstreamPaused        ID = 411
+	UpstreamEnded         ID = 412
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -107,6 +108,7 @@
 	UpstreamLimited:       "upstream_limited",
 	UpstreamHeaderRefused: "upstream_header_refused",
 	UpstreamPaused:        "upstream_paused",
+	UpstreamEnded:         "upstream_ended",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- /dev/null
+++ b/gateway/endcheck.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"mangoloft/dispatch"
+	"mangoloft/event"
+)
+
+// endCheckTimeout is the timeout of the connection that shows whether an engine has
+// ended. A retry of its request waits for it.
+const endCheckTimeout = 150 * time.Millisecond
+
+// checkEnded finds out whether an engine that lost the connection of a request has ended:
+// its port then refuses connections. The loss alone doesn't prove it, because some engines
+// only lose answers.
+func (g *Gateway) checkEnded(ctx context.Context, q *request, placement dispatch.Placement) {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", placement.Addr.String())
+	if err == nil {
+		conn.Close()
+		return
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.Log.Emit(event.UpstreamEnded, "upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "request", q.info.ID)
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,7 +33,7 @@
 		}
 		plain, err := g.attemptPlain(ctx, q, placement)
 		g.Dispatcher.End(q.id, 0, verdict.OutcomeOf(err))
-		g.reportAttempt(q, placement, plain, err)
+		g.reportAttempt(ctx, q, placement, plain, err)
 		lastResponse, lastErr = plain, err
 		if err == nil && (plain.status < http.StatusInternalServerError || !q.route.Idempotent()) {
 			break
@@ -159,7 +159,7 @@
 
 // reportAttempt logs an attempt that failed or returned a server error, and
 // reports it to the dispatcher.
-func (g *Gateway) reportAttempt(q *request, placement dispatch.Placement, plain *plainResponse, err error) {
+func (g *Gateway) reportAttempt(ctx context.Context, q *request, placement dispatch.Placement, plain *plainResponse, err error) {
 	o, status := verdict.OutcomeOf(err), 0
 	if plain != nil {
 		status = plain.status
@@ -173,6 +173,9 @@
 			g.Dispatcher.ReportFailure(placement.Name, o.Reason)
 		}
 		g.Metrics.CountFailedSend(q.service, o.Reason)
+		if o.Reason == verdict.UpstreamLost && q.usesEngine() {
+			g.checkEnded(ctx, q, placement)
+		}
 		g.Log.Emit(event.AttemptEnded, "request", q.info.ID, "upstream", placement.Name, "address", placement.Addr.String(), "status", status,
 			"verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail, "why", placement.Explanation, "ms", time.Since(q.received).Milliseconds())
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -17,6 +17,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"mangoloft/prompt"
 	"mangoloft/upstream"
 )
 
@@ -30,6 +31,10 @@
 	// PromptTokens and MaxOutputTokens are the size of a generation; 0 if not
 	// given.
 	PromptTokens, MaxOutputTokens int
+	// SharedParts are the parts of the prompt that other requests may have too, in
+	// order; nil if not given. The last part belongs to the request itself and is not
+	// included.
+	SharedParts []prompt.Part
 	// LastEventID is the ID of the last event of the stream that the caller has
 	// received.
 	LastEventID string
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -161,13 +161,13 @@
 	response, err := s.g.send(ctx, s.placement.Addr, s.outgoing, header)
 	if err != nil {
 		s.recordFailure(err)
-		s.g.reportAttempt(s.request, s.placement, nil, err)
+		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
 	}
 	defer response.Body.Close()
 	if err := s.g.checkHeader(s.request, s.placement, response); err != nil {
 		s.recordFailure(err)
-		s.g.reportAttempt(s.request, s.placement, nil, err)
+		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
 	}
 	s.sends++
@@ -178,13 +178,13 @@
 		s.attempts++
 	}
 	if !isEventStream(response) {
-		return s.readPlainResponse(response)
+		return s.readPlainResponse(ctx, response)
 	}
 	err = s.relayEvents(ctx, response)
 	// The end of a run that was copied to another engine is not a failure of the
 	// upstream.
 	if err != nil && ctx.Err() == nil && !s.hasCopy() {
-		s.g.reportAttempt(s.request, s.placement, nil, err)
+		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 	}
 	return nil, err
 }
@@ -197,20 +197,20 @@
 // readPlainResponse reads a response that is not an event stream, such as an
 // error. It returns an error instead if the caller has already received part of
 // the stream, or if another upstream can be tried after a server error.
-func (s *stream) readPlainResponse(response *http.Response) (*plainResponse, error) {
+func (s *stream) readPlainResponse(ctx context.Context, response *http.Response) (*plainResponse, error) {
 	body, err := readResponseBody(response)
 	if err != nil {
-		s.g.reportAttempt(s.request, s.placement, nil, err)
+		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
 	}
 	plain := &plainResponse{response.StatusCode, s.g.Protocol.CallerHeader(response.Header), body}
 	if s.headerSent || plain.status >= http.StatusInternalServerError && s.route.Resumable && s.hasAttemptsLeft() {
 		err := verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "response status %s", response.Status)
-		s.g.reportAttempt(s.request, s.placement, nil, err)
+		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
 	}
 	if plain.status >= http.StatusInternalServerError {
-		s.g.reportAttempt(s.request, s.placement, plain, nil)
+		s.g.reportAttempt(ctx, s.request, s.placement, plain, nil)
 	}
 	return plain, nil
 }
