--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -45,6 +45,10 @@
 	group      *sync.WaitGroup
 	callers    []netip.AddrPort
 	sent       atomic.Int64
+	// engines is the number of engines so far, and crashes are the times at which some
+	// crashed.
+	engines atomic.Int64
+	crashes times
 	// firstIP is the address of the first instance; those of the others follow.
 	firstIP netip.Addr
 }
