--- /dev/null
+++ b/containment/tracker.go
@@ -0,0 +1,595 @@
+// Package containment finds the parts of prompts on which engines crash, and contains
+// them: requests whose prompts have such a part are refused until a probe shows that it
+// has become harmless.
+//
+// No single crash tells its cause, because many requests are at an engine when it ends.
+// Suspected are the parts of the prompts that it had just begun to answer. A part on which
+// engines crash never survives, so an execution that began after the crash, and that has
+// ended well or is still running a while later, clears all parts of its prompt. What
+// remains suspected after several crashes is the cause of them, and explains them, so that
+// parts that are often together with it are not blamed too.
+//
+// All instances tell each other of crashes, and of survivals of suspected parts. A Tracker
+// is a pure function of its state, the time and its inputs, and is used by one goroutine.
+package containment
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"mangoloft/ident"
+	"mangoloft/prompt"
+)
+
+const (
+	// survivalTime is the time for which an engine must run after the first event of an
+	// answer to clear the parts of the prompt. If it crashes within suspectTime, they are
+	// suspected. Engines crash within some 100 ms.
+	survivalTime = 500 * time.Millisecond
+	suspectTime  = 250 * time.Millisecond
+	// detectionTime is the time within which a lost connection is known to be the end of
+	// its engine.
+	detectionTime = 250 * time.Millisecond
+	// reportTime is the time within which the instances report what they had at a crashed
+	// engine. A crash counts only then.
+	reportTime = 100 * time.Millisecond
+	// sameCauseTime is the time within which several crashes count as one against a part
+	// that survived before, because they may have one cause outside of the engines. Several
+	// engines seldom have begun to answer the same part just then unless many requests
+	// have it.
+	sameCauseTime = 50 * time.Millisecond
+	// waitingWeight is the weight of a crash as evidence against the parts of a prompt that
+	// the engine had not begun to answer, as far as the instance knows.
+	waitingWeight = 0.5
+	// minCrashes is the number of crashes after which a part is contained, and
+	// minCrashesOfKnown that for a part that survived in the last knownTime.
+	minCrashes        = 4
+	minCrashesOfKnown = 5
+	knownTime         = time.Minute
+	// tellInterval is the time after which an instance tells again that a suspected part has
+	// survived, and maxWitnesses the number of instances that do, on average, besides those
+	// that had requests at the crashed engine.
+	tellInterval = 3 * time.Second
+	maxWitnesses = 6
+	// maxIndistinct is the number of crashes after which a part is contained even though
+	// another one is as suspect. Other instances probably know more.
+	maxIndistinct = 12
+	// retention is the time for which crashes, and contained parts that no request has,
+	// are remembered.
+	retention = 10 * time.Minute
+	// firstProbeDelay is the time from a containment to the first probe. It doubles with
+	// each further one, up to maxProbeDelay.
+	firstProbeDelay = 30 * time.Second
+	maxProbeDelay   = 8 * time.Minute
+	// probeSpreadPerInstance is the time over which the instances spread a probe, for each
+	// of them, at most maxProbeSpread.
+	probeSpreadPerInstance = 250 * time.Millisecond
+	maxProbeSpread         = 60 * time.Second
+	// executionRetention is the time for which executions are remembered that have not
+	// proved harmless, after they have ended.
+	executionRetention = 10 * time.Second
+	// maxPause is the time without a tick after which the process may have been frozen, and
+	// the ends of engines are not known yet.
+	maxPause = 1 * time.Second
+	// tickInterval is the minimum time between two ticks.
+	tickInterval = 50 * time.Millisecond
+
+	// sweepInterval is the time after which what is out of date is forgotten.
+	sweepInterval = 10 * time.Second
+
+	maxCrashes  = 128
+	maxSuspects = 256
+	maxRecords  = 4096
+	// MaxContained is the maximum number of contained parts. The oldest one is released
+	// for a further one.
+	MaxContained = 64
+)
+
+// Engine identifies a process of an engine.
+type Engine struct {
+	Name        string
+	Incarnation ident.Incarnation
+}
+
+// Crash reports that an engine has ended, with the parts of the prompts that an instance
+// had there.
+type Crash struct {
+	Engine Engine
+	// At is the time at which the end was noticed.
+	At time.Time
+	// Parts are those of prompts that the engine had just begun to answer, Waiting those of
+	// others that it had not answered.
+	Parts, Waiting []prompt.Part
+}
+
+// Finding is what is known of one part.
+type Finding struct {
+	Part prompt.Part
+	// SurvivedAt is the time at which the latest execution began after which the engine
+	// still ran; zero if there is none.
+	SurvivedAt time.Time
+	// ContainedAt is the time at which the part was contained; zero if it is not.
+	ContainedAt time.Time
+	// CrashedAt is the time of the latest crash that the part explains.
+	CrashedAt time.Time
+	// ProbeAt is the time from which one request with a contained part may be sent, and
+	// Probes the number of those sent so far.
+	ProbeAt time.Time
+	Probes  int
+}
+
+// Output is what a Tracker wants its caller to do.
+type Output struct {
+	// Crashes and Findings are to be sent to the other instances.
+	Crashes  []Crash
+	Findings []Finding
+	// Contained and Released are the parts whose containment began or ended.
+	Contained, Released []Finding
+}
+
+// record is the state of a part.
+type record struct {
+	Finding
+	// survivals is the number of this instance's executions that survived.
+	survivals int
+	// toldAt is the latest SurvivedAt that any instance told the others.
+	toldAt time.Time
+	// usedAt is the time of the latest request with the part.
+	usedAt time.Time
+}
+
+func (r *record) isContained() bool { return !r.ContainedAt.IsZero() }
+
+// execution is an execution of a request of this instance.
+type execution struct {
+	id     ident.Request
+	engine Engine
+	parts  []prompt.Part
+	// answered reports whether the answer has begun: its header has arrived.
+	answered bool
+	// beganAt is the time of the first event; zero if there was none.
+	beganAt time.Time
+	// endedAt is the time at which it ended; zero while it is open.
+	endedAt time.Time
+	// survived reports whether it has proved harmless.
+	survived bool
+}
+
+// crash is a known crash, with the weights of the suspected parts that any instance
+// reported.
+type crash struct {
+	at    time.Time
+	parts map[prompt.Part]float64
+}
+
+// Tracker tracks the parts of prompts and the ends of engines.
+type Tracker struct {
+	// executions are the open ones and those that may still be the cause of a crash, by
+	// engine. open contains the latest one of each request.
+	executions map[Engine][]*execution
+	open       map[ident.Request]*execution
+	records    map[prompt.Part]*record
+	crashes    map[Engine]*crash
+	// instances is the number of live instances, and salt differs between them.
+	instances int
+	salt      uint64
+	// evaluateAt is the time at which the next crash counts; zero if all do.
+	evaluateAt        time.Time
+	tickedAt, sweptAt time.Time
+	out               Output
+}
+
+// New returns a Tracker that knows nothing.
+func New() *Tracker {
+	return &Tracker{
+		executions: map[Engine][]*execution{}, open: map[ident.Request]*execution{},
+		records: map[prompt.Part]*record{}, crashes: map[Engine]*crash{}, instances: 1,
+	}
+}
+
+// SetInstances sets the number of live instances, including this one.
+func (t *Tracker) SetInstances(n int) { t.instances = max(1, n) }
+
+// Take returns what the caller has to do since the previous call.
+func (t *Tracker) Take() Output {
+	out := t.out
+	t.out = Output{}
+	return out
+}
+
+// Blocked reports whether a request whose prompt has the parts must not be sent now, and
+// the contained part.
+func (t *Tracker) Blocked(now time.Time, parts []prompt.Part) (Finding, bool) {
+	for _, p := range parts {
+		if r := t.records[p]; r != nil && r.isContained() {
+			r.usedAt = now
+			if now.Before(r.ProbeAt.Add(t.probeSpread(r))) {
+				return r.Finding, true
+			}
+		}
+	}
+	return Finding{}, false
+}
+
+// Sent records that this instance sends a request to an engine. A request with a
+// contained part is a probe.
+func (t *Tracker) Sent(now time.Time, id ident.Request, engine Engine, parts []prompt.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	t.salt = uint64(id.Home.Incarnation)
+	e := &execution{id: id, engine: engine, parts: parts}
+	t.open[id] = e
+	t.executions[engine] = append(t.executions[engine], e)
+	for _, p := range parts {
+		r := t.touch(now, p)
+		if r == nil {
+			continue
+		}
+		if r.isContained() {
+			r.Probes++
+			r.ProbeAt = now.Add(probeDelay(r.Probes))
+			t.out.Findings = append(t.out.Findings, r.Finding)
+		}
+	}
+}
+
+// probeSpread returns the time after ProbeAt at which this instance may send the probe, so
+// that the instances don't all send one before they hear of the first.
+func (t *Tracker) probeSpread(r *record) time.Duration {
+	spread := min(time.Duration(t.instances-1)*probeSpreadPerInstance, maxProbeSpread)
+	fraction := float64(t.hash(r.Part.String(), uint64(r.Probes))>>11) / (1 << 53)
+	return time.Duration(fraction * float64(spread))
+}
+
+// hash returns a pseudo-random number that differs between the instances.
+func (t *Tracker) hash(name string, n uint64) uint64 {
+	hash := fnv.New64a()
+	fmt.Fprint(hash, t.salt, name, n)
+	// FNV changes the high bits too little for short inputs.
+	return hash.Sum64() * 0x9e3779b97f4a7c15
+}
+
+func probeDelay(probes int) time.Duration {
+	return min(maxProbeDelay, firstProbeDelay<<min(probes, 10))
+}
+
+// Answered records that an engine has begun to answer a request.
+func (t *Tracker) Answered(id ident.Request) {
+	if e := t.open[id]; e != nil {
+		e.answered = true
+	}
+}
+
+// Began records that an engine has sent the first event of its answer.
+func (t *Tracker) Began(now time.Time, id ident.Request) {
+	if e := t.open[id]; e != nil && e.beganAt.IsZero() {
+		e.beganAt, e.answered = now, true
+		t.clearEarlier(now, e.engine)
+	}
+}
+
+// clearEarlier clears the parts of executions that began a while before the engine
+// answered another request. Their callers may have left since.
+func (t *Tracker) clearEarlier(now time.Time, engine Engine) {
+	for _, e := range t.executions[engine] {
+		if !e.survived && !e.beganAt.IsZero() && now.Sub(e.beganAt) >= survivalTime {
+			t.clear(now, e)
+		}
+	}
+}
+
+// Closed records that an execution has ended. Completed means that its engine sent the
+// end, and neverRan that it did not run the request.
+func (t *Tracker) Closed(now time.Time, id ident.Request, completed, neverRan bool) {
+	e := t.open[id]
+	if e == nil {
+		return
+	}
+	delete(t.open, id)
+	e.endedAt = now
+	if completed && !e.beganAt.IsZero() && !e.survived {
+		t.clear(now, e)
+	}
+	if neverRan || e.survived {
+		t.executions[e.engine] = slices.DeleteFunc(t.executions[e.engine], func(other *execution) bool { return other == e })
+	}
+}
+
+// Ended records that an engine has ended without notice, as noticed at the given time.
+func (t *Tracker) Ended(now time.Time, engine Engine, at time.Time) {
+	c := Crash{Engine: engine, At: at}
+	for _, e := range t.executions[engine] {
+		switch {
+		case e.survived:
+			continue
+		case !e.answered:
+			c.Waiting = append(c.Waiting, e.parts...)
+		case e.isSuspected(at):
+			c.Parts = append(c.Parts, e.parts...)
+		}
+	}
+	t.forgetEngine(engine)
+	c.Parts, c.Waiting = unique(c.Parts), unique(c.Waiting)
+	if len(c.Parts)+len(c.Waiting) == 0 {
+		return
+	}
+	t.addCrash(now, c)
+	t.out.Crashes = append(t.out.Crashes, c)
+	t.tellSurvivals(now, c)
+}
+
+// tellSurvivals tells the other instances which of the suspected parts have survived
+// lately, unless it was told just before.
+func (t *Tracker) tellSurvivals(now time.Time, c Crash) {
+	for _, p := range slices.Concat(c.Parts, c.Waiting) {
+		r := t.records[p]
+		if r != nil && now.Sub(r.SurvivedAt) < knownTime && r.SurvivedAt.Sub(r.toldAt) > tellInterval {
+			t.tell(r)
+		}
+	}
+}
+
+// tell tells the other instances what is known of a part.
+func (t *Tracker) tell(r *record) {
+	r.toldAt = latest(r.toldAt, r.SurvivedAt)
+	t.out.Findings = append(t.out.Findings, r.Finding)
+}
+
+// isWitness reports whether the instance is one of the few that tell what they know of the
+// parts that other instances suspect after a crash.
+func (t *Tracker) isWitness(engine Engine) bool {
+	return t.hash(engine.Name, uint64(engine.Incarnation))>>32%uint64(t.instances) < maxWitnesses
+}
+
+// isSuspected reports whether the crash of the engine at the given time, or what an
+// instance saw of the execution before, came so soon after the first event that the
+// execution may be the cause.
+func (e *execution) isSuspected(crashedAt time.Time) bool {
+	if !e.endedAt.IsZero() && e.endedAt.Before(crashedAt) {
+		crashedAt = e.endedAt
+	}
+	return e.beganAt.IsZero() || crashedAt.Sub(e.beganAt) < suspectTime
+}
+
+// unique returns the parts in order, each once, and not more than maxSuspects.
+func unique(parts []prompt.Part) []prompt.Part {
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
+	return parts[:min(len(parts), maxSuspects)]
+}
+
+// forgetEngine ends all executions at an engine.
+func (t *Tracker) forgetEngine(engine Engine) {
+	for _, e := range t.executions[engine] {
+		if t.open[e.id] == e {
+			delete(t.open, e.id)
+		}
+	}
+	delete(t.executions, engine)
+}
+
+// HandleCrash handles the report of another instance.
+func (t *Tracker) HandleCrash(now time.Time, c Crash) {
+	t.addCrash(now, c)
+	t.Ended(now, c.Engine, c.At)
+	if t.isWitness(c.Engine) {
+		t.tellSurvivals(now, c)
+	}
+}
+
+func (t *Tracker) addCrash(now time.Time, reported Crash) {
+	c := t.crashes[reported.Engine]
+	if c == nil {
+		t.makeRoomForCrash()
+		c = &crash{at: reported.At, parts: map[prompt.Part]float64{}}
+		t.crashes[reported.Engine] = c
+	}
+	if reported.At.Before(c.at) {
+		c.at = reported.At
+	}
+	c.suspect(reported.Waiting, waitingWeight)
+	c.suspect(reported.Parts, 1)
+	for _, p := range reported.Parts {
+		if r := t.records[p]; r != nil && r.isContained() && c.at.After(r.CrashedAt) {
+			r.CrashedAt = c.at
+		}
+	}
+	if t.evaluateAt.IsZero() {
+		t.evaluateAt = now.Add(reportTime)
+	}
+}
+
+// suspect adds parts with a weight.
+func (c *crash) suspect(parts []prompt.Part, weight float64) {
+	for _, p := range parts {
+		if len(c.parts) < maxSuspects || c.parts[p] > 0 {
+			c.parts[p] = max(c.parts[p], weight)
+		}
+	}
+}
+
+// makeRoomForCrash forgets the oldest crash if there are too many.
+func (t *Tracker) makeRoomForCrash() {
+	if len(t.crashes) < maxCrashes {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), func(a, b Engine) int {
+		return cmp.Or(t.crashes[a].at.Compare(t.crashes[b].at), cmp.Compare(a.Name, b.Name))
+	})
+	delete(t.crashes, oldest)
+}
+
+// HandleFinding handles what another instance knows of a part.
+func (t *Tracker) HandleFinding(now time.Time, f Finding) {
+	r := t.ensure(now, f.Part)
+	r.SurvivedAt = latest(r.SurvivedAt, f.SurvivedAt)
+	r.toldAt = latest(r.toldAt, f.SurvivedAt)
+	switch {
+	case f.ContainedAt.IsZero():
+	case r.isContained():
+		r.Probes = max(r.Probes, f.Probes)
+		r.ProbeAt = latest(r.ProbeAt, f.ProbeAt)
+		r.CrashedAt = latest(r.CrashedAt, f.CrashedAt)
+	case r.SurvivedAt.After(f.CrashedAt):
+		// The other instance does not know of the survival.
+		t.tell(r)
+	default:
+		t.contain(now, r, f)
+	}
+	t.releaseIfSurvived(r)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Contained returns the contained parts.
+func (t *Tracker) Contained() []Finding {
+	var list []Finding
+	for _, p := range slices.Sorted(maps.Keys(t.records)) {
+		if r := t.records[p]; r.isContained() {
+			list = append(list, r.Finding)
+		}
+	}
+	return list
+}
+
+// Tick checks which executions have proved harmless, and which parts are to be contained.
+// It returns at once if it was called just before.
+func (t *Tracker) Tick(now time.Time) {
+	if now.Sub(t.tickedAt) < tickInterval {
+		return
+	}
+	paused := now.Sub(t.tickedAt) > maxPause
+	t.tickedAt = now
+	if !paused {
+		for _, engine := range t.engines() {
+			t.settle(now, engine)
+		}
+	}
+	if !t.evaluateAt.IsZero() && !now.Before(t.evaluateAt) {
+		t.evaluate(now)
+	}
+	if now.Sub(t.sweptAt) > sweepInterval {
+		t.sweptAt = now
+		t.sweep(now)
+	}
+}
+
+// engines returns the engines with executions, in a fixed order.
+func (t *Tracker) engines() []Engine {
+	return slices.SortedFunc(maps.Keys(t.executions), func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
+
+// settle clears the parts of executions that still run a while after they began.
+func (t *Tracker) settle(now time.Time, engine Engine) {
+	list := t.executions[engine]
+	for _, e := range list {
+		isRunning := !e.beganAt.IsZero() && e.endedAt.IsZero()
+		if !e.survived && isRunning && now.Sub(e.beganAt) >= survivalTime+detectionTime {
+			t.clear(now, e)
+		}
+	}
+	list = slices.DeleteFunc(list, func(e *execution) bool {
+		return !e.endedAt.IsZero() && (e.survived || now.Sub(e.endedAt) > executionRetention)
+	})
+	t.executions[engine] = list
+	if len(list) == 0 {
+		t.forgetEngine(engine)
+	}
+}
+
+// clear records that an execution survived, and tells the other instances of the parts
+// that were suspected.
+func (t *Tracker) clear(now time.Time, e *execution) {
+	e.survived = true
+	for _, p := range e.parts {
+		r := t.touch(now, p)
+		if r == nil {
+			continue
+		}
+		r.survivals++
+		if !e.beganAt.After(r.SurvivedAt) {
+			continue
+		}
+		wasSuspected := t.isSuspected(r, e.beganAt)
+		r.SurvivedAt = e.beganAt
+		if t.releaseIfSurvived(r) || wasSuspected {
+			t.tell(r)
+		}
+	}
+}
+
+// isSuspected reports whether there is a crash that the part may have caused, and that a
+// survival at the given time would clear it of.
+func (t *Tracker) isSuspected(r *record, survivedAt time.Time) bool {
+	for _, c := range t.crashes {
+		if c.parts[r.Part] > 0 && c.at.After(r.SurvivedAt) && !c.at.After(survivedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseIfSurvived ends the containment of a part with which an execution survived that
+// began after the latest crash. It reports whether it did.
+func (t *Tracker) releaseIfSurvived(r *record) bool {
+	if !r.isContained() || !r.SurvivedAt.After(r.CrashedAt) {
+		return false
+	}
+	t.out.Released = append(t.out.Released, r.Finding)
+	r.Finding = Finding{Part: r.Part, SurvivedAt: r.SurvivedAt}
+	return true
+}
+
+// contain begins the containment of a part.
+func (t *Tracker) contain(now time.Time, r *record, f Finding) {
+	contained := t.Contained()
+	if len(contained) >= MaxContained {
+		oldest := slices.MinFunc(contained, func(a, b Finding) int { return a.ContainedAt.Compare(b.ContainedAt) })
+		t.out.Released = append(t.out.Released, oldest)
+		t.records[oldest.Part].Finding = Finding{Part: oldest.Part, SurvivedAt: oldest.SurvivedAt}
+	}
+	r.ContainedAt, r.CrashedAt, r.ProbeAt, r.Probes, r.usedAt = f.ContainedAt, f.CrashedAt, f.ProbeAt, f.Probes, now
+	t.out.Contained = append(t.out.Contained, r.Finding)
+}
+
+// touch returns the record of a part that a request has, or nil if there are too many.
+func (t *Tracker) touch(now time.Time, p prompt.Part) *record {
+	if t.records[p] == nil && len(t.records) >= maxRecords {
+		return nil
+	}
+	r := t.ensure(now, p)
+	r.usedAt = now
+	return r
+}
+
+func (t *Tracker) ensure(now time.Time, p prompt.Part) *record {
+	r := t.records[p]
+	if r == nil {
+		r = &record{Finding: Finding{Part: p}, usedAt: now}
+		t.records[p] = r
+	}
+	return r
+}
+
+// sweep forgets what is out of date.
+func (t *Tracker) sweep(now time.Time) {
+	maps.DeleteFunc(t.crashes, func(_ Engine, c *crash) bool { return now.Sub(c.at) > retention })
+	maps.DeleteFunc(t.records, func(_ prompt.Part, r *record) bool {
+		if r.isContained() {
+			return now.Sub(r.usedAt) > retention
+		}
+		return now.Sub(r.usedAt) > knownTime && now.Sub(r.SurvivedAt) > knownTime
+	})
+}
--- /dev/null
+++ b/containment/tracker_test.go
@@ -0,0 +1,178 @@
+package containment_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"mangoloft/containment"
+	"mangoloft/ident"
+	"mangoloft/prompt"
+)
+
+// bench drives one tracker.
+type bench struct {
+	*containment.Tracker
+	now      time.Time
+	sequence uint64
+}
+
+func newBench() *bench {
+	return &bench{Tracker: containment.New(), now: time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)}
+}
+
+// pass lets time pass, with ticks.
+func (b *bench) pass(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(min(100*time.Millisecond, end.Sub(b.now)))
+		b.Tick(b.now)
+	}
+}
+
+// begin sends a request to an engine of its own, and lets its answer begin.
+func (b *bench) begin(parts ...prompt.Part) (ident.Request, containment.Engine) {
+	b.sequence++
+	id, engine := ident.Request{Sequence: b.sequence}, containment.Engine{Name: fmt.Sprint("e", b.sequence), Incarnation: 1}
+	b.Sent(b.now, id, engine, parts)
+	b.Answered(id)
+	b.Began(b.now, id)
+	return id, engine
+}
+
+// crash sends a request on which its engine crashes.
+func (b *bench) crash(parts ...prompt.Part) {
+	id, engine := b.begin(parts...)
+	b.pass(60 * time.Millisecond)
+	b.Ended(b.now, engine, b.now)
+	b.Closed(b.now, id, false, false)
+}
+
+// survive sends a request that is answered completely.
+func (b *bench) survive(parts ...prompt.Part) {
+	id, _ := b.begin(parts...)
+	b.pass(60 * time.Millisecond)
+	b.Closed(b.now, id, true, false)
+}
+
+func (b *bench) isBlocked(parts ...prompt.Part) bool {
+	_, blocked := b.Blocked(b.now, parts)
+	return blocked
+}
+
+// contain crashes engines until the guilty part is contained.
+func (b *bench) contain(t *testing.T) {
+	t.Helper()
+	for range 4 {
+		assert.Assert(t, !b.isBlocked(guilty))
+		b.survive(shared)
+		b.crash(shared, guilty)
+	}
+	b.pass(200 * time.Millisecond)
+	assert.Assert(t, b.isBlocked(shared, guilty))
+	assert.Assert(t, !b.isBlocked(shared))
+}
+
+func TestProbeReleasesHarmlessPart(t *testing.T) {
+	b := newBench()
+	b.contain(t)
+	b.pass(29 * time.Second)
+	assert.Assert(t, b.isBlocked(guilty))
+	b.pass(time.Second)
+	assert.Assert(t, !b.isBlocked(guilty))
+	id, _ := b.begin(guilty)
+	assert.Assert(t, b.isBlocked(guilty), "only one probe at a time")
+	b.Closed(b.now.Add(60*time.Millisecond), id, true, false)
+	assert.Assert(t, !b.isBlocked(guilty))
+	assert.Equal(t, len(b.Take().Released), 1)
+}
+
+func TestFailedProbeDoublesTheDelay(t *testing.T) {
+	b := newBench()
+	b.contain(t)
+	b.pass(30 * time.Second)
+	b.crash(guilty)
+	b.pass(59 * time.Second)
+	assert.Assert(t, b.isBlocked(guilty))
+	b.pass(2 * time.Second)
+	assert.Assert(t, !b.isBlocked(guilty))
+}
+
+func TestFrozenInstanceClearsNothing(t *testing.T) {
+	b := newBench()
+	for range 3 {
+		b.crash(guilty)
+	}
+	b.pass(300 * time.Millisecond)
+	id, engine := b.begin(guilty)
+	b.now = b.now.Add(5 * time.Second)
+	b.Tick(b.now)
+	b.Ended(b.now, engine, b.now)
+	b.Closed(b.now, id, false, false)
+	for _, f := range b.Take().Findings {
+		assert.Assert(t, f.SurvivedAt.IsZero())
+	}
+}
+
+func TestLostAnswersAndRejectionsClearNothingAndAccuseNobody(t *testing.T) {
+	b := newBench()
+	for range 10 {
+		id, _ := b.begin(guilty)
+		b.Closed(b.now, id, false, false)
+		id, engine := b.begin(guilty)
+		b.Closed(b.now, id, false, true)
+		b.Ended(b.now, engine, b.now)
+		b.pass(100 * time.Millisecond)
+	}
+	out := b.Take()
+	assert.Equal(t, len(out.Crashes)+len(out.Contained)+len(out.Findings), 0)
+}
+
+func TestLongRunningExecutionsAreNotSuspected(t *testing.T) {
+	b := newBench()
+	for range 10 {
+		id, engine := b.begin(shared, 7)
+		b.pass(time.Second)
+		b.Ended(b.now, engine, b.now)
+		b.Closed(b.now, id, false, false)
+	}
+	assert.Equal(t, len(b.Take().Crashes), 0)
+}
+
+func TestOtherInstancesContainmentIsAdopted(t *testing.T) {
+	b := newBench()
+	f := containment.Finding{Part: guilty, ContainedAt: b.now, CrashedAt: b.now.Add(-100 * time.Millisecond), ProbeAt: b.now.Add(30 * time.Second)}
+	b.HandleFinding(b.now, f)
+	assert.Assert(t, b.isBlocked(guilty))
+	f.ProbeAt = f.ProbeAt.Add(time.Minute)
+	b.HandleFinding(b.now, f)
+	b.pass(31 * time.Second)
+	assert.Assert(t, b.isBlocked(guilty), "another instance has sent the probe")
+	b.HandleFinding(b.now, containment.Finding{Part: guilty, SurvivedAt: b.now})
+	assert.Assert(t, !b.isBlocked(guilty))
+}
+
+func TestContainmentOfSurvivingPartIsRefuted(t *testing.T) {
+	b := newBench()
+	b.survive(shared)
+	b.Take()
+	b.HandleFinding(b.now, containment.Finding{Part: shared, ContainedAt: b.now, CrashedAt: b.now.Add(-time.Second), ProbeAt: b.now.Add(30 * time.Second)})
+	assert.Assert(t, !b.isBlocked(shared))
+	assert.Equal(t, len(b.Take().Findings), 1)
+}
+
+func TestHostilePartsAreBounded(t *testing.T) {
+	b := newBench()
+	for i := range 20_000 {
+		b.survive(prompt.Part(i), prompt.Part(1_000_000+i))
+		if i%10 == 0 {
+			b.crash(prompt.Part(2_000_000 + i))
+		}
+	}
+	b.contain(t)
+	for i := range prompt.Part(2 * containment.MaxContained) {
+		b.HandleFinding(b.now, containment.Finding{Part: 3_000_000 + i, ContainedAt: b.now.Add(time.Duration(i)), CrashedAt: b.now, ProbeAt: b.now.Add(time.Minute)})
+	}
+	assert.Equal(t, len(b.Contained()), containment.MaxContained)
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mangoloft/config"
+	"mangoloft/containment"
 	"mangoloft/ident"
 	"mangoloft/verdict"
 )
@@ -45,6 +46,8 @@
 	// reached recently.
 	partitions map[string]*partition
 	retries    retryBudget
+	// containment tracks the parts of prompts on which engines crash.
+	containment *containment.Tracker
 	// receivesPeerReports is true once a load report has arrived for an engine
 	// with declared memory. Only other instances send such reports: in a large
 	// fleet, instances send them to other data centres instead of a notice for
@@ -65,7 +68,8 @@
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
 		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, retries: newRetryBudget(),
-		instances: 1,
+		containment: containment.New(),
+		instances:   1,
 	}
 }
 
@@ -76,7 +80,10 @@
 }
 
 // SetInstances sets the number of live instances, including this one.
-func (s *Scheduler) SetInstances(n int) { s.instances = max(1, n) }
+func (s *Scheduler) SetInstances(n int) {
+	s.instances = max(1, n)
+	s.containment.SetInstances(n)
+}
 
 // Waiting returns the length of the queue.
 func (s *Scheduler) Waiting() int { return len(s.queue.list) }
@@ -84,7 +91,9 @@
 // Step handles one event and returns the resulting actions. The time must not go
 // backwards between calls.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
+	s.containment.Tick(now)
 	actions := append(s.handle(now, e), s.outgoing...)
+	actions = append(actions, s.containmentActions()...)
 	s.outgoing = nil
 	return actions
 }
@@ -105,8 +114,20 @@
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
 		return nil
+	case EngineEnded:
+		s.handleEngineEnded(now, e)
+		return nil
+	case CrashReceived:
+		s.containment.HandleCrash(now, e.Crash)
+		return nil
+	case FindingReceived:
+		s.containment.HandleFinding(now, e.Finding)
+		return nil
 	case Arrived:
 		return s.handleArrival(now, e.Request)
+	case Answered:
+		s.containment.Answered(e.ID)
+		return nil
 	case Progressed:
 		s.handleProgress(now, e)
 		return nil
@@ -238,6 +259,7 @@
 		return false
 	}
 	if f.tokens == 0 && !f.handledByPeer {
+		s.containment.Began(now, id)
 		s.recordReachable(u)
 	}
 	if f.tokens == 0 && f.prefillTokens > 0 && !f.handledByPeer {
@@ -256,6 +278,7 @@
 		return
 	}
 	completed := e.Outcome.Reason == verdict.Completed
+	s.containment.Closed(now, e.ID, completed, e.Outcome.Verdict == verdict.NotRun)
 	f := s.finish(now, e.ID, e.Tokens, completed)
 	if f == nil {
 		return
@@ -336,6 +359,10 @@
 func (s *Scheduler) handleArrival(now time.Time, r Request) []Action {
 	s.release(now, r.ID)
 	s.cancelMove(r.ID)
+	s.containment.Closed(now, r.ID, false, r.NeverSent)
+	if refusal, ok := s.refuseContained(now, r); ok {
+		return []Action{refusal}
+	}
 	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
 	if firstAttempt {
 		s.retries.deposit()
@@ -403,6 +430,7 @@
 	}
 	s.useLimit(now, c.upstream)
 	s.recordPlacement(now, c.upstream, w.Request, c.lengths, false)
+	s.containment.Sent(now, w.ID, engineOf(c.upstream), w.Parts)
 	if w.Class.Kind == config.Stream {
 		s.notify(Notice{Kind: NoticePlaced, Request: w.Request, Upstream: c.upstream.Name})
 	}
@@ -533,6 +561,12 @@
 			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, explanation))
 			continue
 		}
+		if refusal, ok := s.refuseContained(now, w.Request); ok {
+			s.queue.remove(w.ID)
+			s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: w.ID}})
+			actions = append(actions, refusal)
+			continue
+		}
 		if overtaken[w.Class.Pool] >= maxOvertaken {
 			continue
 		}
--- a/decide/types.go
+++ b/decide/types.go
@@ -15,6 +15,7 @@
 
 	"mangoloft/config"
 	"mangoloft/ident"
+	"mangoloft/prompt"
 	"mangoloft/verdict"
 )
 
@@ -50,6 +51,9 @@
 	// Prefix contains the hashes of the prompt's leading blocks, the longest
 	// prefix last.
 	Prefix []uint64
+	// Parts are the parts of the prompt that other requests may share. Requests with parts
+	// on which engines crash are refused.
+	Parts []prompt.Part
 	// StartBy is the deadline for placing the request; zero if its class has
 	// none.
 	StartBy time.Time
@@ -113,6 +117,9 @@
 	Tokens int
 }
 
+// Answered reports that the header of a placed stream has arrived.
+type Answered struct{ ID ident.Request }
+
 // Ended reports that a placed or waiting request is finished.
 type Ended struct {
 	ID      ident.Request
@@ -155,6 +162,7 @@
 func (ReportReceived) decideEvent()   {}
 func (Arrived) decideEvent()          {}
 func (Progressed) decideEvent()       {}
+func (Answered) decideEvent()         {}
 func (Ended) decideEvent()            {}
 func (Failed) decideEvent()           {}
 func (NoticeReceived) decideEvent()   {}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -9,10 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/prompt"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 	"mangoloft/verdict"
@@ -36,6 +38,10 @@
 	SendNotice(n decide.Notice)
 	// SendLimit sends a notice of an upstream's limit and its use.
 	SendLimit(n decide.LimitNotice)
+	// SendCrash sends the report of a crash of an engine.
+	SendCrash(c containment.Crash)
+	// SendFinding sends what is known of a part of prompts.
+	SendFinding(f containment.Finding)
 	// SendLeaving announces that an incarnation of an upstream, identified by its
 	// start time, is leaving.
 	SendLeaving(id string, startUnixMS int64, leavesAt time.Time)
@@ -54,6 +60,8 @@
 	// ListPosition is the position of the list of upstreams in the store's history;
 	// zero until one is received.
 	ListPosition history.Position
+	// Contained are the parts of prompts on which engines crash.
+	Contained []containment.Finding
 }
 
 // Placement is the upstream that a request is placed on.
@@ -180,10 +188,27 @@
 			c.log.Emit(event.UpstreamPaused, "upstream", a.Upstream, "for_ms", a.Until.Sub(now).Milliseconds())
 		case decide.NotifyLimit:
 			c.announcer.SendLimit(a.Notice)
+		case decide.NotifyCrash:
+			c.log.Emit(event.PromptsSuspected, "upstream", a.Crash.Engine.Name, "born", int64(a.Crash.Engine.Incarnation), "parts", len(a.Crash.Parts), "waiting_parts", len(a.Crash.Waiting), "first_parts", prompt.List(a.Crash.Parts))
+			c.announcer.SendCrash(a.Crash)
+		case decide.NotifyFinding:
+			c.announcer.SendFinding(a.Finding)
+		case decide.ContainmentChanged:
+			c.logContainment(now, a)
+			c.publish()
 		}
 	}
 }
 
+func (c *Controller) logContainment(now time.Time, a decide.ContainmentChanged) {
+	if !a.Contained {
+		c.log.Emit(event.PromptReleased, "part", a.Finding.Part.String(), "contained_ms", now.Sub(a.Finding.ContainedAt).Milliseconds(), "probes", a.Finding.Probes)
+		return
+	}
+	c.log.Emit(event.PromptContained, "part", a.Finding.Part.String(), "contained_ms", now.Sub(a.Finding.ContainedAt).Milliseconds(),
+		"crashed_ago_ms", now.Sub(a.Finding.CrashedAt).Milliseconds(), "probe_in_ms", a.Finding.ProbeAt.Sub(now).Milliseconds())
+}
+
 func (c *Controller) logEjection(now time.Time, a decide.Ejected) {
 	if a.Until.IsZero() {
 		c.log.Emit(event.DataCentreRecovered, "data_centre", a.DataCentre)
@@ -264,7 +289,7 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position()})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained()})
 }
 
 // Upstreams returns the statuses of the upstreams that are not Removed; nil if the
@@ -350,6 +375,11 @@
 	return r.leaving
 }
 
+// Answered reports that the header of a placed stream has arrived.
+func (c *Controller) Answered(id ident.Request) {
+	c.send(schedulerEventCommand{decide.Answered{ID: id}})
+}
+
 // Progress reports the number of tokens that a placed request has generated so
 // far.
 func (c *Controller) Progress(id ident.Request, tokens int) {
@@ -384,6 +414,20 @@
 // ReportPushBack forwards the time before which an upstream wants no requests.
 func (c *Controller) ReportPushBack(e decide.PushedBack) { c.send(schedulerEventCommand{e}) }
 
+// ReportEnded reports that the process of an engine has ended.
+func (c *Controller) ReportEnded(e decide.EngineEnded) { c.send(schedulerEventCommand{e}) }
+
+// HandleCrash forwards another instance's report of a crash to the scheduler.
+func (c *Controller) HandleCrash(crash containment.Crash) {
+	c.send(schedulerEventCommand{decide.CrashReceived{Crash: crash}})
+}
+
+// HandleFinding forwards what another instance knows of a part of prompts to the
+// scheduler.
+func (c *Controller) HandleFinding(f containment.Finding) {
+	c.send(schedulerEventCommand{decide.FindingReceived{Finding: f}})
+}
+
 // HandleNotice forwards a notice from another instance to the scheduler.
 func (c *Controller) HandleNotice(n decide.Notice) {
 	c.send(schedulerEventCommand{decide.NoticeReceived{Notice: n}})
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"mangoloft/config"
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
@@ -50,6 +51,10 @@
 
 func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
 
+func (a *recordingAnnouncer) SendCrash(containment.Crash) {}
+
+func (a *recordingAnnouncer) SendFinding(containment.Finding) {}
+
 func (a *recordingAnnouncer) TableChanged() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/containment_test.go
+++ b/entry/containment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -92,8 +93,8 @@
 }
 
 // stream sends a request for a stream through the nth instance, and reports whether the
-// stream began.
-func (f *fleet) stream(t *testing.T, n int, parts ...string) bool {
+// stream began. The caller reads it to its end, unless it leaves after its first line.
+func (f *fleet) stream(t *testing.T, n int, leaves bool, parts ...string) bool {
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s/tag/x", f.callers[n]), nil)
 	if !assert.Check(t, err) {
 		return false
@@ -109,8 +110,15 @@
 	if response.StatusCode != http.StatusOK {
 		return false
 	}
-	line, err := bufio.NewReader(response.Body).ReadString('\n')
-	return err == nil && line != ""
+	body := bufio.NewReader(response.Body)
+	if _, err := body.ReadString('\n'); err != nil {
+		return false
+	}
+	if !leaves {
+		// A stream may be cut off with its engine.
+		_, _ = io.Copy(io.Discard, body)
+	}
+	return true
 }
 
 // share counts how many of the requests sent in a phase began.
@@ -128,13 +136,16 @@
 	)
 	tests := map[string]struct {
 		instances int
-		// parts returns the shared parts of the prompts of guilty requests.
+		// leave reports whether callers leave after the first event.
+		leave bool
+		// parts are the shared parts of the prompts of guilty requests.
 		parts []string
 	}{
-		"one instance":                   {1, []string{"a0", crashPart}},
-		"three instances":                {3, []string{"a0", crashPart}},
-		"three instances, first part":    {3, []string{crashPart, "a0"}},
-		"three instances, between parts": {3, []string{"a0", crashPart, "c0"}},
+		"one instance":                   {1, false, []string{"a0", crashPart}},
+		"three instances":                {3, false, []string{"a0", crashPart}},
+		"three instances, first part":    {3, false, []string{crashPart, "a0"}},
+		"three instances, between parts": {3, false, []string{"a0", crashPart, "c0"}},
+		"three instances, callers leave": {3, true, []string{"a0", crashPart}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -149,7 +160,7 @@
 			var group sync.WaitGroup
 			send := func(i int, phase *share, parts ...string) {
 				group.Go(func() {
-					begun := f.stream(t, i%test.instances, parts...)
+					begun := f.stream(t, i%test.instances, test.leave, parts...)
 					if phase != nil {
 						phase.sent.Add(1)
 						if begun {
--- a/entry/run.go
+++ b/entry/run.go
@@ -146,6 +146,7 @@
 		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListPosition.Revision },
 		LinesDropped: i.log.Dropped, StoreLost: i.follower.Unavailable, Ready: i.ready, Upstreams: i.upstreams,
 		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
+		ContainedParts: func() int { return len(i.controller.Snapshot().Contained) },
 	}
 }
 
@@ -175,6 +176,7 @@
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
 		ListPosition: snapshot.ListPosition, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
+		Contained: snapshot.Contained,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,9 @@
 	UpstreamHeaderRefused ID = 410
 	UpstreamPaused        ID = 411
 	UpstreamEnded         ID = 412
+	PromptsSuspected      ID = 413
+	PromptContained       ID = 414
+	PromptReleased        ID = 415
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -109,6 +112,9 @@
 	UpstreamHeaderRefused: "upstream_header_refused",
 	UpstreamPaused:        "upstream_paused",
 	UpstreamEnded:         "upstream_ended",
+	PromptsSuspected:      "prompts_suspected",
+	PromptContained:       "prompt_contained",
+	PromptReleased:        "prompt_released",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
 )
@@ -15,10 +16,13 @@
 // ended. A retry of its request waits for it.
 const endCheckTimeout = 150 * time.Millisecond
 
-// checkEnded finds out whether an engine that lost the connection of a request has ended:
-// its port then refuses connections. The loss alone doesn't prove it, because some engines
-// only lose answers.
+// checkEnded finds out whether an engine that lost the connection of a request has ended.
+// The loss alone doesn't prove it, because some engines only lose answers.
 func (g *Gateway) checkEnded(ctx context.Context, q *request, placement dispatch.Placement) {
+	if !q.usesEngine() {
+		return
+	}
+	lostAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", placement.Addr.String())
@@ -26,7 +30,15 @@
 		conn.Close()
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.Log.Emit(event.UpstreamEnded, "upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "request", q.info.ID)
+	g.reportIfRefused(q, placement, lostAt, err)
+}
+
+// reportIfRefused reports that an engine has ended, as noticed at a time, if its port
+// refused a connection.
+func (g *Gateway) reportIfRefused(q *request, placement dispatch.Placement, noticedAt time.Time, err error) {
+	if !q.usesEngine() || !errors.Is(err, syscall.ECONNREFUSED) {
+		return
 	}
+	g.Log.Emit(event.UpstreamEnded, "upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "request", q.info.ID)
+	g.Dispatcher.ReportEnded(decide.EngineEnded{Upstream: placement.Name, Incarnation: placement.Incarnation, At: noticedAt})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	StartMove(ctx context.Context, id ident.Request, excluded []string) (dispatch.Placement, error)
 	// EndMove ends a move and reports whether the request has moved.
 	EndMove(id ident.Request, moved bool)
+	// Answered reports that the header of a stream has arrived.
+	Answered(id ident.Request)
 	// Progress reports the number of tokens that a request has generated so far.
 	Progress(id ident.Request, tokens int)
 	// End reports that a request is finished.
@@ -40,6 +42,8 @@
 	// ReportLimit submits the limit that an upstream declared in a response, or that
 	// it declared none.
 	ReportLimit(r decide.LimitReported)
+	// ReportEnded reports that the process of an engine has ended.
+	ReportEnded(e decide.EngineEnded)
 	// ReportPushBack reports that an upstream wants no requests from this instance for
 	// a while.
 	ReportPushBack(e decide.PushedBack)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
@@ -70,6 +71,8 @@
 func (noopAnnouncer) SendNotice(decide.Notice)                                        {}
 func (noopAnnouncer) SendLeaving(string, int64, time.Time)                            {}
 func (noopAnnouncer) SendLimit(decide.LimitNotice)                                    {}
+func (noopAnnouncer) SendCrash(containment.Crash)                                     {}
+func (noopAnnouncer) SendFinding(containment.Finding)                                 {}
 func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
 func (noopAnnouncer) TableChanged()                                                   {}
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -76,7 +76,7 @@
 	q.upstream = placement.Name
 	g.logPlacement(q, placement)
 	header := g.Protocol.UpstreamHeader(q.callerHeader, q.attemptInfo(placement.Name), time.Now())
-	response, err := g.send(ctx, placement.Addr, q.outgoing, header)
+	response, err := g.send(ctx, q, placement, header)
 	if err != nil {
 		q.recordFailure(err)
 		return nil, err
@@ -173,7 +173,7 @@
 			g.Dispatcher.ReportFailure(placement.Name, o.Reason)
 		}
 		g.Metrics.CountFailedSend(q.service, o.Reason)
-		if o.Reason == verdict.UpstreamLost && q.usesEngine() {
+		if o.Reason == verdict.UpstreamLost {
 			g.checkEnded(ctx, q, placement)
 		}
 		g.Log.Emit(event.AttemptEnded, "request", q.info.ID, "upstream", placement.Name, "address", placement.Addr.String(), "status", status,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -218,7 +218,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
+		Parts: q.info.SharedParts, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
 	}
 	if class.WaitTarget > 0 {
 		r.StartBy = q.received.Add(class.WaitTarget)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"mangoloft/dispatch"
 	"mangoloft/freshconn"
 	"mangoloft/verdict"
 )
@@ -55,13 +56,14 @@
 	body   []byte
 }
 
-// send sends the request once and returns the response, whose body the caller
+// send sends the request to the placement once and returns the response, whose body the caller
 // of send must close. An error with verdict NotRun proves that nothing was
 // sent.
-func (g *Gateway) send(ctx context.Context, addr netip.AddrPort, outgoing outgoingRequest, header http.Header) (*http.Response, error) {
+func (g *Gateway) send(ctx context.Context, q *request, placement dispatch.Placement, header http.Header) (*http.Response, error) {
+	outgoing := q.outgoing
 	ctx, use := freshconn.Watch(ctx)
 	request := (&http.Request{
-		Method: outgoing.method, URL: targetURL(addr, outgoing.target), Host: outgoing.host, Header: header,
+		Method: outgoing.method, URL: targetURL(placement.Addr, outgoing.target), Host: outgoing.host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(outgoing.body)), Body: http.NoBody,
 	}).WithContext(ctx)
 	if len(outgoing.body) > 0 {
@@ -74,6 +76,7 @@
 		// upstream.
 		return nil, abortError(ctx, use.Sent())
 	case err != nil && !use.Sent():
+		g.reportIfRefused(q, placement, time.Now(), err)
 		return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
 	case err != nil:
 		return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "%v", err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	header := s.g.Protocol.UpstreamHeader(s.callerHeader, attemptInfo, time.Now())
-	response, err := s.g.send(ctx, s.placement.Addr, s.outgoing, header)
+	response, err := s.g.send(ctx, s.request, s.placement, header)
 	if err != nil {
 		s.recordFailure(err)
 		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
@@ -180,6 +180,7 @@
 	if !isEventStream(response) {
 		return s.readPlainResponse(ctx, response)
 	}
+	s.g.Dispatcher.Answered(s.id)
 	err = s.relayEvents(ctx, response)
 	// The end of a run that was copied to another engine is not a failure of the
 	// upstream.
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -15,10 +15,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/prompt"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -50,6 +52,12 @@
 	revision uint64
 	notices  int
 	reports  map[string]bool
+	// suspected is the number of suspected parts in reports of crashes, and findings are
+	// those received.
+	suspected int
+	findings  map[prompt.Part]containment.Finding
+	// contained are the parts that the node knows to be contained.
+	contained []containment.Finding
 }
 
 func (n *simulatedNode) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
@@ -111,6 +119,18 @@
 	n.limitedSent += l.Sent
 }
 
+func (n *simulatedNode) HandleCrash(c containment.Crash) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.suspected += len(c.Parts)
+}
+
+func (n *simulatedNode) HandleFinding(f containment.Finding) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.findings[f.Part] = f
+}
+
 func (n *simulatedNode) UpdateTable(routing.Document, string) {}
 
 func (n *simulatedNode) Loads(_ context.Context, dataCentre string, limit int) []decide.Load {
@@ -124,7 +144,7 @@
 func (n *simulatedNode) state() State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return State{TableVersion: 1, ListPosition: history.Position{Revision: n.revision}}
+	return State{TableVersion: 1, ListPosition: history.Position{Revision: n.revision}, Contained: n.contained}
 }
 
 // runFleet starts a fleet with the same number of instances in each data centre and
@@ -144,7 +164,7 @@
 		for i := range dataCentres * perDataCentre {
 			dataCentre, number := i%dataCentres, i/dataCentres
 			n := &simulatedNode{
-				fleet: fleet, dataCentre: fmt.Sprint("dc", dataCentre), revision: 1, reports: map[string]bool{},
+				fleet: fleet, dataCentre: fmt.Sprint("dc", dataCentre), revision: 1, reports: map[string]bool{}, findings: map[prompt.Part]containment.Finding{},
 				addr:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dataCentre), byte(number / 256), byte(number % 256)}), 7200),
 				inbox: make(chan []byte, 4096), closed: make(chan struct{}),
 			}
@@ -279,11 +299,14 @@
 	for range limitUses {
 		sender.peers.SendLimit(decide.LimitNotice{Upstream: "u1", Incarnation: 1, Limited: true, PerSecond: 1000, HeardAt: time.Now(), Sent: 1})
 	}
+	crash := containment.Crash{Engine: containment.Engine{Name: "u1", Incarnation: 1}, At: time.Now(), Parts: make([]prompt.Part, maxParts+1)}
+	sender.peers.SendCrash(crash)
+	sender.peers.SendFinding(containment.Finding{Part: 7, ContainedAt: time.Now(), CrashedAt: time.Now(), ProbeAt: time.Now().Add(time.Minute), Probes: 1})
 	reader.peers.ListChanged(items, history.Position{Revision: 1}, history.Position{Revision: 5})
 	time.Sleep(deliveryTime)
 	for _, n := range f.nodes {
 		n.mu.Lock()
-		notices, revision, reports, limitedSent := n.notices, n.revision, len(n.reports), n.limitedSent
+		notices, revision, reports, limitedSent, suspected, finding := n.notices, n.revision, len(n.reports), n.limitedSent, n.suspected, n.findings[7]
 		n.mu.Unlock()
 		if n != sender && n.dataCentre == "dc1" {
 			assert.Equal(t, notices, 1, "notices at %s", n.addr)
@@ -291,6 +314,8 @@
 		assert.Equal(t, revision, uint64(5), "list revision at %s", n.addr)
 		if n != sender {
 			assert.Equal(t, limitedSent, limitUses, "requests to a limited upstream known at %s", n.addr)
+			assert.Equal(t, suspected, len(crash.Parts), "suspected parts at %s", n.addr)
+			assert.Assert(t, !finding.ContainedAt.IsZero() && finding.Probes == 1 && time.Until(finding.ProbeAt) > 50*time.Second, "finding at %s", n.addr)
 		}
 		if large {
 			others := len(f.nodes)/f.perDataCentre() - 1
@@ -312,6 +337,23 @@
 	return count
 }
 
+// TestNewInstanceLearnsContainedParts checks that heartbeats tell of contained parts, so
+// that an instance that starts later refuses requests with them too.
+func TestNewInstanceLearnsContainedParts(t *testing.T) {
+	runFleet(t, 4, 12, func(t *testing.T, fleet *simulatedFleet) {
+		for _, n := range fleet.nodes[1:] {
+			n.mu.Lock()
+			n.contained = []containment.Finding{{Part: 7, ContainedAt: time.Now(), CrashedAt: time.Now(), ProbeAt: time.Now().Add(time.Minute)}}
+			n.mu.Unlock()
+		}
+		time.Sleep(2 * rareHeartbeatInterval)
+		started := fleet.nodes[0]
+		started.mu.Lock()
+		defer started.mu.Unlock()
+		assert.Assert(t, !started.findings[7].ContainedAt.IsZero())
+	})
+}
+
 // TestRelaysFail checks that what is forwarded still arrives after all relays of two
 // data centres have failed.
 func TestRelaysFail(t *testing.T) {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/history"
@@ -54,6 +55,13 @@
 	limitNoticeShare = 0.02
 	// maxLimitAge is the maximum time since an upstream declared its limit in a notice.
 	maxLimitAge = 24 * time.Hour
+	// maxParts is the maximum number of parts of prompts in one datagram.
+	maxParts = 40
+	// maxHeartbeatParts is the maximum number of contained parts of prompts in a heartbeat.
+	maxHeartbeatParts = 8
+	// maxPartAge is the maximum age of anything that a datagram tells of a part of prompts,
+	// and the maximum time until a probe.
+	maxPartAge = 24 * time.Hour
 	// maxListItems is the maximum number of list entries in one datagram, so that
 	// it fits into an Ethernet frame. If more than maxListChanges have changed, none
 	// are sent, and the receivers pull the list.
@@ -92,6 +100,8 @@
 	StoreLost, ReadsStore bool
 	// Table is the routing table as published.
 	Table []byte
+	// Contained are the parts of prompts on which engines crash.
+	Contained []containment.Finding
 }
 
 // Sink receives the state that other instances send, and is queried for the
@@ -114,6 +124,10 @@
 	SetListUnreadable()
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
+	// HandleCrash receives the report of a crash of an engine.
+	HandleCrash(c containment.Crash)
+	// HandleFinding receives what another instance knows of a part of prompts.
+	HandleFinding(f containment.Finding)
 	// HandleReport submits a load report of the upstream with this name.
 	HandleReport(name string, r decide.Report)
 	// Loads is a query: it returns the loads of up to limit engines of a data
@@ -159,7 +173,10 @@
 	leaving        []leavingAnnouncement
 	// limits contains the next notice of each upstream's limit, by the upstream's ID.
 	limits map[string]decide.LimitNotice
-	items  []upstream.Item
+	// crashes and findings concern parts of prompts.
+	crashes  []containment.Crash
+	findings []containment.Finding
+	items    []upstream.Item
 	// itemsAfter and itemsUpTo are the positions of the list between which the items
 	// changed.
 	itemsAfter, itemsUpTo history.Position
@@ -306,6 +323,26 @@
 	}
 }
 
+// SendCrash queues the report of a crash of an engine.
+func (p *Peers) SendCrash(c containment.Crash) {
+	p.mu.Lock()
+	if len(p.crashes) < maxPending {
+		p.crashes = append(p.crashes, c)
+	}
+	p.mu.Unlock()
+	p.wakeUp()
+}
+
+// SendFinding queues what is known of a part of prompts.
+func (p *Peers) SendFinding(f containment.Finding) {
+	p.mu.Lock()
+	if len(p.findings) < maxPending {
+		p.findings = append(p.findings, f)
+	}
+	p.mu.Unlock()
+	p.wakeUp()
+}
+
 // SendLeaving announces that an upstream is leaving.
 func (p *Peers) SendLeaving(id string, startUnixMS int64, leavesAt time.Time) {
 	p.mu.Lock()
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"mangoloft/config"
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/gossip"
@@ -63,6 +64,10 @@
 
 func (n *node) HandleLimit(decide.LimitNotice) {}
 
+func (n *node) HandleCrash(containment.Crash) {}
+
+func (n *node) HandleFinding(containment.Finding) {}
+
 func (n *node) HandleReport(string, decide.Report) {}
 
 func (n *node) Loads(context.Context, string, int) []decide.Load { return nil }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -102,6 +102,7 @@
 		}
 		p.sink.HandleLimit(notice)
 	}
+	p.handleContainment(now, w)
 	if w.List != nil {
 		p.handleList(w.List)
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -23,8 +23,8 @@
 // the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
-	limits := p.limits
-	p.limits = nil
+	limits, crashes, findings := p.limits, p.crashes, p.findings
+	p.limits, p.crashes, p.findings = nil, nil, nil
 	notices, leaving, items, after, upTo := p.pendingNotices, p.leaving, p.items, p.itemsAfter, p.itemsUpTo
 	p.pendingNotices, p.leaving, p.items, p.urgent, p.deferred = nil, nil, nil, false, false
 	p.mu.Unlock()
@@ -50,13 +50,14 @@
 		}
 	}
 	p.sendLimits(now, limits)
+	p.sendContainment(now, crashes, findings)
 	for _, changes := range p.chunkChanges(items, after, upTo) {
 		p.sendLocally(datagramWire{List: changes})
 		p.forward(now, allDataCentres, datagramWire{List: changes})
 	}
 	wires = append(wires, p.relayedNotices...)
 	p.relayedNotices = nil
-	if len(wires) == 0 && len(limits) > 0 && len(datagram.Leaving) == 0 {
+	if len(wires) == 0 && len(limits)+len(crashes)+len(findings) > 0 && len(datagram.Leaving) == 0 {
 		return
 	}
 	if len(wires) == 0 {
@@ -79,11 +80,15 @@
 		wires = append(wires, encodeLimit(now, limits[id]))
 	}
 	for chunk := range slices.Chunk(wires, maxNotices) {
-		w := datagramWire{Limits: chunk}
-		p.broadcast(now, w)
-		if p.members.IsLarge() {
-			p.forward(now, allDataCentres, w)
-		}
+		p.sendToAll(now, datagramWire{Limits: chunk})
+	}
+}
+
+// sendToAll sends a datagram to all instances.
+func (p *Peers) sendToAll(now time.Time, w datagramWire) {
+	p.broadcast(now, w)
+	if p.members.IsLarge() {
+		p.forward(now, allDataCentres, w)
 	}
 }
 
@@ -125,7 +130,7 @@
 
 // sendHeartbeat sends a heartbeat to the broadcast group.
 func (p *Peers) sendHeartbeat(now time.Time) {
-	w := datagramWire{DataCentres: p.remoteDataCentres(now)}
+	w := datagramWire{DataCentres: p.remoteDataCentres(now), Parts: encodeFindings(now, p.newestContained())}
 	if p.members.IsRelay() {
 		w.Known = p.members.KnownAddresses(p.options.DataCentre, maxMemberAddrs, 1)
 	} else {
@@ -140,7 +145,7 @@
 	if len(recipients) == 0 {
 		return
 	}
-	content := p.encode(datagramWire{})
+	content := p.encode(datagramWire{Parts: encodeFindings(time.Now(), p.newestContained())})
 	for _, addr := range recipients {
 		p.write(content, addr)
 	}
--- a/gossip/traffic.go
+++ b/gossip/traffic.go
@@ -14,6 +14,7 @@
 	contentLoads     = "loads"
 	contentLeaving   = "leaving"
 	contentLimits    = "limits"
+	contentCrashes   = "crashes"
 	contentHeartbeat = "heartbeat"
 )
 
@@ -28,7 +29,7 @@
 
 func newTrafficCounters() map[string]*trafficCounters {
 	counters := map[string]*trafficCounters{}
-	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentLimits, contentHeartbeat} {
+	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentLimits, contentCrashes, contentHeartbeat} {
 		counters[content] = &trafficCounters{}
 	}
 	return counters
@@ -49,6 +50,8 @@
 		return contentLeaving
 	case len(w.Limits) > 0:
 		return contentLimits
+	case len(w.Crashes) > 0:
+		return contentCrashes
 	}
 	return contentHeartbeat
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -50,6 +50,8 @@
 	Notices []noticeWire                `json:"notices,omitempty"`
 	Leaving []leavingWire               `json:"leaving,omitempty"`
 	Limits  []limitWire                 `json:"limits,omitempty"`
+	Crashes []crashWire                 `json:"crashes,omitempty"`
+	Parts   []partWire                  `json:"parts,omitempty"`
 	List    *listWire                   `json:"list,omitempty"`
 	// Loads contains the loads of the engines of a data centre.
 	Loads []loadsWire `json:"loads,omitempty"`
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"mangoloft/config"
+	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/history"
@@ -46,6 +48,14 @@
 	s.scheduler.Step(s.now, decide.LimitNoticeReceived{Notice: n})
 }
 
+func (s *fuzzSink) HandleCrash(c containment.Crash) {
+	s.scheduler.Step(s.now, decide.CrashReceived{Crash: c})
+}
+
+func (s *fuzzSink) HandleFinding(f containment.Finding) {
+	s.scheduler.Step(s.now, decide.FindingReceived{Finding: f})
+}
+
 func (s *fuzzSink) HandleReport(name string, r decide.Report) {
 	s.scheduler.Step(s.now, decide.ReportReceived{Upstream: name, Report: r})
 }
@@ -71,7 +81,10 @@
 	} {
 		content, err := json.Marshal(datagramWire{
 			From: netip.MustParseAddrPort("10.0.0.1:7200"), Name: "b", Notices: []noticeWire{n},
-			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Limits: []limitWire{{ID: "e1", StartUnixMS: 1, Limited: true, PerSecond: 1e300, HeardAgoMS: 1 << 62, Sent: 1 << 62}}, Loads: []loadsWire{{Upstreams: []string{"e1"}, Running: []int{-1}, UsedTokens: []int{-1 << 62}, PendingPrefill: []int{1 << 62}}},
+			Leaving: []leavingWire{{ID: "e1", StartUnixMS: 1, LeavesInMS: -1}}, Limits: []limitWire{{ID: "e1", StartUnixMS: 1, Limited: true, PerSecond: 1e300, HeardAgoMS: 1 << 62, Sent: 1 << 62}},
+			Crashes: []crashWire{{ID: "e1", StartUnixMS: 1, AgoMS: -1, Parts: []string{"", "1"}}, {ID: "e1", Parts: slices.Repeat([]string{"2"}, 100)}},
+			Parts:   []partWire{{Part: "3", SurvivedAgoMS: new(int64(1 << 62)), ProbeInMS: -1 << 62, Probes: -1}, {ContainedAgoMS: new(int64(0)), Probes: 1 << 30}},
+			Loads:   []loadsWire{{Upstreams: []string{"e1"}, Running: []int{-1}, UsedTokens: []int{-1 << 62}, PendingPrefill: []int{1 << 62}}},
 		})
 		assert.NilError(f, err)
 		f.Add(content)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -40,6 +40,7 @@
 	datagramBytes = "mangoloft_datagram_bytes_total"
 	storeEra      = "mangoloft_store_era"
 	tableAge      = "mangoloft_table_confirmed_age_seconds"
+	contained     = "mangoloft_contained_parts"
 )
 
 // Names returns the names of all metrics.
@@ -47,7 +48,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge,
+		storeEra, tableAge, contained,
 	}
 }
 
@@ -91,9 +92,9 @@
 
 // Source contains functions that return the current values of an instance's gauges.
 type Source struct {
-	OpenRequests, PeersAlive, FleetSize, ControlBacklog func() int
-	TableVersion, ListRevision                          func() uint64
-	LinesDropped, StoreCalls, StoreEra                  func() uint64
+	OpenRequests, PeersAlive, FleetSize, ControlBacklog, ContainedParts func() int
+	TableVersion, ListRevision                                          func() uint64
+	LinesDropped, StoreCalls, StoreEra                                  func() uint64
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -132,6 +133,7 @@
 	for content := range s.Datagrams() {
 		m.registerTraffic(content, func() gossip.Traffic { return s.Datagrams()[content] })
 	}
+	m.set.NewGauge(contained, fromInt(s.ContainedParts))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -69,6 +69,8 @@
 	// UpstreamLeaving means that the upstream refused the request because it is
 	// draining and accepts no new work.
 	UpstreamLeaving
+	// PromptContained means that the prompt has a part on which engines crash.
+	PromptContained
 	// NotFound means that the request id or reference is unknown or belongs to
 	// another team.
 	NotFound
@@ -82,6 +84,7 @@
 	UpstreamRefused: "upstream_refused", UpstreamUnreachable: "upstream_unreachable",
 	UpstreamLost: "upstream_lost", UpstreamFailed: "upstream_failed", AnswerMismatch: "answer_mismatch",
 	UpstreamLeaving: "upstream_leaving", GenerationLost: "generation_lost", CallerDisconnected: "caller_gone", NotFound: "not_found",
+	PromptContained: "prompt_contained",
 }
 
 // String returns the reason's name in snake case.
