Platform, gateway: versions of engines and the attempts that callers take up are decoded and logged

The logs of second1 can't tell which version began a stream and where it went on. request_placed has version, resumes and last_event, run_moved from_version and to_version, upstream_belief version. No decision uses them yet.

--- a/decide/types.go
+++ b/decide/types.go
@@ -30,6 +30,8 @@
 	Addr       netip.AddrPort
 	// Incarnation identifies the process: it changes when the upstream restarts.
 	Incarnation ident.Incarnation
+	// Version is the version of its software.
+	Version string
 	// Leaving upstreams get no new requests.
 	Leaving bool
 	// Slots is the maximum number of concurrent requests, CapacityTokens the size
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -230,7 +230,7 @@
 	for _, change := range changes {
 		id := event.UpstreamStatusChanged
 		c.log.Emit(id, "upstream", change.ID, "address", change.Addr.String(), "service", change.Service, "data_centre", change.DataCentre,
-			"born", change.StartUnixMS, "before", change.Before.String(), "state", change.State.String(), "source", change.Source.String(),
+			"born", change.StartUnixMS, "version", change.Version, "before", change.Before.String(), "state", change.State.String(), "source", change.Source.String(),
 			"revision", change.ChangeRevision)
 	}
 	for _, change := range changes {
@@ -275,7 +275,7 @@
 func (c *Controller) schedulerUpstream(status upstream.Status) decide.Upstream {
 	u := decide.Upstream{
 		Name: status.ID, Pool: status.Service, DataCentre: status.DataCentre, Addr: status.Addr, Incarnation: ident.Incarnation(status.StartUnixMS),
-		Leaving: status.State == upstream.Draining, Slots: status.Slots,
+		Version: status.Version, Leaving: status.State == upstream.Draining, Slots: status.Slots,
 	}
 	table := c.tables.Current().Table
 	if table != nil && table.Services[status.Service] != nil && table.Services[status.Service].Engine != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -138,7 +138,7 @@
 			s.fallback = m.source
 		}
 	}
-	s.logMove(m.source.Name, m.destination.Name, outcome, nil, time.Since(m.startedAt))
+	s.logMove(m.source, m.destination, outcome, nil, time.Since(m.startedAt))
 	return m.handle, moved
 }
 
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
 	defer cancel()
 	err := s.g.Engines.DiscardCopy(ctx, m.handle)
-	s.logMove(m.source.Name, m.destination.Name, "discarded", err, time.Since(m.startedAt))
+	s.logMove(m.source, m.destination, "discarded", err, time.Since(m.startedAt))
 }
 
 // run makes copies until the run has stopped on its engine or can't be moved.
@@ -189,7 +189,7 @@
 		}
 		if err != nil {
 			if !m.waitForRoom(ctx, leavesAt) {
-				s.logMove(m.source.Name, "", "no destination", err, time.Since(m.startedAt))
+				s.logMove(m.source, dispatch.Placement{}, "no destination", err, time.Since(m.startedAt))
 				return
 			}
 			excluded = nil
@@ -198,7 +198,7 @@
 		if err := m.copyTo(ctx, destination, leavesAt); err == nil || ctx.Err() != nil {
 			return
 		} else if !errorx.IsOfType(err, ErrNoCapacity) {
-			s.logMove(m.source.Name, destination.Name, "failed", err, time.Since(m.startedAt))
+			s.logMove(m.source, destination, "failed", err, time.Since(m.startedAt))
 			return
 		}
 		excluded = append(excluded, destination.Name)
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -31,6 +31,9 @@
 	// PromptTokens and MaxOutputTokens are the size of a generation; 0 if not
 	// given.
 	PromptTokens, MaxOutputTokens int
+	// Resumes is the ID of the caller's attempt that began the stream which this one takes
+	// up; empty if not given.
+	Resumes string
 	// SharedParts are the parts of the prompt that other requests may have too, in
 	// order; nil if not given. The last part belongs to the request itself and is not
 	// included.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -314,7 +314,7 @@
 	g.Metrics.CountSend(q.service)
 	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service,
 		"prompt_tokens", q.info.PromptTokens, "max_output_tokens", q.info.MaxOutputTokens, "shared_parts", prompt.List(q.info.SharedParts),
-		"upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "why", placement.Explanation,
+		"upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "version", placement.Version, "resumes", q.info.Resumes, "last_event", q.info.LastEventID, "why", placement.Explanation,
 		"table_version", q.table.Version, "list_revision", snapshot.ListPosition.Revision, "waited_ms", time.Since(q.received).Milliseconds())
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -323,11 +323,11 @@
 }
 
 // logMove logs and counts the outcome of a move.
-func (s *stream) logMove(source, destination string, outcome string, err error, elapsed time.Duration) {
+func (s *stream) logMove(source, destination dispatch.Placement, outcome string, err error, elapsed time.Duration) {
 	detail := ""
 	if err != nil {
 		detail = err.Error()
 	}
 	s.g.Metrics.CountMove(outcome)
-	s.g.Log.Emit(event.RunMoved, "request", s.info.ID, "from", source, "to", destination, "outcome", outcome, "after_event", s.lastEventID, "detail", detail, "ms", elapsed.Milliseconds())
+	s.g.Log.Emit(event.RunMoved, "request", s.info.ID, "from", source.Name, "from_version", source.Version, "to", destination.Name, "to_version", destination.Version, "outcome", outcome, "after_event", s.lastEventID, "detail", detail, "ms", elapsed.Milliseconds())
 }
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -45,6 +45,9 @@
 	Service    string
 	Addr       netip.AddrPort
 	DataCentre string
+	// Version is the version of its software; empty if the entry does not contain it.
+	// Versions have no order.
+	Version string
 	// Slots is the maximum number of concurrent requests; 0 if the entry does not
 	// contain it.
 	Slots    int
