Origin, decide, gateway: a stream goes on only at the software version that began it

Cause: the version of an engine was no part of any decision. The class: upstreams of one pool counted as interchangeable also for work that has state. All three ways were reproduced: resumption in one answer, moves of runs, and callers that take their stream up through another instance; each needed a change of its own.

Now a request whose stream has begun is placed and moved only to upstreams of that version; the notice of a stream's first event names the stream, so that all instances of the group know its version; an instance that doesn't know it asks four others, and refuses the request at once if none knows it and several versions serve. Attempts at one resumable stream also get the same service where a route has several.

--- a/decide/notice.go
+++ b/decide/notice.go
@@ -50,6 +50,9 @@
 			s.recordPlacement(now, u, n.Request, s.lengthsOf(n.Request), true)
 		}
 	case NoticeProgressed:
+		if u := s.upstreams[n.Upstream]; u != nil {
+			s.origins.Record(now, n.Began, u.Version)
+		}
 		s.updateTokens(now, id, n.Tokens)
 	case NoticeEnded:
 		if s.queue.remove(id) {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -10,6 +10,7 @@
 	"mangoloft/config"
 	"mangoloft/containment"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/verdict"
 )
 
@@ -46,6 +47,10 @@
 	// reached recently.
 	partitions map[string]*partition
 	retries    retryBudget
+	// origins contains the versions that began streams, and retired the times at which the
+	// last upstream of a version left its pool.
+	origins *origin.Table
+	retired map[poolVersion]time.Time
 	// containment tracks the parts of prompts on which engines crash.
 	containment *containment.Tracker
 	// receivesPeerReports is true once a load report has arrived for an engine
@@ -68,8 +73,8 @@
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
 		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, retries: newRetryBudget(),
-		containment: containment.New(),
-		instances:   1,
+		containment: containment.New(), origins: origin.New(), retired: map[poolVersion]time.Time{},
+		instances: 1,
 	}
 }
 
@@ -101,9 +106,9 @@
 func (s *Scheduler) handle(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case UpstreamsChanged:
-		s.replaceUpstreams(e.Upstreams)
+		s.replaceUpstreams(now, e.Upstreams)
 	case UpstreamChanged:
-		s.changeUpstream(e.Upstream, e.Removed)
+		s.changeUpstream(now, e.Upstream, e.Removed)
 	case ReportReceived:
 		s.handleReport(now, e)
 	case LimitReported:
@@ -152,7 +157,7 @@
 	return s.serveQueue(now)
 }
 
-func (s *Scheduler) replaceUpstreams(list []Upstream) {
+func (s *Scheduler) replaceUpstreams(now time.Time, list []Upstream) {
 	previous := s.upstreams
 	s.upstreams, s.order = make(map[string]*upstream, len(list)), nil
 	for _, listed := range list {
@@ -167,14 +172,18 @@
 	slices.Sort(s.order)
 	for name, u := range previous {
 		if s.upstreams[name] != u {
+			s.retire(now, u.Upstream)
 			s.dropPeerRequests(u)
 		}
 	}
 }
 
 // changeUpstream adds, replaces or removes one upstream.
-func (s *Scheduler) changeUpstream(changed Upstream, removed bool) {
+func (s *Scheduler) changeUpstream(now time.Time, changed Upstream, removed bool) {
 	previous := s.upstreams[changed.Name]
+	if previous != nil {
+		s.retire(now, previous.Upstream)
+	}
 	i, listed := slices.BinarySearch(s.order, changed.Name)
 	if removed {
 		if listed {
@@ -233,7 +242,11 @@
 	if s.updateTokens(now, e.ID, e.Tokens) {
 		// The start of a stream is not deferred, because its prompt no longer delays
 		// others from then on.
-		s.notify(Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Deferrable: started})
+		n := Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Deferrable: started}
+		if !started {
+			n.Began = s.recordOrigin(now, e.ID)
+		}
+		s.notify(n)
 	}
 }
 
@@ -371,7 +384,7 @@
 	}
 	candidates := s.candidates(now, r)
 	if len(candidates) == 0 {
-		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool)}
+		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool+r.versionText())}
 	}
 	w := newWaitingRequest(now, r)
 	ahead := s.queue.ahead(now, w)
@@ -403,7 +416,7 @@
 	var live []*upstream
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.Pool == r.Class.Pool && !u.Leaving && !slices.Contains(r.Excluded, name) && u.health.trafficShare(now) > 0 {
+		if u.Pool == r.Class.Pool && !u.Leaving && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && u.health.trafficShare(now) > 0 {
 			live = append(live, u)
 		}
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -15,6 +15,7 @@
 
 	"mangoloft/config"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/prompt"
 	"mangoloft/verdict"
 )
@@ -56,6 +57,12 @@
 	// Parts are the parts of the prompt that other requests may share. Requests with parts
 	// on which engines crash are refused.
 	Parts []prompt.Part
+	// Stream identifies the stream to other instances; zero if the caller can't take it up.
+	Stream origin.Key
+	// NeedsVersion means that the stream has begun, and may go on only at an upstream whose
+	// software has the Version.
+	NeedsVersion bool
+	Version      string
 	// StartBy is the deadline for placing the request; zero if its class has
 	// none.
 	StartBy time.Time
@@ -223,6 +230,9 @@
 	Tokens     int
 	// Completed reports whether the output reached its regular end.
 	Completed bool
+	// Began is the stream that has begun on the upstream, in the first NoticeProgressed;
+	// otherwise zero.
+	Began origin.Key
 	// Deferrable notices can be sent later, together with others: the recipients only
 	// overestimate the load in the meantime.
 	Deferrable bool
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -14,6 +14,7 @@
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/prompt"
 	"mangoloft/routing"
 	"mangoloft/upstream"
@@ -309,6 +310,17 @@
 	return l.items, l.at
 }
 
+// StreamOrigin returns the origin of a stream that a caller takes up in a pool; the zero
+// value if the context ends first.
+func (c *Controller) StreamOrigin(ctx context.Context, pool string, stream origin.Key) decide.StreamOrigin {
+	return query(ctx, c, func(now time.Time) decide.StreamOrigin { return c.scheduler.StreamOrigin(now, pool, stream) })
+}
+
+// RecordOrigin records the version that began a stream, as another instance knows it.
+func (c *Controller) RecordOrigin(stream origin.Key, version string) {
+	c.send(queryCommand{func(now time.Time) { c.scheduler.RecordOrigin(now, stream, version) }})
+}
+
 // query runs a function on the control goroutine and returns its result, or the zero
 // value if the context ends first or the controller has stopped.
 func query[T any](ctx context.Context, c *Controller, run func(now time.Time) T) T {
--- a/entry/run.go
+++ b/entry/run.go
@@ -22,6 +22,7 @@
 	"mangoloft/gossip"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/pause"
 	"mangoloft/reports"
 	"mangoloft/telemetry"
@@ -115,7 +116,7 @@
 	i.controller = dispatch.New(s.DataCentre, i.log)
 	i.peers, err = gossip.Listen(gossip.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Listen: s.Listen.Peers, Control: s.Listen.Control, Incarnation: i.home.Incarnation,
-		Seeds: func() []netip.AddrPort { return i.settings.Load().Seeds }, State: i.state, List: i.controller.List, Decoder: deps.Decoder, Log: i.log,
+		Seeds: func() []netip.AddrPort { return i.settings.Load().Seeds }, State: i.state, List: i.controller.List, Origin: i.origin, Decoder: deps.Decoder, Log: i.log,
 	}, i.controller)
 	if err != nil {
 		return err
@@ -130,7 +131,7 @@
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Log: i.log, Metrics: i.metrics,
+		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
@@ -171,6 +172,12 @@
 	})
 }
 
+// origin returns the version that began a stream, if this instance knows it.
+func (i *instance) origin(ctx context.Context, stream origin.Key) (string, bool) {
+	known := i.controller.StreamOrigin(ctx, "", stream)
+	return known.Version, known.Known
+}
+
 // state returns the state that the instance shares with other instances.
 func (i *instance) state() gossip.State {
 	snapshot := i.controller.Snapshot()
--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,7 @@
 	AttemptEnded        ID = 506
 	RunMoved            ID = 507
 	RequestClosed       ID = 508
+	StreamTakenUp       ID = 509
 
 	LedgerHandedOver ID = 601
 	LedgerAdopted    ID = 602
@@ -124,6 +125,7 @@
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
 	RequestClosed:         "request_closed",
+	StreamTakenUp:         "stream_taken_up",
 	PeerJoined:            "peer_joined",
 	PeerLost:              "peer_lost",
 	DatagramDropped:       "datagram_dropped",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/telemetry"
 	"mangoloft/upstream"
 	"mangoloft/verdict"
@@ -24,6 +25,10 @@
 	// Place waits for a placement of the request. End must be called for each
 	// placed request.
 	Place(ctx context.Context, r decide.Request) (dispatch.Placement, error)
+	// StreamOrigin returns the origin of a stream that a caller takes up in a pool.
+	StreamOrigin(ctx context.Context, pool string, stream origin.Key) decide.StreamOrigin
+	// RecordOrigin records the version that began a stream.
+	RecordOrigin(stream origin.Key, version string)
 	// StartMove waits for another upstream for a placed request. The excluded
 	// upstreams are not chosen.
 	StartMove(ctx context.Context, id ident.Request, excluded []string) (dispatch.Placement, error)
@@ -54,12 +59,19 @@
 	ReportLeaving(id string, startUnixMS int64, leavesAt time.Time, source upstream.Source)
 }
 
+// Origins are the streams that other instances know.
+type Origins interface {
+	// FindOrigin returns the version that began a stream, if any other instance knows it.
+	FindOrigin(ctx context.Context, stream origin.Key) (version string, known bool)
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Home       ident.Home
 	Dispatcher Dispatcher
 	Protocol   Protocol
 	Engines    EngineClient
+	Origins    Origins
 	Log        *event.Log
 	Metrics    *telemetry.Metrics
 	// MaxBodyBytes is the maximum total size of the request bodies that are
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -74,6 +73,10 @@
 	// reconnects is the number of times that the unreachable upstreams were
 	// considered again.
 	reconnects int
+	// needsVersion reports whether the stream has begun, and version is the version of the
+	// engine's software that began it.
+	needsVersion bool
+	version      string
 	// delivered counts the events that were forwarded to the caller.
 	delivered int
 	// firstEventAt and lastEventAt are the times of the first and the last of
@@ -149,7 +152,7 @@
 		}
 		q.team = team.Name
 	}
-	q.service = route.PickService(rand.Float64())
+	q.service = route.PickService(q.serviceFraction())
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -218,7 +221,10 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
+		Parts: q.info.SharedParts, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
+	}
+	if q.route.Resumable {
+		r.Stream = q.streamKey()
 	}
 	if class.WaitTarget > 0 {
 		r.StartBy = q.received.Add(class.WaitTarget)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,6 +95,9 @@
 // is complete or can't be continued. It returns nil, nil for a complete stream,
 // or the plain response that an upstream sent instead of a stream.
 func (s *stream) relay(ctx context.Context) (*plainResponse, error) {
+	if err := s.findOrigin(ctx); err != nil {
+		return nil, err
+	}
 	var lastErr error
 	// resumeFrom is the copy of the KV cache from which the next attempt continues
 	// the run. If it is the zero handle, the next attempt starts another run, on an
@@ -313,6 +316,7 @@
 	if e.id != noID {
 		s.lastEventID = e.id
 	}
+	s.needsVersion, s.version = true, s.placement.Version
 	now := time.Now()
 	s.recordEvent(now)
 	if now.Sub(s.progressSentAt) >= progressInterval {
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -13,6 +13,7 @@
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -156,7 +157,9 @@
 	Seeds func() []netip.AddrPort
 	State func() State
 	// List returns the list of upstreams and its position.
-	List    func(ctx context.Context) ([]upstream.Item, history.Position)
+	List func(ctx context.Context) ([]upstream.Item, history.Position)
+	// Origin returns the version that began a stream, if it is known here.
+	Origin  func(ctx context.Context, stream origin.Key) (version string, known bool)
 	Decoder Decoder
 	Log     *event.Log
 }
@@ -199,6 +202,8 @@
 	isReader    atomic.Bool
 	isPrimary   atomic.Bool
 	stopping    atomic.Bool
+	// groupControls contains the control addresses of the broadcast group.
+	groupControls atomic.Pointer[[]netip.AddrPort]
 
 	// The following fields are used only by the goroutine of Run.
 	members   *MemberTable
@@ -463,6 +468,7 @@
 	for _, m := range p.members.Expire(now) {
 		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.LastSeenAt).Milliseconds())
 	}
+	p.publishControls()
 	p.alive.Store(int64(p.members.Count()))
 	p.fleetSize.Store(int64(p.members.FleetSize()))
 	p.readers.Store(int64(p.members.ReaderCount()))
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -30,6 +30,7 @@
 // ones.
 func (p *Peers) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+originPath, p.serveOrigin)
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
 		state, query := p.options.State(), r.URL.Query()
 		body := stateWire{}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -11,6 +11,7 @@
 	"mangoloft/decide"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/upstream"
 )
 
@@ -111,6 +112,8 @@
 	Upstream  string `json:"upstream,omitempty"`
 	Tokens    int    `json:"tokens,omitempty"`
 	Completed bool   `json:"completed,omitempty"`
+	// Began is the key of the stream that has begun on the upstream.
+	Began string `json:"began,omitempty"`
 }
 
 // leavingWire announces that an upstream is leaving. StartUnixMS is the start
@@ -155,6 +158,9 @@
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
 		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
 	}
+	if n.Began != 0 {
+		w.Began = n.Began.String()
+	}
 	if !n.Request.StartBy.IsZero() {
 		w.StartInMS, w.WaitMS = n.Request.StartBy.Sub(now).Milliseconds(), n.Request.Class.WaitTarget.Milliseconds()
 	}
@@ -177,7 +183,13 @@
 	if w.FirstInMS != 0 {
 		r.FirstTokenBy = now.Add(time.Duration(w.FirstInMS) * time.Millisecond)
 	}
-	return decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}, nil
+	n := decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}
+	if w.Began != "" {
+		if n.Began, err = origin.ParseKey(w.Began); err != nil {
+			return decide.Notice{}, err
+		}
+	}
+	return n, nil
 }
 
 // stateWire is the response to an instance that pulls newer state.
