--- a/engine/client.go
+++ b/engine/client.go
@@ -34,6 +34,8 @@
 	// maxTokenBytes is the maximum size of one SSE event, and of the body of any
 	// other response.
 	maxTokenBytes = 64 << 10
+	// maxResponseHeaderBytes is the maximum size of the head of a response.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // Client sends requests to all engines. It is safe for concurrent use.
@@ -53,7 +55,7 @@
 			}
 			return &timeoutConn{conn}, nil
 		},
-		MaxIdleConnsPerHost: 64,
+		MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -25,6 +25,9 @@
 	// maxResponseBytes is the maximum size of a plain response, which is
 	// buffered completely.
 	maxResponseBytes = 8 << 20
+	// maxResponseHeaderBytes is the maximum size of the head of a response. An upstream in
+	// trouble may send one without end.
+	maxResponseHeaderBytes = 64 << 10
 	// keepAliveInterval is the time between two TCP keep-alive probes. The
 	// connection is closed after keepAliveProbes unanswered probes, so that a
 	// stream survives a network partition of some seconds.
@@ -43,7 +46,7 @@
 	}
 	return &http.Transport{
 		DialContext: freshconn.DialContext(dialer), DisableKeepAlives: true, DisableCompression: true,
-		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -22,9 +22,11 @@
 	pullTimeout = 1500 * time.Millisecond
 	// maxStateBytes is the maximum size of a member's response.
 	maxStateBytes = 8 << 20
+	// maxStateHeaderBytes is the maximum size of the head of a member's response.
+	maxStateHeaderBytes = 64 << 10
 )
 
-var stateClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var stateClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStateHeaderBytes}}
 
 // Handler serves the routing table and the list to members that have older
 // ones.
--- a/service/client.go
+++ b/service/client.go
@@ -26,6 +26,8 @@
 	answerTimeout = 10 * time.Second
 	// maxAnswerBytes is the maximum size of an answer's body.
 	maxAnswerBytes = 8 << 20
+	// maxResponseHeaderBytes is the maximum size of the head of an answer.
+	maxResponseHeaderBytes = 64 << 10
 	// requestHeader contains the request's id. The service returns it in the
 	// answer.
 	requestHeader = "X-Request-Id"
@@ -58,7 +60,8 @@
 			DialContext:       dial,
 			DisableKeepAlives: true,
 			// Automatic decompression would hide the answer's declared length.
-			DisableCompression: true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
