Gateway: the bodies of responses share the memory limit of the bodies of requests

Each plain response is buffered, up to 8 MB, so some ten upstream connections that send bodies without end could use more memory than an instance has. Bodies that are being read now count against MaxBodyBytes, a quarter of the memory, until their request ends; beyond it a response fails with 502, which doesn't count against its upstream. Seen failing first: six responses of 400 KB with a limit of 1 MB were all buffered.

--- a/entry/run.go
+++ b/entry/run.go
@@ -51,7 +51,8 @@
 	// The rest is a reserve for instances that restart and lose their retry
 	// counts.
 	retryBudgetShare = 0.75
-	// bodyMemoryShare is the share of the memory that request bodies may use.
+	// bodyMemoryShare is the share of the memory that the bodies of requests and responses
+	// may use.
 	bodyMemoryShare = 0.25
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,8 +74,8 @@
 	Origins    Origins
 	Log        *event.Log
 	Metrics    *telemetry.Metrics
-	// MaxBodyBytes is the maximum total size of the request bodies that are
-	// buffered concurrently.
+	// MaxBodyBytes is the maximum total size of the bodies of requests and responses
+	// that are buffered concurrently.
 	MaxBodyBytes int64
 }
 
@@ -85,7 +85,7 @@
 	transport *http.Transport
 	// sequence is the sequence number of the last request ID.
 	sequence atomic.Uint64
-	// bodyBytes is the total size of the buffered request bodies.
+	// bodyBytes is the total size of the buffered bodies.
 	bodyBytes atomic.Int64
 	draining  atomic.Bool
 	// aborting reports whether Abort has been called.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -424,6 +425,55 @@
 	assert.Equal(t, live.runCount(), 5)
 }
 
+// TestBodiesOfResponsesAreBoundedTogether checks that concurrent responses that are still
+// being read don't use more memory than all bodies may, and release it.
+func TestBodiesOfResponsesAreBoundedTogether(t *testing.T) {
+	const (
+		concurrent = 6
+		size       = 400 << 10
+		// maxServed is the number of such bodies for which there is room.
+		maxServed = 2
+	)
+	complete := make(chan struct{})
+	large := startBackend(t, "large", func(_ *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "s")
+		_, _ = w.Write(make([]byte, size))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-complete:
+		case <-r.Context().Done():
+		}
+	})
+	g := startGateway(t, &fakeEngines{}, large)
+	var group sync.WaitGroup
+	var served, failed atomic.Int64
+	for range concurrent {
+		group.Go(func() {
+			response, content, err := g.send(t, "POST", "/unsafe/x", "", nil)
+			switch {
+			case !assert.Check(t, err):
+			case response.StatusCode == http.StatusOK:
+				served.Add(1)
+				assert.Check(t, len(content) == size)
+			case response.StatusCode == http.StatusBadGateway:
+				failed.Add(1)
+			}
+		})
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := failed.Load(); n < concurrent-maxServed {
+			return poll.Continue("%d requests failed", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	close(complete)
+	group.Wait()
+	assert.Assert(t, served.Load() <= maxServed, "served %d", served.Load())
+	response, _, err := g.send(t, "POST", "/unsafe/x", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 // TestUnreachableUpstreamsAreTriedAgain checks that a request is served if the only
 // upstreams of its service accept connections again after some of its time.
 func TestUnreachableUpstreamsAreTriedAgain(t *testing.T) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -89,7 +89,7 @@
 	q.sends++
 	q.attempts++
 	q.mayHaveRun, q.lastAttemptUnsent = true, false
-	body, err := readResponseBody(response)
+	body, err := g.readResponseBody(q, response)
 	if err != nil {
 		return nil, err
 	}
@@ -187,7 +187,7 @@
 // as failed.
 func (q *request) countsAgainstUpstream(r verdict.Reason) bool {
 	switch r {
-	case verdict.CallerDisconnected, verdict.UpstreamLeaving:
+	case verdict.CallerDisconnected, verdict.UpstreamLeaving, verdict.Overloaded:
 		return false
 	case verdict.WaitExpired:
 		return q.deadline.Equal(q.info.Deadline)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -84,6 +84,8 @@
 	firstEventAt, lastEventAt time.Time
 	// longestPause is the longest time between two consecutive events.
 	longestPause time.Duration
+	// responseBytes is the size of the buffered bodies of responses.
+	responseBytes int64
 	// upstream is the name of the upstream that was chosen last.
 	upstream string
 }
@@ -112,7 +114,7 @@
 		return
 	}
 	size, status, err := g.readBody(w, q, r)
-	defer g.bodyBytes.Add(-size)
+	defer func() { g.bodyBytes.Add(-size - q.responseBytes) }()
 	if err != nil {
 		g.writeRefusal(w, q, status, err)
 		return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -25,6 +25,9 @@
 	// maxResponseBytes is the maximum size of a plain response, which is
 	// buffered completely.
 	maxResponseBytes = 8 << 20
+	// responseChunk is the number of bytes of a response that are read between two checks
+	// of the limits.
+	responseChunk = 32 << 10
 	// maxResponseHeaderBytes is the maximum size of the head of a response. An upstream in
 	// trouble may send one without end.
 	maxResponseHeaderBytes = 64 << 10
@@ -117,16 +120,25 @@
 	return u
 }
 
-// readResponseBody reads the body of a plain response completely.
-func readResponseBody(response *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the response is truncated: %v", err)
+// readResponseBody reads the body of a plain response completely. It counts against
+// MaxBodyBytes until the request ends.
+func (g *Gateway) readResponseBody(q *request, response *http.Response) ([]byte, error) {
+	var body bytes.Buffer
+	for {
+		n, err := io.CopyN(&body, response.Body, responseChunk)
+		q.responseBytes += n
+		total := g.bodyBytes.Add(n)
+		switch {
+		case err == io.EOF:
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the response is truncated: %v", err)
+		case body.Len() > maxResponseBytes:
+			return nil, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response has more than %d bytes", maxResponseBytes)
+		case total > g.MaxBodyBytes:
+			return nil, verdict.Fail(verdict.MayHaveRun, verdict.Overloaded, "the memory for the bodies of open requests is full")
+		}
 	}
-	if len(body) > maxResponseBytes {
-		return nil, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response has more than %d bytes", maxResponseBytes)
-	}
-	return body, nil
 }
 
 // checkResponse returns an error unless the status and headers form a usable
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -202,7 +202,7 @@
 // error. It returns an error instead if the caller has already received part of
 // the stream, or if another upstream can be tried after a server error.
 func (s *stream) readPlainResponse(ctx context.Context, response *http.Response) (*plainResponse, error) {
-	body, err := readResponseBody(response)
+	body, err := s.g.readResponseBody(s.request, response)
 	if err != nil {
 		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
