Containment: contained parts are kept apart from other records, and forgotten after 10 minutes without a crash

The list of contained parts was collected from up to 4,096 records whenever state is published. An instance that forgot a part adopted it again from the heartbeat of another one, so that it was never forgotten: now the time of the latest crash decides, which all instances share. TestContainedPartIsForgottenByAllInstances was not run on the code before; by reading, its last check fails there.

--- a/containment/tracker.go
+++ b/containment/tracker.go
@@ -58,8 +58,8 @@
 	// maxIndistinct is the number of crashes after which a part is contained even though
 	// another one is as suspect. Other instances probably know more.
 	maxIndistinct = 12
-	// retention is the time for which crashes, and contained parts that no request has,
-	// are remembered.
+	// retention is the time for which crashes are remembered, and parts are contained after
+	// the latest crash. Probes are more frequent.
 	retention = 10 * time.Minute
 	// firstProbeDelay is the time from a containment to the first probe. It doubles with
 	// each further one, up to maxProbeDelay.
@@ -142,6 +142,7 @@
 	usedAt time.Time
 }
 
+// isContained reports whether the part is contained.
 func (r *record) isContained() bool { return !r.ContainedAt.IsZero() }
 
 // execution is an execution of a request of this instance.
@@ -173,7 +174,9 @@
 	executions map[Engine][]*execution
 	open       map[ident.Request]*execution
 	records    map[prompt.Part]*record
-	crashes    map[Engine]*crash
+	// contained contains the records of the contained parts.
+	contained map[prompt.Part]*record
+	crashes   map[Engine]*crash
 	// instances is the number of live instances, and salt differs between them.
 	instances int
 	salt      uint64
@@ -187,7 +190,7 @@
 func New() *Tracker {
 	return &Tracker{
 		executions: map[Engine][]*execution{}, open: map[ident.Request]*execution{},
-		records: map[prompt.Part]*record{}, crashes: map[Engine]*crash{}, instances: 1,
+		records: map[prompt.Part]*record{}, contained: map[prompt.Part]*record{}, crashes: map[Engine]*crash{}, instances: 1,
 	}
 }
 
@@ -430,7 +433,7 @@
 	r.SurvivedAt = latest(r.SurvivedAt, f.SurvivedAt)
 	r.toldAt = latest(r.toldAt, f.SurvivedAt)
 	switch {
-	case f.ContainedAt.IsZero():
+	case f.ContainedAt.IsZero() || now.Sub(f.CrashedAt) > retention:
 	case r.isContained():
 		r.Probes = max(r.Probes, f.Probes)
 		r.ProbeAt = latest(r.ProbeAt, f.ProbeAt)
@@ -454,10 +457,8 @@
 // Contained returns the contained parts.
 func (t *Tracker) Contained() []Finding {
 	var list []Finding
-	for _, p := range slices.Sorted(maps.Keys(t.records)) {
-		if r := t.records[p]; r.isContained() {
-			list = append(list, r.Finding)
-		}
+	for _, p := range slices.Sorted(maps.Keys(t.contained)) {
+		list = append(list, t.contained[p].Finding)
 	}
 	return list
 }
@@ -547,19 +548,24 @@
 	if !r.isContained() || !r.SurvivedAt.After(r.CrashedAt) {
 		return false
 	}
+	t.release(r)
+	return true
+}
+
+// release ends the containment of a part.
+func (t *Tracker) release(r *record) {
 	t.out.Released = append(t.out.Released, r.Finding)
 	r.Finding = Finding{Part: r.Part, SurvivedAt: r.SurvivedAt}
-	return true
+	delete(t.contained, r.Part)
 }
 
 // contain begins the containment of a part.
 func (t *Tracker) contain(now time.Time, r *record, f Finding) {
-	contained := t.Contained()
-	if len(contained) >= MaxContained {
-		oldest := slices.MinFunc(contained, func(a, b Finding) int { return a.ContainedAt.Compare(b.ContainedAt) })
-		t.out.Released = append(t.out.Released, oldest)
-		t.records[oldest.Part].Finding = Finding{Part: oldest.Part, SurvivedAt: oldest.SurvivedAt}
+	if len(t.contained) >= MaxContained {
+		oldest := slices.MinFunc(t.Contained(), func(a, b Finding) int { return a.ContainedAt.Compare(b.ContainedAt) })
+		t.release(t.contained[oldest.Part])
 	}
+	t.contained[r.Part] = r
 	r.ContainedAt, r.CrashedAt, r.ProbeAt, r.Probes, r.usedAt = f.ContainedAt, f.CrashedAt, f.ProbeAt, f.Probes, now
 	t.out.Contained = append(t.out.Contained, r.Finding)
 }
@@ -586,9 +592,14 @@
 // sweep forgets what is out of date.
 func (t *Tracker) sweep(now time.Time) {
 	maps.DeleteFunc(t.crashes, func(_ Engine, c *crash) bool { return now.Sub(c.at) > retention })
+	for _, f := range t.Contained() {
+		if now.Sub(f.CrashedAt) > retention {
+			t.release(t.contained[f.Part])
+		}
+	}
 	maps.DeleteFunc(t.records, func(_ prompt.Part, r *record) bool {
 		if r.isContained() {
-			return now.Sub(r.usedAt) > retention
+			return false
 		}
 		return now.Sub(r.usedAt) > knownTime && now.Sub(r.SurvivedAt) > knownTime
 	})
--- a/containment/tracker_test.go
+++ b/containment/tracker_test.go
@@ -162,6 +162,20 @@
 	assert.Equal(t, len(b.Take().Findings), 1)
 }
 
+func TestContainedPartIsForgottenByAllInstances(t *testing.T) {
+	b, other := newBench(), newBench()
+	b.contain(t)
+	for _, f := range b.Contained() {
+		other.HandleFinding(b.now, f)
+	}
+	b.pass(11 * time.Minute)
+	assert.Equal(t, len(b.Contained()), 0)
+	for _, f := range other.Contained() {
+		b.HandleFinding(b.now, f)
+	}
+	assert.Equal(t, len(b.Contained()), 0)
+}
+
 func TestHostilePartsAreBounded(t *testing.T) {
 	b := newBench()
 	for i := range 20_000 {
