Gateway: the first event of each attempt at a stream is reported, not only that of the first one

The scheduler heard of progress each 4 s, so if an engine had sent events before, it did not learn that the next engine had begun to answer. Containment then suspected the prompts of such streams for up to 4 s if that engine crashed, and their prompts counted as not yet prefilled.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -623,11 +623,13 @@
 	assert.Assert(t, slow.runCount() > before, "the slow upstream must still receive requests")
 }
 
-// loadRecorder records for which upstreams the gateway reports a load.
+// loadRecorder records for which upstreams the gateway reports a load, and how often it
+// reports progress.
 type loadRecorder struct {
 	gateway.Dispatcher
-	mu    sync.Mutex
-	names []string
+	mu       sync.Mutex
+	names    []string
+	progress int
 }
 
 func (r *loadRecorder) HandleReport(name string, _ decide.Report) {
@@ -636,6 +638,30 @@
 	r.names = append(r.names, name)
 }
 
+func (r *loadRecorder) Progress(id ident.Request, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress++
+	r.Dispatcher.Progress(id, tokens)
+}
+
+// TestProgressIsReportedAtTheBeginningOfEachAttempt checks that the scheduler learns that an
+// engine has begun to answer also if another one had sent events before.
+func TestProgressIsReportedAtTheBeginningOfEachAttempt(t *testing.T) {
+	twoMore := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		from := -1
+		_, _ = fmt.Sscan(r.Header.Get("X-Last"), &from)
+		streamEvents(from+2, false)(b, w, r)
+	}
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", twoMore), startBackend(t, "b1", twoMore))
+	_, content, err := g.send(t, "POST", "/resumable/x", "", nil)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, strings.Contains(content, "id: 3"), content)
+	g.loadRecorder.mu.Lock()
+	defer g.loadRecorder.mu.Unlock()
+	assert.Equal(t, g.loadRecorder.progress, 2)
+}
+
 // TestLoadOfEnginesIsIgnored checks that an engine's request count is not used as
 // its load, because it does not include KV cache use.
 func TestLoadOfEnginesIsIgnored(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -112,7 +112,8 @@
 			if err != nil {
 				return nil, withPreviousError(lastErr, err)
 			}
-			s.placement = placement
+			// The first event of each run is reported.
+			s.placement, s.progressSentAt = placement, time.Time{}
 			s.g.logPlacement(s.request, placement)
 		}
 		plain, err := s.attempt(ctx, resumeFrom)
