--- a/gossip/origins.go
+++ b/gossip/origins.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -11,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"mangoloft/event"
 	"mangoloft/origin"
 )
@@ -59,7 +56,8 @@
 	for _, addr := range p.originPeers() {
 		asked++
 		group.Go(func() {
-			answer, err := askOrigin(ctx, addr, stream)
+			var answer originWire
+			err := getJSON(ctx, "http://"+addr.String()+originPath+"?stream="+stream.String(), maxOriginBytes, &answer)
 			if err != nil && ctx.Err() == nil {
 				p.options.Log.EmitRateLimited(event.StatePullFailed, "peer", addr.String(), "error", err.Error())
 			}
@@ -96,21 +94,3 @@
 	}
 	p.groupControls.Store(&list)
 }
-
-func askOrigin(ctx context.Context, addr netip.AddrPort, stream origin.Key) (originWire, error) {
-	var answer originWire
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+originPath+"?stream="+stream.String(), nil)
-	if err != nil {
-		return answer, err
-	}
-	response, err := stateClient.Do(request)
-	if err != nil {
-		return answer, err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return answer, errorx.ExternalError.New("response status %s", response.Status)
-	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxOriginBytes)).Decode(&answer)
-	return answer, err
-}
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -59,6 +59,25 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s%s?table_version=%d&list_era=%d&list_revision=%d", m.Control, statePath, current.TableVersion, current.ListPosition.Era, current.ListPosition.Revision)
+	var wire stateWire
+	if err := getJSON(ctx, url, maxStateBytes, &wire); err != nil {
+		return err
+	}
+	if len(wire.Table) > 0 {
+		table, err := p.options.Decoder.Table(wire.Table)
+		if err != nil {
+			return errorx.Decorate(err, "decode routing table of %s", m.Name)
+		}
+		p.sink.UpdateTable(routing.Document{Table: table, Raw: wire.Table}, m.Name)
+	}
+	if wire.listPosition().After(current.ListPosition) {
+		p.sink.UpdateList(p.decodeItems(wire.Items), wire.listPosition(), true, upstream.FromPeer)
+	}
+	return nil
+}
+
+// getJSON makes a call to a member and decodes its response, of at most maxBytes.
+func getJSON(ctx context.Context, url string, maxBytes int64, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -71,19 +90,8 @@
 	if response.StatusCode != http.StatusOK {
 		return errorx.ExternalError.New("response status %s", response.Status)
 	}
-	var wire stateWire
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&wire); err != nil {
-		return errorx.Decorate(err, "decode state")
-	}
-	if len(wire.Table) > 0 {
-		table, err := p.options.Decoder.Table(wire.Table)
-		if err != nil {
-			return errorx.Decorate(err, "decode routing table of %s", m.Name)
-		}
-		p.sink.UpdateTable(routing.Document{Table: table, Raw: wire.Table}, m.Name)
-	}
-	if wire.listPosition().After(current.ListPosition) {
-		p.sink.UpdateList(p.decodeItems(wire.Items), wire.listPosition(), true, upstream.FromPeer)
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxBytes)).Decode(into); err != nil {
+		return errorx.Decorate(err, "decode the response")
 	}
 	return nil
 }
