--- a/containment/tracker.go
+++ b/containment/tracker.go
@@ -77,10 +77,10 @@
 	maxPause = 1 * time.Second
 	// tickInterval is the minimum time between two ticks.
 	tickInterval = 50 * time.Millisecond
-
 	// sweepInterval is the time after which what is out of date is forgotten.
 	sweepInterval = 10 * time.Second
-
+	// maxCrashes is the maximum number of remembered crashes, maxSuspects that of parts
+	// suspected of one crash, and maxRecords that of parts whose survival is remembered.
 	maxCrashes  = 128
 	maxSuspects = 256
 	maxRecords  = 4096
@@ -95,33 +95,6 @@
 	Incarnation ident.Incarnation
 }
 
-// Crash reports that an engine has ended, with the parts of the prompts that an instance
-// had there.
-type Crash struct {
-	Engine Engine
-	// At is the time at which the end was noticed.
-	At time.Time
-	// Parts are those of prompts that the engine had just begun to answer, Waiting those of
-	// others that it had not answered.
-	Parts, Waiting []prompt.Part
-}
-
-// Finding is what is known of one part.
-type Finding struct {
-	Part prompt.Part
-	// SurvivedAt is the time at which the latest execution began after which the engine
-	// still ran; zero if there is none.
-	SurvivedAt time.Time
-	// ContainedAt is the time at which the part was contained; zero if it is not.
-	ContainedAt time.Time
-	// CrashedAt is the time of the latest crash that the part explains.
-	CrashedAt time.Time
-	// ProbeAt is the time from which one request with a contained part may be sent, and
-	// Probes the number of those sent so far.
-	ProbeAt time.Time
-	Probes  int
-}
-
 // Output is what a Tracker wants its caller to do.
 type Output struct {
 	// Crashes and Findings are to be sent to the other instances.
@@ -160,13 +133,6 @@
 	survived bool
 }
 
-// crash is a known crash, with the weights of the suspected parts that any instance
-// reported.
-type crash struct {
-	at    time.Time
-	parts map[prompt.Part]float64
-}
-
 // Tracker tracks the parts of prompts and the ends of engines.
 type Tracker struct {
 	// executions are the open ones and those that may still be the cause of a crash, by
@@ -204,20 +170,6 @@
 	return out
 }
 
-// Blocked reports whether a request whose prompt has the parts must not be sent now, and
-// the contained part.
-func (t *Tracker) Blocked(now time.Time, parts []prompt.Part) (Finding, bool) {
-	for _, p := range parts {
-		if r := t.records[p]; r != nil && r.isContained() {
-			r.usedAt = now
-			if now.Before(r.ProbeAt.Add(t.probeSpread(r))) {
-				return r.Finding, true
-			}
-		}
-	}
-	return Finding{}, false
-}
-
 // Sent records that this instance sends a request to an engine. A request with a
 // contained part is a probe.
 func (t *Tracker) Sent(now time.Time, id ident.Request, engine Engine, parts []prompt.Part) {
@@ -241,14 +193,6 @@
 	}
 }
 
-// probeSpread returns the time after ProbeAt at which this instance may send the probe, so
-// that the instances don't all send one before they hear of the first.
-func (t *Tracker) probeSpread(r *record) time.Duration {
-	spread := min(time.Duration(t.instances-1)*probeSpreadPerInstance, maxProbeSpread)
-	fraction := float64(t.hash(r.Part.String(), uint64(r.Probes))>>11) / (1 << 53)
-	return time.Duration(fraction * float64(spread))
-}
-
 // hash returns a pseudo-random number that differs between the instances.
 func (t *Tracker) hash(name string, n uint64) uint64 {
 	hash := fnv.New64a()
@@ -257,10 +201,6 @@
 	return hash.Sum64() * 0x9e3779b97f4a7c15
 }
 
-func probeDelay(probes int) time.Duration {
-	return min(maxProbeDelay, firstProbeDelay<<min(probes, 10))
-}
-
 // Answered records that an engine has begun to answer a request.
 func (t *Tracker) Answered(id ident.Request) {
 	if e := t.open[id]; e != nil {
@@ -303,166 +243,6 @@
 	}
 }
 
-// Ended records that an engine has ended without notice, as noticed at the given time.
-func (t *Tracker) Ended(now time.Time, engine Engine, at time.Time) {
-	c := Crash{Engine: engine, At: at}
-	for _, e := range t.executions[engine] {
-		switch {
-		case e.survived:
-			continue
-		case !e.answered:
-			c.Waiting = append(c.Waiting, e.parts...)
-		case e.isSuspected(at):
-			c.Parts = append(c.Parts, e.parts...)
-		}
-	}
-	t.forgetEngine(engine)
-	c.Parts, c.Waiting = unique(c.Parts), unique(c.Waiting)
-	if len(c.Parts)+len(c.Waiting) == 0 {
-		return
-	}
-	t.addCrash(now, c)
-	t.out.Crashes = append(t.out.Crashes, c)
-	t.tellSurvivals(now, c)
-}
-
-// tellSurvivals tells the other instances which of the suspected parts have survived
-// lately, unless it was told just before.
-func (t *Tracker) tellSurvivals(now time.Time, c Crash) {
-	for _, p := range slices.Concat(c.Parts, c.Waiting) {
-		r := t.records[p]
-		if r != nil && now.Sub(r.SurvivedAt) < knownTime && r.SurvivedAt.Sub(r.toldAt) > tellInterval {
-			t.tell(r)
-		}
-	}
-}
-
-// tell tells the other instances what is known of a part.
-func (t *Tracker) tell(r *record) {
-	r.toldAt = latest(r.toldAt, r.SurvivedAt)
-	t.out.Findings = append(t.out.Findings, r.Finding)
-}
-
-// isWitness reports whether the instance is one of the few that tell what they know of the
-// parts that other instances suspect after a crash.
-func (t *Tracker) isWitness(engine Engine) bool {
-	return t.hash(engine.Name, uint64(engine.Incarnation))>>32%uint64(t.instances) < maxWitnesses
-}
-
-// isSuspected reports whether the crash of the engine at the given time, or what an
-// instance saw of the execution before, came so soon after the first event that the
-// execution may be the cause.
-func (e *execution) isSuspected(crashedAt time.Time) bool {
-	if !e.endedAt.IsZero() && e.endedAt.Before(crashedAt) {
-		crashedAt = e.endedAt
-	}
-	return e.beganAt.IsZero() || crashedAt.Sub(e.beganAt) < suspectTime
-}
-
-// unique returns the parts in order, each once, and not more than maxSuspects.
-func unique(parts []prompt.Part) []prompt.Part {
-	slices.Sort(parts)
-	parts = slices.Compact(parts)
-	return parts[:min(len(parts), maxSuspects)]
-}
-
-// forgetEngine ends all executions at an engine.
-func (t *Tracker) forgetEngine(engine Engine) {
-	for _, e := range t.executions[engine] {
-		if t.open[e.id] == e {
-			delete(t.open, e.id)
-		}
-	}
-	delete(t.executions, engine)
-}
-
-// HandleCrash handles the report of another instance.
-func (t *Tracker) HandleCrash(now time.Time, c Crash) {
-	t.addCrash(now, c)
-	t.Ended(now, c.Engine, c.At)
-	if t.isWitness(c.Engine) {
-		t.tellSurvivals(now, c)
-	}
-}
-
-func (t *Tracker) addCrash(now time.Time, reported Crash) {
-	c := t.crashes[reported.Engine]
-	if c == nil {
-		t.makeRoomForCrash()
-		c = &crash{at: reported.At, parts: map[prompt.Part]float64{}}
-		t.crashes[reported.Engine] = c
-	}
-	if reported.At.Before(c.at) {
-		c.at = reported.At
-	}
-	c.suspect(reported.Waiting, waitingWeight)
-	c.suspect(reported.Parts, 1)
-	for _, p := range reported.Parts {
-		if r := t.records[p]; r != nil && r.isContained() && c.at.After(r.CrashedAt) {
-			r.CrashedAt = c.at
-		}
-	}
-	if t.evaluateAt.IsZero() {
-		t.evaluateAt = now.Add(reportTime)
-	}
-}
-
-// suspect adds parts with a weight.
-func (c *crash) suspect(parts []prompt.Part, weight float64) {
-	for _, p := range parts {
-		if len(c.parts) < maxSuspects || c.parts[p] > 0 {
-			c.parts[p] = max(c.parts[p], weight)
-		}
-	}
-}
-
-// makeRoomForCrash forgets the oldest crash if there are too many.
-func (t *Tracker) makeRoomForCrash() {
-	if len(t.crashes) < maxCrashes {
-		return
-	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), func(a, b Engine) int {
-		return cmp.Or(t.crashes[a].at.Compare(t.crashes[b].at), cmp.Compare(a.Name, b.Name))
-	})
-	delete(t.crashes, oldest)
-}
-
-// HandleFinding handles what another instance knows of a part.
-func (t *Tracker) HandleFinding(now time.Time, f Finding) {
-	r := t.ensure(now, f.Part)
-	r.SurvivedAt = latest(r.SurvivedAt, f.SurvivedAt)
-	r.toldAt = latest(r.toldAt, f.SurvivedAt)
-	switch {
-	case f.ContainedAt.IsZero() || now.Sub(f.CrashedAt) > retention:
-	case r.isContained():
-		r.Probes = max(r.Probes, f.Probes)
-		r.ProbeAt = latest(r.ProbeAt, f.ProbeAt)
-		r.CrashedAt = latest(r.CrashedAt, f.CrashedAt)
-	case r.SurvivedAt.After(f.CrashedAt):
-		// The other instance does not know of the survival.
-		t.tell(r)
-	default:
-		t.contain(now, r, f)
-	}
-	t.releaseIfSurvived(r)
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// Contained returns the contained parts.
-func (t *Tracker) Contained() []Finding {
-	var list []Finding
-	for _, p := range slices.Sorted(maps.Keys(t.contained)) {
-		list = append(list, t.contained[p].Finding)
-	}
-	return list
-}
-
 // Tick checks which executions have proved harmless, and which parts are to be contained.
 // It returns at once if it was called just before.
 func (t *Tracker) Tick(now time.Time) {
@@ -542,34 +322,6 @@
 	return false
 }
 
-// releaseIfSurvived ends the containment of a part with which an execution survived that
-// began after the latest crash. It reports whether it did.
-func (t *Tracker) releaseIfSurvived(r *record) bool {
-	if !r.isContained() || !r.SurvivedAt.After(r.CrashedAt) {
-		return false
-	}
-	t.release(r)
-	return true
-}
-
-// release ends the containment of a part.
-func (t *Tracker) release(r *record) {
-	t.out.Released = append(t.out.Released, r.Finding)
-	r.Finding = Finding{Part: r.Part, SurvivedAt: r.SurvivedAt}
-	delete(t.contained, r.Part)
-}
-
-// contain begins the containment of a part.
-func (t *Tracker) contain(now time.Time, r *record, f Finding) {
-	if len(t.contained) >= MaxContained {
-		oldest := slices.MinFunc(t.Contained(), func(a, b Finding) int { return a.ContainedAt.Compare(b.ContainedAt) })
-		t.release(t.contained[oldest.Part])
-	}
-	t.contained[r.Part] = r
-	r.ContainedAt, r.CrashedAt, r.ProbeAt, r.Probes, r.usedAt = f.ContainedAt, f.CrashedAt, f.ProbeAt, f.Probes, now
-	t.out.Contained = append(t.out.Contained, r.Finding)
-}
-
 // touch returns the record of a part that a request has, or nil if there are too many.
 func (t *Tracker) touch(now time.Time, p prompt.Part) *record {
 	if t.records[p] == nil && len(t.records) >= maxRecords {
