--- a/containment/fleet_test.go
+++ b/containment/fleet_test.go
@@ -284,6 +284,16 @@
 	return []prompt.Part{shared, guilty, prompt.Part(100 + r.IntN(20))}
 }
 
+// manyTeams are parts of which the first one belongs to one of 40 teams, so that most
+// instances don't know it.
+func manyTeams(r *rand.Rand) []prompt.Part {
+	return []prompt.Part{prompt.Part(1000 + r.IntN(40)), prompt.Part(100 + r.IntN(20))}
+}
+
+func oneTeamWithGuilty(r *rand.Rand) []prompt.Part {
+	return []prompt.Part{1007, guilty, prompt.Part(100 + r.IntN(20))}
+}
+
 func TestGuiltyPartIsContained(t *testing.T) {
 	const (
 		contactTime = 3 * time.Second
@@ -306,6 +316,7 @@
 		"harmless before":             {instances: 18, engines: 9, soundRate: 8, guiltyRate: 3, guiltyFrom: 20 * time.Second, soundParts: usual, guiltyParts: usualWithGuilty},
 		"no header before the crash":  {instances: 18, engines: 9, soundRate: 8, guiltyRate: 3, silent: true, soundParts: usual, guiltyParts: usualWithGuilty},
 		"first part":                  {instances: 18, engines: 9, soundRate: 8, guiltyRate: 3, soundParts: usual, guiltyParts: func(*rand.Rand) []prompt.Part { return []prompt.Part{guilty, shared} }},
+		"first part is seldom used":   {instances: 18, engines: 9, soundRate: 8, guiltyRate: 2, soundParts: manyTeams, guiltyParts: oneTeamWithGuilty},
 		"only part":                   {instances: 18, engines: 9, soundRate: 8, guiltyRate: 3, soundParts: usual, guiltyParts: func(*rand.Rand) []prompt.Part { return []prompt.Part{guilty} }},
 		"sound parts are seldom used": {instances: 18, engines: 9, soundRate: 8, guiltyRate: 3, soundParts: func(r *rand.Rand) []prompt.Part { return []prompt.Part{shared, prompt.Part(100 + r.IntN(5000))} }, guiltyParts: usualWithGuilty},
 	}
