Containment: the place in the prompt decides between parts with equal evidence

Now the part that stands later in the prompts is contained after six crashes, because fewer prompts share it, and parts that survived before are not compared with those that never did.

--- a/containment/evaluate.go
+++ b/containment/evaluate.go
@@ -22,7 +22,7 @@
 
 // minShareOfCrashes is the share of the crashes of the part with the most that another
 // part must have to be suspected more.
-const minShareOfCrashes = 0.7
+const minShareOfCrashes = 0.85
 
 // isSufficient reports whether the evidence suffices to contain the part.
 func (s suspicion) isSufficient() bool {
@@ -35,15 +35,19 @@
 // isDistinguishable reports whether the evidence against the part differs from that
 // against another one. A difference of few crashes is no evidence.
 func (s suspicion) isDistinguishable(other suspicion) bool {
-	return !s.SurvivedAt.Equal(other.SurvivedAt) || s.survivals != other.survivals || s.crashes != other.crashes && s.crashes >= minCrashesOfKnown
+	if !s.SurvivedAt.Equal(other.SurvivedAt) || s.survivals != other.survivals {
+		return true
+	}
+	return s.crashes >= minCrashesByDepth && (s.depth != other.depth || s.crashes != other.crashes)
 }
 
 // compareSuspicions orders the most suspected part first: the one that has not survived
 // for the longest time, and of those without a difference the one that has survived the
-// least often here. Crashes count last, because a part that a guilty one is always together
-// with is in as many, or in more.
+// least often here, and then the one that stands later in the prompts, because fewer prompts
+// share it. Crashes count last, because a part that a guilty one is always together with is
+// in as many, or in more.
 func compareSuspicions(a, b suspicion) int {
-	return cmp.Or(a.SurvivedAt.Compare(b.SurvivedAt), cmp.Compare(a.survivals, b.survivals), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.Part, b.Part))
+	return cmp.Or(a.SurvivedAt.Compare(b.SurvivedAt), cmp.Compare(a.survivals, b.survivals), cmp.Compare(b.depth, a.depth), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.Part, b.Part))
 }
 
 // evaluate contains the parts with sufficient evidence. Each one explains crashes that
@@ -86,18 +90,30 @@
 		}
 	}
 	var list []suspicion
-	most := 0.0
 	for _, s := range suspicions {
 		if s.isSufficient() {
 			list = append(list, *s)
-			most = max(most, s.crashes)
 		}
 	}
-	list = slices.DeleteFunc(list, func(s suspicion) bool { return s.crashes < minShareOfCrashes*most })
+	list = withMostCrashes(list)
 	slices.SortFunc(list, compareSuspicions)
 	return list
 }
 
+// withMostCrashes returns the suspicions against parts that have not survived, or all if
+// there are none, without those with clearly fewer crashes than another one.
+func withMostCrashes(list []suspicion) []suspicion {
+	hasSurvived := func(s suspicion) bool { return !s.SurvivedAt.IsZero() }
+	if slices.ContainsFunc(list, func(s suspicion) bool { return !hasSurvived(s) }) {
+		list = slices.DeleteFunc(list, hasSurvived)
+	}
+	most := 0.0
+	for _, s := range list {
+		most = max(most, s.crashes)
+	}
+	return slices.DeleteFunc(list, func(s suspicion) bool { return s.crashes < minShareOfCrashes*most })
+}
+
 // isExplained reports whether a contained part may have caused the crash.
 func (t *Tracker) isExplained(c *crash) bool {
 	for p := range c.parts {
--- a/containment/tracker.go
+++ b/containment/tracker.go
@@ -55,6 +55,9 @@
 	// that had requests at the crashed engine.
 	tellInterval = 3 * time.Second
 	maxWitnesses = 6
+	// minCrashesByDepth is the number of crashes after which the place of a part in the
+	// prompts tells it from others against which there is as much evidence.
+	minCrashesByDepth = 6
 	// maxIndistinct is the number of crashes after which a part is contained even though
 	// another one is as suspect. Other instances probably know more.
 	maxIndistinct = 12
@@ -107,6 +110,8 @@
 // record is the state of a part.
 type record struct {
 	Finding
+	// depth is the largest index of the part in a prompt of this instance.
+	depth int
 	// survivals is the number of this instance's executions that survived.
 	survivals int
 	// toldAt is the latest SurvivedAt that any instance told the others.
@@ -180,11 +185,12 @@
 	e := &execution{id: id, engine: engine, parts: parts}
 	t.open[id] = e
 	t.executions[engine] = append(t.executions[engine], e)
-	for _, p := range parts {
+	for i, p := range parts {
 		r := t.touch(now, p)
 		if r == nil {
 			continue
 		}
+		r.depth = max(r.depth, i)
 		if r.isContained() {
 			r.Probes++
 			r.ProbeAt = now.Add(probeDelay(r.Probes))
