--- a/decide/contained.go
+++ b/decide/contained.go
@@ -9,8 +9,8 @@
 	"mangoloft/verdict"
 )
 
-// EngineEnded reports that the process of an engine has ended, as noticed at a time.
-type EngineEnded struct {
+// UpstreamEnded reports that the process of an upstream has ended, as noticed at a time.
+type UpstreamEnded struct {
 	Upstream    string
 	Incarnation ident.Incarnation
 	At          time.Time
@@ -22,7 +22,7 @@
 // FindingReceived contains what another instance knows of a part of prompts.
 type FindingReceived struct{ Finding containment.Finding }
 
-func (EngineEnded) decideEvent()     {}
+func (UpstreamEnded) decideEvent()   {}
 func (CrashReceived) decideEvent()   {}
 func (FindingReceived) decideEvent() {}
 
@@ -49,9 +49,9 @@
 	return containment.Engine{Name: u.Name, Incarnation: u.Incarnation}
 }
 
-// handleEngineEnded suspects the prompts of an engine that has ended, unless it had said
+// handleUpstreamEnded suspects the prompts of an upstream that has ended, unless it had said
 // that it would leave.
-func (s *Scheduler) handleEngineEnded(now time.Time, e EngineEnded) {
+func (s *Scheduler) handleUpstreamEnded(now time.Time, e UpstreamEnded) {
 	if u := s.upstreams[e.Upstream]; u != nil && u.Incarnation == e.Incarnation && !u.Leaving {
 		s.containment.Ended(now, engineOf(u), e.At)
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -119,8 +119,8 @@
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
 		return nil
-	case EngineEnded:
-		s.handleEngineEnded(now, e)
+	case UpstreamEnded:
+		s.handleUpstreamEnded(now, e)
 		return nil
 	case CrashReceived:
 		s.containment.HandleCrash(now, e.Crash)
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -427,7 +427,7 @@
 func (c *Controller) ReportPushBack(e decide.PushedBack) { c.send(schedulerEventCommand{e}) }
 
 // ReportEnded reports that the process of an engine has ended.
-func (c *Controller) ReportEnded(e decide.EngineEnded) { c.send(schedulerEventCommand{e}) }
+func (c *Controller) ReportEnded(e decide.UpstreamEnded) { c.send(schedulerEventCommand{e}) }
 
 // HandleCrash forwards another instance's report of a crash to the scheduler.
 func (c *Controller) HandleCrash(crash containment.Crash) {
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -12,16 +12,13 @@
 	"mangoloft/event"
 )
 
-// endCheckTimeout is the timeout of the connection that shows whether an engine has
+// endCheckTimeout is the timeout of the connection that shows whether an upstream has
 // ended. A retry of its request waits for it.
 const endCheckTimeout = 150 * time.Millisecond
 
-// checkEnded finds out whether an engine that lost the connection of a request has ended.
-// The loss alone doesn't prove it, because some engines only lose answers.
+// checkEnded finds out whether an upstream that lost the connection of a request has
+// ended. The loss alone doesn't prove it, because some upstreams only lose answers.
 func (g *Gateway) checkEnded(ctx context.Context, q *request, placement dispatch.Placement) {
-	if !q.usesEngine() {
-		return
-	}
 	lostAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
@@ -33,12 +30,12 @@
 	g.reportIfRefused(q, placement, lostAt, err)
 }
 
-// reportIfRefused reports that an engine has ended, as noticed at a time, if its port
+// reportIfRefused reports that an upstream has ended, as noticed at a time, if its port
 // refused a connection.
 func (g *Gateway) reportIfRefused(q *request, placement dispatch.Placement, noticedAt time.Time, err error) {
-	if !q.usesEngine() || !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
 	g.Log.Emit(event.UpstreamEnded, "upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "request", q.info.ID)
-	g.Dispatcher.ReportEnded(decide.EngineEnded{Upstream: placement.Name, Incarnation: placement.Incarnation, At: noticedAt})
+	g.Dispatcher.ReportEnded(decide.UpstreamEnded{Upstream: placement.Name, Incarnation: placement.Incarnation, At: noticedAt})
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,8 +47,8 @@
 	// ReportLimit submits the limit that an upstream declared in a response, or that
 	// it declared none.
 	ReportLimit(r decide.LimitReported)
-	// ReportEnded reports that the process of an engine has ended.
-	ReportEnded(e decide.EngineEnded)
+	// ReportEnded reports that the process of an upstream has ended.
+	ReportEnded(e decide.UpstreamEnded)
 	// ReportPushBack reports that an upstream wants no requests from this instance for
 	// a while.
 	ReportPushBack(e decide.PushedBack)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -16,6 +16,7 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/fingerprint"
 	"mangoloft/ident"
 	"mangoloft/pause"
 	"mangoloft/prompt"
@@ -47,14 +48,16 @@
 
 // request is the state of one request of a caller.
 type request struct {
-	id           ident.Request
-	info         RequestInfo
-	received     time.Time
-	route        *routing.Route
-	table        *routing.Table
-	team         string
-	service      string
-	outgoing     outgoingRequest
+	id       ident.Request
+	info     RequestInfo
+	received time.Time
+	route    *routing.Route
+	table    *routing.Table
+	team     string
+	service  string
+	outgoing outgoingRequest
+	// fingerprint is the same for all attempts of the caller at the request.
+	fingerprint  fingerprint.Fingerprint
 	callerHeader http.Header
 	// deadline is the time at which the gateway gives up the request: the
 	// caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -119,6 +122,7 @@
 		g.writeRefusal(w, q, status, err)
 		return
 	}
+	q.fingerprint = fingerprint.Of(q.team, q.outgoing.method, q.outgoing.host, q.outgoing.target, q.outgoing.body)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if q.route.Kind == routing.Streaming {
@@ -320,7 +324,7 @@
 func (g *Gateway) logPlacement(q *request, placement dispatch.Placement) {
 	snapshot := g.Dispatcher.Snapshot()
 	g.Metrics.CountSend(q.service)
-	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service,
+	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service, "fingerprint", q.fingerprint.String(),
 		"prompt_tokens", q.info.PromptTokens, "max_output_tokens", q.info.MaxOutputTokens, "shared_parts", prompt.List(q.info.SharedParts),
 		"upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "version", placement.Version, "resumes", q.info.Resumes, "last_event", q.info.LastEventID, "why", placement.Explanation,
 		"table_version", q.table.Version, "list_revision", snapshot.ListPosition.Revision, "waited_ms", time.Since(q.received).Milliseconds())
