--- a/entry/containment_test.go
+++ b/entry/containment_test.go
@@ -33,17 +33,25 @@
 	unlistedDelay = 3 * time.Second
 )
 
-// addEngine starts and lists a model server that crashes on the given part of prompts, and
-// is then replaced.
-func (f *fleet) addEngine(t *testing.T, crashPart string) {
+// addEngine starts and lists a model server that crashes on the given part of prompts and
+// on requests with the given path, and is then replaced.
+func (f *fleet) addEngine(t *testing.T, crashPart, crashPath string) {
+	t.Helper()
+	f.addFragile(t, func(id string) *standin.Server {
+		return &standin.Server{ID: id, Service: model, Zone: "a", StartUnixMS: time.Now().UnixMilli(), IsModel: true, Slots: 8, Executions: f.executions, CrashPart: crashPart, CrashPath: crashPath}
+	})
+}
+
+// addFragile starts and lists a server that is replaced when it has crashed.
+func (f *fleet) addFragile(t *testing.T, newServer func(id string) *standin.Server) {
 	t.Helper()
 	id := fmt.Sprintf("e%d", f.engines.Add(1))
-	s := &standin.Server{ID: id, Service: model, Zone: "a", StartUnixMS: time.Now().UnixMilli(), IsModel: true, Slots: 8, Executions: f.executions, CrashPart: crashPart}
+	s := newServer(id)
 	s.Crashed = func() {
 		f.crashes.add(time.Now())
 		f.group.Go(func() {
 			if sleepUntilDone(t, restartDelay) {
-				f.addEngine(t, crashPart)
+				f.addFragile(t, newServer)
 			}
 			if sleepUntilDone(t, unlistedDelay-restartDelay) {
 				f.store.RemoveEntry(id)
@@ -95,7 +103,12 @@
 // stream sends a request for a stream through the nth instance, and reports whether the
 // stream began. The caller reads it to its end, unless it leaves after its first line.
 func (f *fleet) stream(t *testing.T, n int, leaves bool, parts ...string) bool {
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s/tag/x", f.callers[n]), nil)
+	return f.streamAt(t, n, "/tag/x", leaves, parts...)
+}
+
+// streamAt is stream with the path of the request.
+func (f *fleet) streamAt(t *testing.T, n int, path string, leaves bool, parts ...string) bool {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s%s", f.callers[n], path), nil)
 	if !assert.Check(t, err) {
 		return false
 	}
@@ -153,7 +166,7 @@
 			f := startFleet(t, test.instances)
 			f.publishStreams(t, 2)
 			for range engines {
-				f.addEngine(t, crashPart)
+				f.addEngine(t, crashPart, "")
 			}
 			time.Sleep(2 * settle)
 			var before, after share
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -131,8 +131,8 @@
 				server := &endlessServer{beginning: test.server.beginning, filler: test.server.filler}
 				f.addServer(t, "p0")
 				f.addServer(t, "p1")
-				f.addEngine(t, "")
-				f.addEngine(t, "")
+				f.addEngine(t, "", "")
+				f.addEngine(t, "", "")
 				f.waitUntilServed(t, 1)
 				f.addEndless(t, "x0", service, server)
 				time.Sleep(settle)
