Gossip: reports of crashes and containments are sent at once

Callers repeat a failed request through another instance within about 10 ms, and the reports waited 15 ms for other notices, so the repeat could crash one more upstream.

--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -125,7 +125,7 @@
 	SetListUnreadable()
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
-	// HandleCrash receives the report of a crash of an engine.
+	// HandleCrash receives the report of a crash of an upstream.
 	HandleCrash(c containment.Crash)
 	// HandleFinding receives what another instance knows of a trait of requests.
 	HandleFinding(f containment.Finding)
@@ -328,22 +328,26 @@
 	}
 }
 
-// SendCrash queues the report of a crash of an engine.
+// SendCrash sends the report of a crash of an upstream at once: callers repeat requests
+// that failed through other instances within some milliseconds.
 func (p *Peers) SendCrash(c containment.Crash) {
 	p.mu.Lock()
 	if len(p.crashes) < maxPending {
 		p.crashes = append(p.crashes, c)
 	}
+	p.urgent = true
 	p.mu.Unlock()
 	p.wakeUp()
 }
 
-// SendFinding queues what is known of a trait of requests.
+// SendFinding queues what is known of a trait of requests. It is sent at once if the trait
+// is contained.
 func (p *Peers) SendFinding(f containment.Finding) {
 	p.mu.Lock()
 	if len(p.findings) < maxPending {
 		p.findings = append(p.findings, f)
 	}
+	p.urgent = p.urgent || !f.ContainedAt.IsZero()
 	p.mu.Unlock()
 	p.wakeUp()
 }
