Failing test: instances that are cut off from all servers

Connections to upstreams go through a function that tests replace (Dial), so that one instance can be cut off, by connections that hang, are reset or refused, while it and the others still reach each other.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -44,7 +44,9 @@
 	executions *standin.ExecutionLog
 	group      *sync.WaitGroup
 	callers    []netip.AddrPort
-	sent       atomic.Int64
+	// links are the networks between each instance and all servers.
+	links []*link
+	sent  atomic.Int64
 	// engines is the number of engines so far, and crashes are the times at which some
 	// crashed.
 	engines atomic.Int64
@@ -115,12 +117,12 @@
 	assert.NilError(t, os.WriteFile(path, content, 0o600))
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	assert.NilError(t, err)
-	f.callers = append(f.callers, callers)
+	f.callers, f.links = append(f.callers, callers), append(f.links, newLink())
 	f.group.Go(func() {
 		defer logs.Close()
 		err := entry.Run(ctx, path, nil, entry.Dependencies{
 			Store:    func(addr func() netip.AddrPort) catalog.Store { return platform.NewStore(addr) },
-			Protocol: platform.Headers{}, Engines: gateway.EngineClient(platform.NewEngineClient()), Decoder: platform.DocumentDecoder{},
+			Protocol: platform.Headers{}, Engines: gateway.EngineClient(platform.NewEngineClient()), Decoder: platform.DocumentDecoder{}, Dial: f.links[n].dial,
 		}, logs)
 		if err != nil {
 			t.Errorf("instance %d: %v", n, err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -19,6 +19,7 @@
 	"mangoloft/containment"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/freshconn"
 	"mangoloft/gateway"
 	"mangoloft/gossip"
 	"mangoloft/history"
@@ -65,6 +66,8 @@
 	Protocol gateway.Protocol
 	Engines  gateway.EngineClient
 	Decoder  gossip.Decoder
+	// Dial opens connections to upstreams; nil for the network of the operating system.
+	Dial freshconn.Dial
 }
 
 // instance is a running entry instance.
@@ -133,7 +136,7 @@
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Log: i.log, Metrics: i.metrics,
+		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Dial: deps.Dial, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
--- a/freshconn/conn.go
+++ b/freshconn/conn.go
@@ -46,10 +46,13 @@
 	return c.Conn.Write(b)
 }
 
+// Dial opens a connection, like net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // DialContext returns the dial function of an http.Transport.
-func DialContext(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func DialContext(dial Dial) Dial {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/freshconn/conn_test.go
+++ b/freshconn/conn_test.go
@@ -33,7 +33,7 @@
 		sent     bool
 		requests int32
 	}{
-		"fresh connection": {dial: freshconn.DialContext(direct), sent: true, requests: 1},
+		"fresh connection": {dial: freshconn.DialContext(direct.DialContext), sent: true, requests: 1},
 		// As after a pause of the process between connecting and sending.
 		"connection that was open for long": {dial: openedBefore(time.Second)},
 		"connection of another type":        {dial: direct.DialContext, sent: true, requests: 1},
--- a/gateway/endcheck.go
+++ b/gateway/endcheck.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -22,7 +21,7 @@
 	lostAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", placement.Addr.String())
+	conn, err := g.Dial(ctx, "tcp4", placement.Addr.String())
 	if err == nil {
 		conn.Close()
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/freshconn"
 	"mangoloft/ident"
 	"mangoloft/origin"
 	"mangoloft/telemetry"
@@ -72,8 +73,10 @@
 	Protocol   Protocol
 	Engines    EngineClient
 	Origins    Origins
-	Log        *event.Log
-	Metrics    *telemetry.Metrics
+	// Dial opens connections to upstreams; nil for the network of the operating system.
+	Dial    freshconn.Dial
+	Log     *event.Log
+	Metrics *telemetry.Metrics
 	// MaxBodyBytes is the maximum total size of the bodies of requests and responses
 	// that are buffered concurrently.
 	MaxBodyBytes int64
@@ -98,7 +101,12 @@
 }
 
 // New returns a gateway with the options o.
-func New(o Options) *Gateway { return &Gateway{Options: o, transport: newTransport()} }
+func New(o Options) *Gateway {
+	if o.Dial == nil {
+		o.Dial = newDialer().DialContext
+	}
+	return &Gateway{Options: o, transport: newTransport(o.Dial)}
+}
 
 func (g *Gateway) requestStarted() {
 	g.mu.Lock()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -43,17 +43,23 @@
 // pooled connection may deliver a stale response or may have been dropped
 // silently, and a request lost on it can't be distinguished from a request that
 // ran.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+func newTransport(dial freshconn.Dial) *http.Transport {
+	dialInTime := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, addr)
 	}
 	return &http.Transport{
-		DialContext: freshconn.DialContext(dialer), DisableKeepAlives: true, DisableCompression: true,
+		DialContext: freshconn.DialContext(dialInTime), DisableKeepAlives: true, DisableCompression: true,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
+// newDialer returns the dialer for connections to upstreams.
+func newDialer() *net.Dialer {
+	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
+}
+
 // outgoingRequest is the part of a request that does not depend on the upstream.
 type outgoingRequest struct {
 	method string
--- a/service/client.go
+++ b/service/client.go
@@ -51,7 +51,7 @@
 // connection could deliver the answer to an earlier call, and the transport
 // resends some requests when a pooled connection turns out to be closed.
 func NewClient(s settings.Settings) *Client {
-	return newClient(freshconn.DialContext(s.Dialer(dialTimeout)))
+	return newClient(freshconn.DialContext(s.Dialer(dialTimeout).DialContext))
 }
 
 func newClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
