Logs: from which services an instance is cut off, and how many others reach them

An instance that can connect to none of two upstreams of a service within 2 s, and to no other for 0.4 s, now logs pool_unreachable with the number of instances that reach the service, and tells the others with its datagrams; a probe each 250 ms shows when it can be reached again (pool_reachable). No request is placed by it yet. The upstream that ends a cut is not ejected any more.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -45,7 +45,9 @@
 	// partitions contains the data centres in which upstreams could not be
 	// reached recently.
 	partitions map[string]*partition
-	retries    retryBudget
+	// reaches contains the pools in which upstreams could not be reached recently.
+	reaches map[string]*reach
+	retries retryBudget
 	// origins contains the versions that began streams, and retired the times at which the
 	// last upstream of a version left its pool.
 	origins *origin.Table
@@ -71,7 +73,7 @@
 func NewWithLengths(dataCentre string, lengths LengthForecaster) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, retries: newRetryBudget(),
+		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, reaches: map[string]*reach{}, retries: newRetryBudget(),
 		trackers: newTrackers(), origins: origin.New(), retired: map[poolVersion]time.Time{},
 		instances: 1,
 	}
@@ -140,6 +142,10 @@
 	case Failed:
 		s.handleFailure(now, e.Upstream, e.Reason)
 		return nil
+	case Reached:
+		if u := s.upstreams[e.Upstream]; u != nil {
+			s.recordPoolReached(now, u)
+		}
 	case MoveRequested:
 		return s.startMove(now, e)
 	case MoveEnded:
@@ -273,6 +279,7 @@
 	if f.tokens == 0 && !f.handledByPeer {
 		s.trackers.began(now, id)
 		s.recordReachable(u)
+		s.recordPoolReached(now, u)
 	}
 	if f.tokens == 0 && f.prefillTokens > 0 && !f.handledByPeer {
 		s.pool(u.Pool).prefill.observe(f.prefillTokens, now.Sub(f.sentAt))
@@ -305,6 +312,9 @@
 		u.health.recordSuccess(now)
 		s.recordReachable(u)
 	}
+	if u := s.upstreams[f.upstream]; u != nil && (responded || e.Outcome.Reason == verdict.UpstreamRefused) {
+		s.recordPoolReached(now, u)
+	}
 }
 
 // finish removes a request from its upstream and adds its output length to the
@@ -344,6 +354,7 @@
 	}
 	if reason == verdict.UpstreamUnreachable {
 		s.recordUnreachable(now, u)
+		s.recordPoolFailure(now, u)
 	}
 	// An unreachable upstream can't serve any request, so it is ejected on its
 	// first failure and even beyond maxEjectedShare, unless it is the last one of
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -38,10 +38,14 @@
 	SendNotice(n decide.Notice)
 	// SendLimit sends a notice of an upstream's limit and its use.
 	SendLimit(n decide.LimitNotice)
-	// SendCrash sends the report of a crash of an engine.
+	// SendCrash sends the report of a crash of an upstream.
 	SendCrash(c containment.Crash)
 	// SendFinding sends what is known of a trait of requests.
 	SendFinding(f containment.Finding)
+	// PoolReachChanged announces the pools from which this instance is cut off.
+	PoolReachChanged()
+	// Reaching returns the number of other instances that reach the upstreams of a pool.
+	Reaching(pool string) int
 	// SendLeaving announces that an incarnation of an upstream, identified by its
 	// start time, is leaving.
 	SendLeaving(id string, startUnixMS int64, leavesAt time.Time)
@@ -62,11 +66,15 @@
 	ListPosition history.Position
 	// Contained are the traits of requests on which upstreams crash.
 	Contained []containment.Finding
+	// LostPools are the pools from which this instance is cut off.
+	LostPools []string
 }
 
 // Placement is the upstream that a request is placed on.
 type Placement struct {
 	decide.Upstream
+	// Detour reports that Addr is that of another instance, which places the request.
+	Detour bool
 	// Limited reports whether the upstream has declared a limit on its requests.
 	Limited bool
 	// Explanation contains the figures behind the choice.
@@ -193,6 +201,10 @@
 			c.announcer.SendCrash(a.Crash)
 		case decide.NotifyFinding:
 			c.announcer.SendFinding(a.Finding)
+		case decide.PoolReachChanged:
+			c.logPoolReach(a)
+			c.publish()
+			c.announcer.PoolReachChanged()
 		case decide.ContainmentChanged:
 			c.logContainment(now, a)
 			c.publish()
@@ -223,6 +235,14 @@
 	c.log.Emit(contained, append(fields, "crashed_ago_ms", now.Sub(f.CrashedAt).Milliseconds(), "probe_in_ms", f.ProbeAt.Sub(now).Milliseconds())...)
 }
 
+func (c *Controller) logPoolReach(a decide.PoolReachChanged) {
+	if !a.Lost {
+		c.log.Emit(event.PoolReachable, "service", a.Pool)
+		return
+	}
+	c.log.Emit(event.PoolUnreachable, "service", a.Pool, "unreachable", a.Unreachable, "instances_reaching", c.announcer.Reaching(a.Pool))
+}
+
 func (c *Controller) logEjection(now time.Time, a decide.Ejected) {
 	if a.Until.IsZero() {
 		c.log.Emit(event.DataCentreRecovered, "data_centre", a.DataCentre)
@@ -303,7 +323,20 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained()})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools()})
+}
+
+// ProbeTargets returns an upstream of each pool from which this instance is cut off.
+func (c *Controller) ProbeTargets(ctx context.Context) []decide.ProbeTarget {
+	if len(c.Snapshot().LostPools) == 0 {
+		return nil
+	}
+	return query(ctx, c, func(time.Time) []decide.ProbeTarget { return c.scheduler.ProbeTargets() })
+}
+
+// ReportReached reports that a connection to an upstream could be made.
+func (c *Controller) ReportReached(name string) {
+	c.send(schedulerEventCommand{decide.Reached{Upstream: name}})
 }
 
 // Upstreams returns the statuses of the upstreams that are not Removed; nil if the
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -52,6 +52,8 @@
 func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
 
 func (a *recordingAnnouncer) SendCrash(containment.Crash) {}
+func (a *recordingAnnouncer) PoolReachChanged()           {}
+func (a *recordingAnnouncer) Reaching(string) int         { return 0 }
 
 func (a *recordingAnnouncer) SendFinding(containment.Finding) {}
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -26,6 +26,7 @@
 	"mangoloft/ident"
 	"mangoloft/origin"
 	"mangoloft/pause"
+	"mangoloft/probe"
 	"mangoloft/reports"
 	"mangoloft/telemetry"
 	"mangoloft/upstream"
@@ -81,6 +82,7 @@
 	peers        *gossip.Peers
 	follower     *catalog.Follower
 	reports      *reports.Poller
+	prober       *probe.Prober
 	gateway      *gateway.Gateway
 	callerServer *callerServer
 	metrics      *telemetry.Metrics
@@ -134,9 +136,14 @@
 		ListPosition: func() history.Position { return i.controller.Snapshot().ListPosition },
 	}
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
+	dial := deps.Dial
+	if dial == nil {
+		dial = gateway.NewDialer().DialContext
+	}
+	i.prober = &probe.Prober{Pools: i.controller, Dial: dial}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Dial: deps.Dial, Log: i.log, Metrics: i.metrics,
+		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
@@ -200,7 +207,7 @@
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
 		ListPosition: snapshot.ListPosition, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
-		Contained: snapshot.Contained,
+		Contained: snapshot.Contained, LostPools: snapshot.LostPools,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
@@ -236,7 +243,7 @@
 	actorCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	actors := []func(context.Context) error{
-		i.controller.Run, i.peers.Receive, i.peers.Run, i.follower.FollowTable, i.follower.FollowList, i.reports.Run, i.callerServer.closeIdle,
+		i.controller.Run, i.peers.Receive, i.peers.Run, i.follower.FollowTable, i.follower.FollowList, i.reports.Run, i.callerServer.closeIdle, i.prober.Run,
 		func(actorCtx context.Context) error { return i.watchSettings(actorCtx, reloads) },
 		func(actorCtx context.Context) error { return i.plannedStop(ctx, actorCtx) },
 		i.updateRetryBudget,
--- a/event/event.go
+++ b/event/event.go
@@ -69,6 +69,8 @@
 	RequestsSuspected     ID = 416
 	RequestContained      ID = 417
 	RequestReleased       ID = 418
+	PoolUnreachable       ID = 419
+	PoolReachable         ID = 420
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -122,6 +124,8 @@
 	RequestsSuspected:     "requests_suspected",
 	RequestContained:      "request_contained",
 	RequestReleased:       "request_released",
+	PoolUnreachable:       "pool_unreachable",
+	PoolReachable:         "pool_reachable",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,7 +103,7 @@
 // New returns a gateway with the options o.
 func New(o Options) *Gateway {
 	if o.Dial == nil {
-		o.Dial = newDialer().DialContext
+		o.Dial = NewDialer().DialContext
 	}
 	return &Gateway{Options: o, transport: newTransport(o.Dial)}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -73,6 +73,8 @@
 func (noopAnnouncer) SendLeaving(string, int64, time.Time)                            {}
 func (noopAnnouncer) SendLimit(decide.LimitNotice)                                    {}
 func (noopAnnouncer) SendCrash(containment.Crash)                                     {}
+func (noopAnnouncer) PoolReachChanged()                                               {}
+func (noopAnnouncer) Reaching(string) int                                             { return 0 }
 func (noopAnnouncer) SendFinding(containment.Finding)                                 {}
 func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
 func (noopAnnouncer) TableChanged()                                                   {}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// newDialer returns the dialer for connections to upstreams.
-func newDialer() *net.Dialer {
+// NewDialer returns the dialer for connections to upstreams.
+func NewDialer() *net.Dialer {
 	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
 }
 
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -34,6 +34,8 @@
 	StoreLost, ReadsStore bool
 	// ListCurrent reports that an instance of its data centre reads the list.
 	ListCurrent bool
+	// LostPools are the pools from which it is cut off.
+	LostPools []string
 	// LocalCount is the number of live instances in its data centre, including
 	// itself.
 	LocalCount int
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -103,6 +103,8 @@
 	Table []byte
 	// Contained are the traits of requests on which upstreams crash.
 	Contained []containment.Finding
+	// LostPools are the pools from which the instance is cut off.
+	LostPools []string
 }
 
 // Sink receives the state that other instances send, and is queried for the
@@ -202,6 +204,8 @@
 	isReader    atomic.Bool
 	isPrimary   atomic.Bool
 	stopping    atomic.Bool
+	// reachable contains the members that can be asked to serve requests.
+	reachable atomic.Pointer[[]Member]
 	// groupControls contains the control addresses of the broadcast group.
 	groupControls atomic.Pointer[[]netip.AddrPort]
 
@@ -352,6 +356,9 @@
 	p.wakeUp()
 }
 
+// PoolReachChanged announces at once from which pools the instance is cut off.
+func (p *Peers) PoolReachChanged() { p.TableChanged() }
+
 // SendLeaving announces that an upstream is leaving.
 func (p *Peers) SendLeaving(id string, startUnixMS int64, leavesAt time.Time) {
 	p.mu.Lock()
@@ -473,6 +480,7 @@
 		p.options.Log.Emit(event.PeerLost, "peer", m.Name, "address", m.Addr.String(), "reason", "silent", "last_heard_ms", now.Sub(m.LastSeenAt).Milliseconds())
 	}
 	p.publishControls()
+	p.publishReachable()
 	p.alive.Store(int64(p.members.Count()))
 	p.fleetSize.Store(int64(p.members.FleetSize()))
 	p.readers.Store(int64(p.members.ReaderCount()))
--- /dev/null
+++ b/gossip/reach.go
@@ -0,0 +1,60 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+)
+
+// maxLostPools is the maximum number of pools from which a datagram says that its sender is
+// cut off.
+const maxLostPools = 32
+
+// lostPools returns the pools from which a member is cut off.
+func (t *MemberTable) lostPools(addr netip.AddrPort) []string {
+	if m := t.members[addr]; m != nil {
+		return m.LostPools
+	}
+	return nil
+}
+
+// publishReachable publishes the live members for Detours.
+func (p *Peers) publishReachable() {
+	alive := p.members.Alive()
+	p.reachable.Store(&alive)
+}
+
+// Detours returns the control addresses of the live members that reach the upstreams of a
+// pool, as far as known, in random order. Those of the local data centre come first, unless
+// most instances there are cut off too and would overload them.
+func (p *Peers) Detours(pool string) []netip.AddrPort {
+	members := p.reachable.Load()
+	if members == nil {
+		return nil
+	}
+	var local, remote []netip.AddrPort
+	localLost := 1 // this instance
+	for _, m := range *members {
+		switch {
+		case slices.Contains(m.LostPools, pool) && m.DataCentre == p.options.DataCentre:
+			localLost++
+		case slices.Contains(m.LostPools, pool):
+		case m.DataCentre == p.options.DataCentre:
+			local = append(local, m.Control)
+		default:
+			remote = append(remote, m.Control)
+		}
+	}
+	if len(local) < localLost && len(*members) < fullMeshLimit {
+		// In a large fleet only a few instances of other data centres are known.
+		local, remote = append(local, remote...), nil
+	}
+	for _, addrs := range [][]netip.AddrPort{local, remote} {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	}
+	return append(local, remote...)
+}
+
+// Reaching returns the number of live members that reach the upstreams of a pool, as far as
+// known.
+func (p *Peers) Reaching(pool string) int { return len(p.Detours(pool)) }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"mangoloft/event"
@@ -47,14 +48,21 @@
 	now := time.Now()
 	if w.Stopping {
 		p.members.Remove(w.From, w.Incarnation)
+		p.publishReachable()
 	} else {
 		m := Member{
 			Name: w.Name, DataCentre: w.DataCentre, Addr: w.From, Control: w.Control, Incarnation: w.Incarnation,
 			TableVersion: w.TableVersion, ListPosition: w.listPosition(),
 			StoreLost: w.StoreLost, ReadsStore: w.ReadsStore, ListCurrent: w.ListCurrent, LocalCount: w.LocalCount, Relays: w.Relays,
-			NextBy: now.Add(min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval)),
+			NextBy:    now.Add(min(milliseconds(w.HeartbeatMS), rareHeartbeatInterval)),
+			LostPools: w.LostPools[:min(len(w.LostPools), maxLostPools)],
 		}
-		if p.members.Update(now, m) {
+		before := p.members.lostPools(m.Addr)
+		joined := p.members.Update(now, m)
+		if !slices.Equal(before, p.members.lostPools(m.Addr)) {
+			p.publishReachable()
+		}
+		if joined {
 			p.options.Log.Emit(event.PeerJoined, "peer", m.Name, "address", m.Addr.String(), "data_centre", m.DataCentre, "table_version", m.TableVersion, "list_revision", m.ListPosition.Revision)
 			p.write(p.encode(datagramWire{
 				Known:       p.members.KnownAddresses(m.DataCentre, maxMemberAddrsToNew, maxRemoteAddrsToNew),
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -158,7 +158,7 @@
 	w.From, w.Name, w.DataCentre, w.Control, w.Incarnation = o.Listen, o.Name, o.DataCentre, o.Control, uint64(o.Incarnation)
 	w.TableVersion, w.StoreLost = state.TableVersion, state.StoreLost
 	w.ListEra, w.ListRevision = state.ListPosition.Era, state.ListPosition.Revision
-	w.Stopping, w.LocalCount = p.stopping.Load(), p.members.LocalCount()
+	w.Stopping, w.LocalCount, w.LostPools = p.stopping.Load(), p.members.LocalCount(), state.LostPools[:min(len(state.LostPools), maxLostPools)]
 	if p.members.IsLarge() {
 		w.Relays = p.members.LocalRelays()
 	}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -36,6 +36,8 @@
 	ReadsStore  bool `json:"reads_store,omitempty"`
 	ListCurrent bool `json:"list_current,omitempty"`
 	Stopping    bool `json:"stopping,omitempty"`
+	// LostPools are the pools from which the sender is cut off.
+	LostPools []string `json:"lost_pools,omitempty"`
 	// LocalCount is the number of live instances in the sender's data centre, and
 	// Relays are the addresses of its relays.
 	LocalCount int              `json:"local_count,omitempty"`
