Gateway: instances that are cut off have their requests served by others

Cause: an instance knew no way to upstreams but its own connections, and held their failures against the upstreams.

Mend: while an instance is cut off from a service and others are not, as they tell each other, it sends the requests to one of these, whole, with the time that is left; that one serves them like its own and never sends them on. Refusals are marked, so that another instance can be tried; what may have run is not repeated. For a request of another instance, nothing waits for upstreams to come back. Ends of upstreams that a cut off instance believes to see are not reported.

--- a/account/account.go
+++ b/account/account.go
@@ -72,21 +72,24 @@
 
 // line contains the fields of a log line that this package uses.
 type line struct {
-	Event          event.ID `json:"event"`
-	Request        string   `json:"request"`
-	Kind           string   `json:"kind"`
-	Reason         string   `json:"reason"`
-	Outcome        string   `json:"outcome"`
-	Status         int      `json:"status"`
-	Events         int      `json:"events"`
-	WaitedMS       int64    `json:"waited_ms"`
-	MS             int64    `json:"ms"`
-	FirstEventMS   int64    `json:"first_event_ms"`
-	LongestPauseMS int64    `json:"longest_pause_ms"`
-	TargetMS       int64    `json:"target_ms"`
-	PauseTargetMS  int64    `json:"pause_target_ms"`
-	PromptTokens   int64    `json:"prompt_tokens"`
-	MaxTokens      int64    `json:"max_output_tokens"`
+	Event   event.ID `json:"event"`
+	Request string   `json:"request"`
+	Kind    string   `json:"kind"`
+	Reason  string   `json:"reason"`
+	// FromMember reports whether another instance sent the request. That one logs its end
+	// for the caller.
+	FromMember     bool   `json:"from_member"`
+	Outcome        string `json:"outcome"`
+	Status         int    `json:"status"`
+	Events         int    `json:"events"`
+	WaitedMS       int64  `json:"waited_ms"`
+	MS             int64  `json:"ms"`
+	FirstEventMS   int64  `json:"first_event_ms"`
+	LongestPauseMS int64  `json:"longest_pause_ms"`
+	TargetMS       int64  `json:"target_ms"`
+	PauseTargetMS  int64  `json:"pause_target_ms"`
+	PromptTokens   int64  `json:"prompt_tokens"`
+	MaxTokens      int64  `json:"max_output_tokens"`
 }
 
 // request contains the log lines of one request.
@@ -160,7 +163,9 @@
 		r.moved = r.moved || l.Outcome == "moved"
 		r.moveFailed = l.Outcome == "failed" || l.Outcome == "no destination"
 	case event.RequestClosed:
-		r.closed = l
+		if !l.FromMember {
+			r.closed = l
+		}
 	}
 	return true
 }
--- a/account/account_test.go
+++ b/account/account_test.go
@@ -32,6 +32,7 @@
 	}{
 		"complete stream":               {fill(placed, "WAITED", "0") + fill(stream, complete...), account.InTime},
 		"call":                          {fill(call, "REASON", "completed", "TOOK", "30"), account.InTime},
+		"served by another instance":    {fill(call, "REASON", "completed", "TOOK", "30") + strings.Replace(fill(call, "REASON", "upstream_failed", "TOOK", "20"), `"request"`, `"from_member":true,"request"`, 1), account.InTime},
 		"late call":                     {fill(call, "REASON", "completed", "TOOK", "130"), account.Late},
 		"waited for a place":            {fill(placed, "WAITED", "1000") + fill(stream, late...), account.WaitedForPlacement},
 		"waited at its engine":          {fill(placed, "WAITED", "100") + fill(stream, late...), account.WaitedAtEngine},
--- a/decide/contained.go
+++ b/decide/contained.go
@@ -100,10 +100,10 @@
 }
 
 // handleUpstreamEnded suspects the requests of an upstream that has ended, unless it had
-// said that it would leave.
+// said that it would leave, or this instance is cut off from its pool.
 func (s *Scheduler) handleUpstreamEnded(now time.Time, e UpstreamEnded) {
 	u := s.upstreams[e.Upstream]
-	if u == nil || u.Incarnation != e.Incarnation || u.Leaving {
+	if u == nil || u.Incarnation != e.Incarnation || u.Leaving || s.isLost(u.Pool) {
 		return
 	}
 	s.trackers.closed(now, e.Unsent, false, true)
--- a/decide/reach.go
+++ b/decide/reach.go
@@ -1,10 +1,13 @@
 package decide
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
+
+	"mangoloft/verdict"
 )
 
 // reach tracks whether this instance can connect to the upstreams of a pool. If it can't
@@ -137,3 +140,13 @@
 	}
 	return targets
 }
+
+// refuseCutOff refuses a request that another instance can serve while this one is cut off
+// from its pool. It reports whether it did.
+func (s *Scheduler) refuseCutOff(now time.Time, r Request) (Refuse, bool) {
+	if !r.CanDetour || !s.isLost(r.Class.Pool) {
+		return Refuse{}, false
+	}
+	explanation := fmt.Sprintf("this instance can't reach the upstreams of pool %s, of which %d were tried", r.Class.Pool, len(s.reaches[r.Class.Pool].failedAt))
+	return Refuse{ID: r.ID, Reason: verdict.CutOff, RetryAt: now.Add(minRetryDelay), Explanation: explanation}, true
+}
--- a/decide/reach_test.go
+++ b/decide/reach_test.go
@@ -54,6 +54,19 @@
 			}
 			assert.Equal(t, len(s.LostPools()) > 0, test.lost)
 			assert.Equal(t, len(s.ProbeTargets()) > 0, test.lost)
+			arrive := func(sequence uint64, canDetour bool) (reason verdict.Reason, refused bool) {
+				r := decide.Request{ID: ident.Request{Sequence: sequence}, Class: config.Class{Name: callPool, Pool: callPool, Kind: config.Read}, CanDetour: canDetour}
+				for _, a := range s.Step(now, decide.Arrived{Request: r}) {
+					if refusal, ok := a.(decide.Refuse); ok {
+						return refusal.Reason, true
+					}
+				}
+				return 0, false
+			}
+			reason, refused := arrive(1, true)
+			assert.Equal(t, refused && reason == verdict.CutOff, test.lost)
+			reason, refused = arrive(2, false)
+			assert.Assert(t, !refused || reason != verdict.CutOff)
 		})
 	}
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -388,6 +388,9 @@
 	if refusal, ok := s.refuseContained(now, r); ok {
 		return []Action{refusal}
 	}
+	if refusal, ok := s.refuseCutOff(now, r); ok {
+		return []Action{refusal}
+	}
 	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
 	if firstAttempt {
 		s.retries.deposit()
--- a/entry/run.go
+++ b/entry/run.go
@@ -143,7 +143,7 @@
 	i.prober = &probe.Prober{Pools: i.controller, Dial: dial}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
+		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
@@ -256,7 +256,7 @@
 		i.callerServer.server.Close()
 	})
 	for addr, handler := range map[netip.AddrPort]http.Handler{
-		s.Listen.Readiness: http.HandlerFunc(i.serveReadiness), s.Listen.Control: i.peers.Handler(), s.Listen.Metrics: i.metrics,
+		s.Listen.Readiness: http.HandlerFunc(i.serveReadiness), s.Listen.Control: i.gateway.DetourHandler(i.peers.Handler()), s.Listen.Metrics: i.metrics,
 	} {
 		if !addr.IsValid() {
 			continue
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -122,6 +122,10 @@
 	return http.Header{"X-Id": h["X-Id"]}
 }
 
+func (fakeProtocol) MemberHeader(http.Header, gateway.AttemptInfo, time.Time) http.Header {
+	return http.Header{}
+}
+
 func (fakeProtocol) ParseResponse(_ int, h http.Header, _ time.Time) gateway.ResponseInfo {
 	return gateway.ResponseInfo{ID: h.Get("X-Id"), Signed: true}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,7 @@
 	RunMoved            ID = 507
 	RequestClosed       ID = 508
 	StreamTakenUp       ID = 509
+	RequestDetoured     ID = 510
 
 	LedgerHandedOver ID = 601
 	LedgerAdopted    ID = 602
@@ -126,6 +127,7 @@
 	RequestReleased:       "request_released",
 	PoolUnreachable:       "pool_unreachable",
 	PoolReachable:         "pool_reachable",
+	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
 	StoreLost:             "store_lost",
--- /dev/null
+++ b/gateway/detour_test.go
@@ -0,0 +1,132 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// members are the other instances that a gateway knows, in the order in which it tries
+// them.
+type members []netip.AddrPort
+
+func (m members) Detours(string) []netip.AddrPort { return m }
+
+func (g *testGateway) addr() netip.AddrPort {
+	return g.server.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestCutOffGatewayTakesDetour checks what callers of a gateway get that can't connect to
+// its upstreams, while other gateways have their own ones.
+func TestCutOffGatewayTakesDetour(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		header       map[string]string
+		// upstreams contains, for each other gateway, the behaviour of its upstream; nil if
+		// the gateway is cut off too.
+		upstreams []behaviour
+		status    int
+		runs      int
+		// cutShort reports whether the response ends before its end.
+		cutShort bool
+	}{
+		"safe":                              {"GET", "/patient-safe/x", nil, []behaviour{respondOK}, 200, 1, false},
+		"unsafe":                            {"POST", "/patient-unsafe/x", nil, []behaviour{respondOK}, 200, 1, false},
+		"stream":                            {"POST", "/patient-resumable/x", nil, []behaviour{streamEvents(3, true)}, 200, 1, false},
+		"stream cut off":                    {"POST", "/long/x", nil, []behaviour{streamEvents(3, false)}, 200, 1, true},
+		"first one is cut off too":          {"POST", "/patient-unsafe/x", nil, []behaviour{nil, respondOK}, 200, 1, false},
+		"first two are cut off too":         {"GET", "/patient-safe/x", nil, []behaviour{nil, nil, respondOK}, 200, 1, false},
+		"all are cut off":                   {"POST", "/unsafe/x", nil, []behaviour{nil, nil}, 503, 0, false},
+		"server error":                      {"GET", "/patient-safe/x", nil, []behaviour{respond500, respondOK}, 500, 1, false},
+		"unsafe, answer lost":               {"POST", "/patient-unsafe/x", nil, []behaviour{respondRaw(""), respondOK}, 502, 1, false},
+		"rejected by upstream":              {"POST", "/patient-unsafe/x", nil, []behaviour{respondNotRun, respondOK}, 200, 1, false},
+		"caller sets the header of detours": {"POST", "/patient-unsafe/x", map[string]string{"Mangoloft-Outcome": "not_run x"}, []behaviour{respondOK}, 200, 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			dead := func(name string) *backend {
+				b, _ := restartingBackend(t, name, respondOK)
+				return b
+			}
+			var others members
+			var backends []*backend
+			for i, respond := range test.upstreams {
+				b := dead(fmt.Sprint("d", i))
+				if respond != nil {
+					b = startBackend(t, fmt.Sprint("b", i), respond)
+				}
+				backends = append(backends, b)
+				others = append(others, startMember(t, &fakeEngines{}, nil, b).addr())
+			}
+			g := startMember(t, &fakeEngines{}, others, dead("x"), dead("y"))
+			response, content, err := g.send(t, test.method, test.path, "", test.header)
+			assert.Equal(t, err != nil, test.cutShort, "%v", err)
+			assert.Equal(t, response.StatusCode, test.status, content)
+			runs := 0
+			for _, b := range backends {
+				runs += b.runCount()
+			}
+			assert.Equal(t, runs, test.runs)
+			assert.Equal(t, response.Header.Get("Mangoloft-Outcome"), "")
+			if test.status == 503 {
+				assert.Assert(t, response.Header.Get("Retry-After") != "")
+				assert.Assert(t, strings.Contains(content, `"verdict":"not_run"`), content)
+			}
+		})
+	}
+}
+
+// TestDetourIsOneHop checks that the request of another gateway is not sent on.
+func TestDetourIsOneHop(t *testing.T) {
+	b := startBackend(t, "b", respondOK)
+	third := startMember(t, &fakeEngines{}, nil, b)
+	dead, _ := restartingBackend(t, "d", respondOK)
+	second := startMember(t, &fakeEngines{}, members{third.addr()}, dead)
+	for range 3 {
+		response, content, err := second.send(t, "POST", "/unsafe/x", "", map[string]string{"Mangoloft-Detour": "0"})
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 503, content)
+		assert.Assert(t, strings.HasPrefix(response.Header.Get("Mangoloft-Outcome"), "not_run "), "%v", response.Header)
+	}
+	assert.Equal(t, b.runCount(), 0)
+	response, _, err := second.send(t, "POST", "/unsafe/x", "", map[string]string{"Mangoloft-Detour": "-1"})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 400)
+}
+
+// TestCallerLeavesDuringDetour checks that the upstream of the other gateway notices that
+// the caller has left.
+func TestCallerLeavesDuringDetour(t *testing.T) {
+	began, left := make(chan struct{}), make(chan struct{})
+	b := startBackend(t, "b", func(_ *backend, _ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(left)
+	})
+	dead, _ := restartingBackend(t, "d", respondOK)
+	g := startMember(t, &fakeEngines{}, members{startMember(t, &fakeEngines{}, nil, b).addr()}, dead)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() {
+		response, err := http.DefaultClient.Do(g.request(t, "GET", "/patient-safe/x", "", nil).WithContext(ctx))
+		if err == nil {
+			response.Body.Close()
+		}
+	})
+	<-began
+	cancel()
+	group.Wait()
+	select {
+	case <-left:
+	case <-time.After(400 * time.Millisecond):
+		t.Error("the upstream still works on the request")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,9 @@
 	Protocol   Protocol
 	Engines    EngineClient
 	Origins    Origins
+	// Members are the instances that can serve requests if this one is cut off; nil if
+	// there are none.
+	Members Members
 	// Dial opens connections to upstreams; nil for the network of the operating system.
 	Dial    freshconn.Dial
 	Log     *event.Log
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -55,6 +55,10 @@
 	return h
 }
 
+func (testProtocol) MemberHeader(caller http.Header, _ gateway.AttemptInfo, _ time.Time) http.Header {
+	return caller.Clone()
+}
+
 func (testProtocol) ParseResponse(status int, h http.Header, _ time.Time) gateway.ResponseInfo {
 	info := gateway.ResponseInfo{ID: h.Get("X-Id"), Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	if h.Get("X-Load") != "" {
@@ -64,7 +68,7 @@
 }
 
 func (testProtocol) CallerHeader(h http.Header) http.Header {
-	return http.Header{"X-Signed": h["X-Signed"], "Content-Type": h["Content-Type"]}
+	return http.Header{"X-Id": h["X-Id"], "X-Signed": h["X-Signed"], "Content-Type": h["Content-Type"]}
 }
 
 type noopAnnouncer struct{}
@@ -298,6 +302,12 @@
 
 // startGateway starts a gateway whose list contains the backends.
 func startGateway(t *testing.T, e gateway.EngineClient, backends ...*backend) *testGateway {
+	t.Helper()
+	return startMember(t, e, nil, backends...)
+}
+
+// startMember starts a gateway that also serves the requests of others, and knows these.
+func startMember(t *testing.T, e gateway.EngineClient, members gateway.Members, backends ...*backend) *testGateway {
 	t.Helper()
 	logs := &logBuffer{}
 	log := event.NewLog(logs, "front", time.Now)
@@ -315,9 +325,9 @@
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	recorder := &loadRecorder{Dispatcher: control}
 	handler := gateway.New(gateway.Options{
-		Home: home, Dispatcher: recorder, Protocol: testProtocol{}, Engines: e, Log: log, Metrics: telemetry.New(), MaxBodyBytes: 1 << 20,
+		Home: home, Dispatcher: recorder, Protocol: testProtocol{}, Engines: e, Members: members, Log: log, Metrics: telemetry.New(), MaxBodyBytes: 1 << 20,
 	})
-	server := httptest.NewServer(handler)
+	server := httptest.NewServer(handler.DetourHandler(handler))
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -83,7 +83,7 @@
 func (g *Gateway) attemptPlain(ctx context.Context, q *request, placement dispatch.Placement) (*plainResponse, error) {
 	q.upstream = placement.Name
 	g.logPlacement(q, placement)
-	header := g.Protocol.UpstreamHeader(q.callerHeader, q.attemptInfo(placement.Name), time.Now())
+	header := g.outgoingHeader(q, placement, q.attemptInfo(placement.Name))
 	response, err := g.send(ctx, q, placement, header)
 	if err != nil {
 		q.recordFailure(err)
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &plainResponse{response.StatusCode, g.Protocol.CallerHeader(response.Header), body}, nil
+	return &plainResponse{response.StatusCode, g.callerHeader(response.Header), body}, nil
 }
 
 // recordFailure updates the request's counts after a failed send.
@@ -120,6 +120,9 @@
 // checkHeader checks the status and headers of a response and reports the
 // upstream's load and identity to the dispatcher.
 func (g *Gateway) checkHeader(q *request, placement dispatch.Placement, response *http.Response) error {
+	if placement.Detour {
+		return g.checkDetour(q, response)
+	}
 	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now())
 	if responseInfo.Misdirected {
 		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
@@ -168,6 +171,10 @@
 // reportAttempt logs an attempt that failed or returned a server error, and
 // reports it to the dispatcher.
 func (g *Gateway) reportAttempt(ctx context.Context, q *request, placement dispatch.Placement, plain *plainResponse, err error) {
+	if placement.Detour {
+		g.endDetour(q, placement, err)
+		return
+	}
 	o, status := verdict.OutcomeOf(err), 0
 	if plain != nil {
 		status = plain.status
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -109,9 +109,12 @@
 	ParseRequest(h http.Header, received time.Time) (RequestInfo, error)
 	// UpstreamHeader returns the request headers for an upstream.
 	UpstreamHeader(callerHeader http.Header, attempt AttemptInfo, now time.Time) http.Header
+	// MemberHeader returns the request headers for another instance, which handles the
+	// request as the caller sent it, but with the attempt's deadline and last event.
+	MemberHeader(callerHeader http.Header, attempt AttemptInfo, now time.Time) http.Header
 	ParseResponse(status int, h http.Header, received time.Time) ResponseInfo
 	// CallerHeader returns the headers of an upstream's response for the
-	// caller.
+	// caller, including the ID and the signature: another instance may have to check them.
 	CallerHeader(h http.Header) http.Header
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -91,10 +92,16 @@
 	responseBytes int64
 	// upstream is the name of the upstream that was chosen last.
 	upstream string
+	// fromMember reports whether another instance sent the request, because it is cut off,
+	// and detours are the instances to which this one has sent it.
+	fromMember bool
+	detours    []netip.AddrPort
 }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r, &request{}) }
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	received := time.Now()
 	g.requestStarted()
 	defer g.requestEnded()
@@ -102,7 +109,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	info, err := g.Protocol.ParseRequest(r.Header, received)
-	q := &request{id: g.newID(), info: info, received: received, callerHeader: r.Header}
+	q.id, q.info, q.received, q.callerHeader = g.newID(), info, received, r.Header
 	if err != nil {
 		g.writeRefusal(w, q, http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "%v", err))
 		return
@@ -214,7 +221,7 @@
 }
 
 // placementRequest returns the request in the form that the scheduler uses.
-func (q *request) placementRequest() decide.Request {
+func (q *request) placementRequest(canDetour bool) decide.Request {
 	class := config.Class{
 		Name: q.route.Name, Pool: q.service, Kind: config.Charge,
 		WaitTarget: time.Duration(float64(q.route.Target) * maxWaitShare), MaxOutputTokens: q.info.MaxOutputTokens,
@@ -227,7 +234,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour,
 	}
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
@@ -241,11 +248,15 @@
 
 // place requests a placement for the request. If no upstream is left because some
 // could not be reached, it considers these again after a delay: they may be
-// restarting, or the connections may have been lost on an overloaded link.
+// restarting, or the connections may have been lost on an overloaded link. For the
+// request of another instance it does not wait, because that one can ask a third one.
 func (g *Gateway) place(ctx context.Context, q *request) (dispatch.Placement, error) {
 	for {
-		placement, err := g.Dispatcher.Place(ctx, q.placementRequest())
-		if err == nil || verdict.OutcomeOf(err).Reason != verdict.NoUpstream || len(q.unreachable) == 0 {
+		placement, err := g.Dispatcher.Place(ctx, q.placementRequest(g.canDetour(q)))
+		if err != nil && verdict.OutcomeOf(err).Reason == verdict.CutOff {
+			return g.placeAtMember(q, err)
+		}
+		if err == nil || verdict.OutcomeOf(err).Reason != verdict.NoUpstream || len(q.unreachable) == 0 || q.fromMember {
 			return placement, err
 		}
 		delay := reconnectDelay << q.reconnects
@@ -310,6 +321,7 @@
 	if jsonErr != nil {
 		o.Detail += "; the body could not be encoded: " + jsonErr.Error()
 	}
+	q.setDetourOutcome(w.Header(), o)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(status)
@@ -322,6 +334,10 @@
 // logPlacement logs the chosen upstream and the reason for the choice, with the
 // versions of the routing table and the list that the choice was based on.
 func (g *Gateway) logPlacement(q *request, placement dispatch.Placement) {
+	if placement.Detour {
+		g.logDetour(q, placement)
+		return
+	}
 	snapshot := g.Dispatcher.Snapshot()
 	g.Metrics.CountSend(q.service)
 	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service, "fingerprint", q.fingerprint.String(),
@@ -367,7 +383,7 @@
 		g.Metrics.ObserveStream(q.timeToFirstEvent(), q.longestPause)
 	}
 	g.Log.Emit(event.RequestClosed, "request", q.info.ID, "route", route, "kind", kind, "table_version", version, "team", q.team, "service", q.service,
-		"upstream", q.upstream, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
+		"upstream", q.upstream, "from_member", q.fromMember, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
 		"events", q.delivered, "first_event_ms", q.timeToFirstEvent().Milliseconds(), "longest_pause_ms", q.longestPause.Milliseconds(),
 		"target_ms", target.Milliseconds(), "pause_target_ms", pauseTarget.Milliseconds(),
 		"prompt_tokens", q.info.PromptTokens, "max_output_tokens", q.info.MaxOutputTokens, "ms", time.Since(q.received).Milliseconds())
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -88,6 +88,8 @@
 		// The gateway aborted the request, so this is not a failure of the
 		// upstream.
 		return nil, abortError(ctx, use.Sent())
+	case err != nil && !use.Sent() && placement.Detour:
+		return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
 	case err != nil && !use.Sent():
 		g.reportIfRefused(q, placement, decide.UpstreamEnded{At: time.Now(), Unsent: q.id}, err)
 		return nil, verdict.Fail(verdict.NotRun, verdict.UpstreamUnreachable, "%v", err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -161,7 +161,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	header := s.g.Protocol.UpstreamHeader(s.callerHeader, attemptInfo, time.Now())
+	header := s.g.outgoingHeader(s.request, s.placement, attemptInfo)
 	response, err := s.g.send(ctx, s.request, s.placement, header)
 	if err != nil {
 		s.recordFailure(err)
@@ -208,7 +208,7 @@
 		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
 		return nil, err
 	}
-	plain := &plainResponse{response.StatusCode, s.g.Protocol.CallerHeader(response.Header), body}
+	plain := &plainResponse{response.StatusCode, s.g.callerHeader(response.Header), body}
 	if s.headerSent || plain.status >= http.StatusInternalServerError && s.route.Resumable && s.hasAttemptsLeft() {
 		err := verdict.Fail(verdict.MayHaveRun, verdict.UpstreamFailed, "response status %s", response.Status)
 		s.g.reportAttempt(ctx, s.request, s.placement, nil, err)
@@ -302,7 +302,7 @@
 	}
 	if !s.headerSent {
 		header := s.w.Header()
-		for name, values := range s.g.Protocol.CallerHeader(response.Header) {
+		for name, values := range s.g.callerHeader(response.Header) {
 			header[name] = values
 		}
 		s.w.WriteHeader(response.StatusCode)
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -71,6 +71,9 @@
 	UpstreamLeaving
 	// PromptContained means that the prompt has a part on which engines crash.
 	PromptContained
+	// CutOff means that the instance can't reach the upstreams, and no other instance
+	// could serve the request either.
+	CutOff
 	// RequestContained means that upstreams crash on this very request.
 	RequestContained
 	// NotFound means that the request id or reference is unknown or belongs to
@@ -86,7 +89,7 @@
 	UpstreamRefused: "upstream_refused", UpstreamUnreachable: "upstream_unreachable",
 	UpstreamLost: "upstream_lost", UpstreamFailed: "upstream_failed", AnswerMismatch: "answer_mismatch",
 	UpstreamLeaving: "upstream_leaving", GenerationLost: "generation_lost", CallerDisconnected: "caller_gone", NotFound: "not_found",
-	PromptContained: "prompt_contained", RequestContained: "request_contained",
+	PromptContained: "prompt_contained", RequestContained: "request_contained", CutOff: "cut_off",
 }
 
 // String returns the reason's name in snake case.
