Gateway: requests of other instances without an attempt left are refused

If the routing table of the other instance allows more attempts than this one's, a stream that may have run before was answered with an empty 200, and a call with 503 and a verdict that it ran (TestDetourWithoutAttemptsLeft failed on /long/x with status 200). Now 503 and not_run; the other instance knows that the request may have run. Instances look for others only while they are cut off, not for each request.

--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -142,8 +142,12 @@
 	}
 }
 
-// canDetour reports whether the request can be sent to another instance.
+// canDetour reports whether the request can be sent to another instance, if this one is cut
+// off.
 func (g *Gateway) canDetour(q *request) bool {
+	if !slices.Contains(g.Dispatcher.Snapshot().LostPools, q.service) {
+		return false
+	}
 	_, ok := g.nextDetour(q)
 	return ok
 }
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -102,6 +102,20 @@
 	assert.Equal(t, response.StatusCode, 400)
 }
 
+// TestDetourWithoutAttemptsLeft checks that a request that may have run is not run again
+// beyond what the route allows.
+func TestDetourWithoutAttemptsLeft(t *testing.T) {
+	b := startBackend(t, "b", streamEvents(3, true))
+	g := startMember(t, &fakeEngines{}, nil, b)
+	for path, runs := range map[string]int{"/patient-unsafe/x": 0, "/long/x": 0, "/patient-resumable/x": 1} {
+		before := b.runCount()
+		response, content, err := g.send(t, "POST", path, "", map[string]string{"Mangoloft-Detour": "1"})
+		assert.NilError(t, err)
+		assert.Equal(t, b.runCount()-before, runs, path)
+		assert.Equal(t, response.StatusCode == 200, runs == 1, "%s: %s", path, content)
+	}
+}
+
 // TestCallerLeavesDuringDetour checks that the upstream of the other gateway notices that
 // the caller has left.
 func TestCallerLeavesDuringDetour(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -118,6 +118,11 @@
 		g.writeRefusal(w, q, status, err)
 		return
 	}
+	if !q.hasAttemptsLeft() {
+		// The other instance allows more attempts, by another routing table.
+		g.writeRefusal(w, q, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Overloaded, received.Add(defaultRetryAfter), "no attempt is left"))
+		return
+	}
 	if g.draining.Load() && q.route.Kind == routing.Streaming && !q.route.Idempotent() {
 		// The end of the grace period would cut off the stream.
 		g.writeRefusal(w, q, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Stopping, received, "the instance is stopping and might cut off the stream"))
