Gateway: the attempts of a detour are used up when its answer arrives

They were when the answer had been read, so a resumable stream that both upstreams of the other instance answered with 500 would have been answered 502 instead of that 500, with another attempt planned that was then not allowed. Found by reading; a case with a server error of a stream is added, which passed before as well.

--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -109,6 +109,7 @@
 func (g *Gateway) checkDetour(q *request, response *http.Response) error {
 	value := response.Header.Get(detourOutcomeHeader)
 	if value == "" {
+		q.useAllAttempts()
 		return checkResponse(response, g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now()), q.info.ID)
 	}
 	o := verdict.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost}
@@ -128,12 +129,14 @@
 // maxDetourRetryAfter is the maximum Retry-After of another instance that is passed on.
 const maxDetourRetryAfter = time.Hour
 
-// endDetour records the end of an attempt at another instance. It has used all attempts
-// that the route allows, unless the request provably did not run.
+// useAllAttempts records that another instance has used the attempts that the route allows.
+func (q *request) useAllAttempts() { q.attempts = max(q.attempts, 1, q.route.MaxAttempts) }
+
+// endDetour records the end of an attempt at another instance.
 func (g *Gateway) endDetour(q *request, placement dispatch.Placement, err error) {
 	o := verdict.OutcomeOf(err)
 	if o.Verdict != verdict.NotRun {
-		q.attempts = max(q.attempts, 1, q.route.MaxAttempts)
+		q.useAllAttempts()
 	}
 	if err != nil {
 		g.Metrics.CountFailedSend(q.service, o.Reason)
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -46,6 +46,7 @@
 		"first two are cut off too":         {"GET", "/patient-safe/x", nil, []behaviour{nil, nil, respondOK}, 200, 1, false},
 		"all are cut off":                   {"POST", "/unsafe/x", nil, []behaviour{nil, nil}, 503, 0, false},
 		"server error":                      {"GET", "/patient-safe/x", nil, []behaviour{respond500, respondOK}, 500, 1, false},
+		"stream, server error":              {"POST", "/long/x", nil, []behaviour{respond500, respondOK}, 500, 1, false},
 		"unsafe, answer lost":               {"POST", "/patient-unsafe/x", nil, []behaviour{respondRaw(""), respondOK}, 502, 1, false},
 		"rejected by upstream":              {"POST", "/patient-unsafe/x", nil, []behaviour{respondNotRun, respondOK}, 200, 1, false},
 		"caller sets the header of detours": {"POST", "/patient-unsafe/x", map[string]string{"Mangoloft-Outcome": "not_run x"}, []behaviour{respondOK}, 200, 1, false},
