Upstreams that bear few rejections are paused after one

Cause: nothing read Server-Brittle, so servers with less room than they were sent fell over, and the others after them. Now an instance sends nothing to such a server after a rejection, for as long that all instances together plan for 0.6 of the rejections that it bears, and then no more than it had there, and one more each second.

--- a/decide/pushback.go
+++ b/decide/pushback.go
@@ -11,11 +11,34 @@
 )
 
 // PushedBack reports that an upstream rejected a request of this instance and wants no
-// others from it before a time.
+// others from it before a time, or can reject only few requests in a second.
 type PushedBack struct {
 	Upstream    string
 	Incarnation ident.Incarnation
-	Until       time.Time
+	// Until is zero if the upstream did not say.
+	Until time.Time
+	// MaxRejections is the number of requests that it can reject in a second; 0 if it
+	// declares none.
+	MaxRejections int
+}
+
+// rejectionShare is the share of the rejections that an upstream can bear which all
+// instances together plan for.
+const rejectionShare = 0.6
+
+// windowGrowth is the time without a rejection after which one more request is sent to an
+// upstream that can reject only few.
+const windowGrowth = 1 * time.Second
+
+// window is the number of requests at an upstream, as known here, up to which it gets
+// others after a rejection.
+type window struct {
+	size  int
+	setAt time.Time
+}
+
+func (w window) allows(now time.Time, requests int) bool {
+	return w.size == 0 || requests < w.size+int(now.Sub(w.setAt)/windowGrowth)
 }
 
 func (PushedBack) decideEvent() {}
@@ -28,8 +51,15 @@
 
 func (Paused) decideAction() {}
 
-func (s *Scheduler) handlePushBack(e PushedBack) {
+func (s *Scheduler) handlePushBack(now time.Time, e PushedBack) {
 	u := s.upstreams[e.Upstream]
+	if u != nil && e.MaxRejections > 0 {
+		// The rejected request is one of those known.
+		u.window = window{max(1, len(u.requests)-1), now}
+		// Each instance has one rejection in this time.
+		pause := time.Duration(float64(s.instances) / (rejectionShare * float64(e.MaxRejections)) * float64(time.Second))
+		e.Until = now.Add(min(pause, maxRetryDelay))
+	}
 	if u == nil || u.Incarnation != e.Incarnation || !e.Until.After(u.pausedUntil) {
 		return
 	}
@@ -46,6 +76,10 @@
 	var limited []*upstream
 	for _, u := range candidates {
 		switch {
+		case !now.Before(u.pausedUntil) && !u.window.allows(now, len(u.requests)):
+			earliest = now.Add(minRetryDelay)
+			states = append(states, fmt.Sprintf("%s rejected requests and has %d", u.Name, len(u.requests)))
+			continue
 		case !now.Before(u.pausedUntil):
 			limited = append(limited, u)
 			states = append(states, fmt.Sprintf("%s at its limit of %.4g/s", u.Name, u.limit.perSecond))
--- a/decide/pushback_test.go
+++ b/decide/pushback_test.go
@@ -6,7 +6,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"mangoloft/config"
 	"mangoloft/decide"
+	"mangoloft/ident"
 	"mangoloft/verdict"
 )
 
@@ -27,6 +29,28 @@
 	assert.Assert(t, used["e1"] > 0, "%v", used)
 }
 
+// TestUpstreamThatBearsFewRejections checks the pause after a rejection, and the number of
+// calls there afterwards.
+func TestUpstreamThatBearsFewRejections(t *testing.T) {
+	s := decide.New("a")
+	s.SetInstances(3)
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: []decide.Upstream{{Name: "u0", Pool: callPool, DataCentre: "a", Incarnation: 1, Slots: 8}}})
+	place := func(after time.Duration, n uint64) bool {
+		r := decide.Request{ID: ident.Request{Sequence: n}, Class: config.Class{Name: callPool, Pool: callPool, Kind: config.Read}}
+		return len(placements(s.Step(epoch.Add(after), decide.Arrived{Request: r}))) > 0
+	}
+	for n := range uint64(3) {
+		assert.Assert(t, place(0, n))
+	}
+	s.Step(epoch, decide.PushedBack{Upstream: "u0", Incarnation: 1, MaxRejections: 3})
+	s.Step(epoch, decide.Ended{ID: ident.Request{Sequence: 2}, Outcome: verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.UpstreamRefused}})
+	// The pause takes 3 / (0.6 x 3) s.
+	assert.Assert(t, !place(1600*time.Millisecond, 3))
+	assert.Assert(t, place(1700*time.Millisecond, 4))
+	assert.Assert(t, !place(1700*time.Millisecond, 5), "as many as before the rejection, and one more after a second")
+	assert.Assert(t, place(2100*time.Millisecond, 6))
+}
+
 func TestPauseOfAllUpstreams(t *testing.T) {
 	now := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
 	tests := map[string]struct {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -115,7 +115,7 @@
 	case LimitReported:
 		s.handleLimitReported(now, e)
 	case PushedBack:
-		s.handlePushBack(e)
+		s.handlePushBack(now, e)
 		return nil
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -31,6 +31,8 @@
 	meanSquaredError float64
 	health           health
 	limit            requestLimit
+	// window limits the requests to an upstream that can reject only few.
+	window window
 	// pausedUntil is the time before which the upstream wants no requests from this
 	// instance.
 	pausedUntil time.Time
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -148,6 +148,9 @@
 	if !info.RetryAt.IsZero() {
 		g.Dispatcher.ReportPushBack(decide.PushedBack{Upstream: placement.Name, Incarnation: placement.Incarnation, Until: info.RetryAt})
 	}
+	if info.NotRun && info.MaxRejections > 0 {
+		g.Dispatcher.ReportPushBack(decide.PushedBack{Upstream: placement.Name, Incarnation: placement.Incarnation, MaxRejections: info.MaxRejections})
+	}
 	if info.Leaving {
 		g.Dispatcher.ReportLeaving(placement.Name, int64(placement.Incarnation), time.Time{}, upstream.FromAnswer)
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -96,6 +96,9 @@
 	// RetryAt is the time before which the upstream wants no requests from this
 	// instance; zero if it declares none.
 	RetryAt time.Time
+	// MaxRejections is the number of requests that the upstream can reject in a second for
+	// want of room before it fails, as it declares; 0 if it declares none.
+	MaxRejections int
 	// Leaving reports whether the upstream declares that it is leaving.
 	Leaving bool
 	// Malformed describes the headers that could not be decoded and were ignored; nil
