Test harness: fixed ports instead of ones probed by a trial listener

Cause: entry's tests and the soak found a free port by listening and closing, once for each of five listeners.

Both use bench.NewAddr now: ports below the ephemeral range, from a counter, which the bench has had for the same reason. Not explained by it: bench.TestConfigNeverReverts, whose harness had such ports already.

--- a/bench/address.go
+++ b/bench/address.go
@@ -25,10 +25,10 @@
 // assignAddrs returns a new address on which a process listens. It sets addr to the
 // address that other processes dial: the same one, or the address of a new proxy.
 func (f *Fleet) assignAddrs(ip netip.Addr, addr *netip.AddrPort, proxy **Proxy) (listen netip.AddrPort, err error) {
-	listen = newAddr(ip)
+	listen = NewAddr(ip)
 	*addr = listen
 	if f.plan.Proxies {
-		if *proxy, err = NewProxy(newAddr(ip), listen); err != nil {
+		if *proxy, err = NewProxy(NewAddr(ip), listen); err != nil {
 			return listen, err
 		}
 		*addr = (*proxy).Addr()
@@ -47,10 +47,10 @@
 // portCounter counts the ports chosen by this program.
 var portCounter atomic.Uint32
 
-// newAddr returns an address with an unused port. No other process uses the IP
-// address, so a counter is enough. It does not probe the port with a trial listener,
-// because a process forked at the same time inherits the listener: the port then
-// stays in use briefly after the close, and the real listener fails.
-func newAddr(ip netip.Addr) netip.AddrPort {
+// NewAddr returns an address with an unused port. No other program may use the IP
+// address, so that a counter is enough. It does not probe the port with a trial
+// listener, because a process forked at the same time inherits the listener: the port
+// then stays in use briefly after the close, and the real listener fails.
+func NewAddr(ip netip.Addr) netip.AddrPort {
 	return netip.AddrPortFrom(ip, uint16(firstPort+portCounter.Add(1)%portCount))
 }
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.OperatorAddr = newAddr(p.IP)
+	p.OperatorAddr = NewAddr(p.IP)
 	path := filepath.Join(f.plan.Dir, name+".json")
 	limits := ""
 	if f.plan.StopGrace > 0 {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	// The instances stop before the store.
 	t.Cleanup(func() { cancel(); f.group.Wait() })
-	gossip := freePort(t, f.firstIP).Port()
+	gossip := bench.NewAddr(f.firstIP).Port()
 	ip := f.firstIP
 	for n := range instances {
 		f.startInstance(ctx, t, n, ip, gossip)
@@ -92,21 +92,13 @@
 // maxInstances is the maximum number of instances of a fleet.
 const maxInstances = 4
 
-func freePort(t *testing.T, ip netip.Addr) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 func (f *fleet) startInstance(ctx context.Context, t *testing.T, n int, ip netip.Addr, gossip uint16) {
 	t.Helper()
-	callers := freePort(t, ip)
+	callers := bench.NewAddr(ip)
 	content, err := json.Marshal(map[string]any{
 		"instance": fmt.Sprintf("i%d", n), "data_centre": "a",
 		"listen": map[string]any{
-			"callers": callers, "readiness": freePort(t, ip), "control": freePort(t, ip), "metrics": freePort(t, ip), "peers": netip.AddrPortFrom(ip, gossip),
+			"callers": callers, "readiness": bench.NewAddr(ip), "control": bench.NewAddr(ip), "metrics": bench.NewAddr(ip), "peers": netip.AddrPortFrom(ip, gossip),
 		},
 		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": f.proxy.Addr()},
 		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -110,16 +110,6 @@
 	starts int
 }
 
-// freePort returns an address with a port that is currently free.
-func freePort(ip netip.Addr) (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 // build starts the stand-ins and the instances.
 func (env *environment) build() error {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -142,10 +132,7 @@
 	if err := env.publish(); err != nil {
 		return err
 	}
-	gossip, err := freePort(instanceIP(0))
-	if err != nil {
-		return err
-	}
+	gossip := bench.NewAddr(instanceIP(0))
 	for n := range env.plan.Instances {
 		i, err := env.newInstance(n, gossip.Port())
 		if err != nil {
@@ -253,9 +240,7 @@
 	i.store = proxy
 	var addrs [4]netip.AddrPort
 	for k := range addrs {
-		if addrs[k], err = freePort(i.ip); err != nil {
-			return nil, err
-		}
+		addrs[k] = bench.NewAddr(i.ip)
 	}
 	i.callers, i.metrics = addrs[0], addrs[3]
 	settings := map[string]any{
