Follower: a reader whose call failed reads again, reader or not

Cause, from the log of a run that failed (the harness shows the end of each instance's log now): instance 0, the reader, gave up its silent watch after 1.4 s, as it should. By then it had lost the store, so it was no longer the reader, and read no more. The next reader noticed that with the next heartbeat and its own check of its role, and read the table 1.1 s later, 2.5 s after the watch had begun; the bound is 2 s.

Now an instance whose call failed goes on reading until the time in which the change must be applied is over, also if another is to read. That is a handful of calls for each lost store. The list is read by the same rule. The new test fails without it, for both.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -220,8 +220,9 @@
 	// that only readers continue to read the store, and the first table reaches
 	// the other instances through their peers.
 	noTable := false
+	var retryUntil time.Time
 	for ctx.Err() == nil {
-		if !f.IsReader() && (f.HasTable() || noTable) {
+		if !f.IsReader() && (f.HasTable() || noTable) && time.Now().After(retryUntil) {
 			position = history.Position{}
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
@@ -250,6 +251,9 @@
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		case err != nil:
+			if backoff == 0 {
+				retryUntil = f.retryUntil(startedAt)
+			}
 			backoff = f.handleFailure(ctx, "table", &f.tableUnavailable, startedAt, backoff, err)
 			continue
 		}
@@ -326,8 +330,9 @@
 	// complete is true if the next read must return the complete list, and not
 	// only the changes after the position.
 	complete := false
+	var retryUntil time.Time
 	for ctx.Err() == nil {
-		if !f.IsReader() && !f.ListPosition().IsZero() {
+		if !f.IsReader() && !f.ListPosition().IsZero() && time.Now().After(retryUntil) {
 			position = history.Position{}
 			f.readsList.Store(false)
 			pause.Sleep(ctx, roleCheckInterval)
@@ -354,6 +359,9 @@
 		case err != nil:
 			f.readsList.Store(false)
 			f.Sink.SetListUnreadable()
+			if backoff == 0 {
+				retryUntil = f.retryUntil(startedAt)
+			}
 			backoff = f.handleFailure(ctx, "list", &f.listUnavailable, startedAt, backoff, err)
 			continue
 		}
@@ -383,6 +391,11 @@
 	return f.Store.WatchList(ctx, after, time.Now().Add(f.shareOfApplyTime(watchShare)))
 }
 
+// retryUntil returns the time until which an instance whose call failed reads again though it
+// is no longer a reader: the others notice that only later, and a change that the call
+// missed must be applied by then.
+func (f *Follower) retryUntil(startedAt time.Time) time.Time { return startedAt.Add(f.ApplyTime()) }
+
 // handleSuccess logs the first success after failures.
 func (f *Follower) handleSuccess(document string, unavailable *atomic.Bool, at history.Position) {
 	if unavailable.CompareAndSwap(true, false) {
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -385,3 +386,28 @@
 		})
 	}
 }
+
+func TestReaderWhoseWatchWasSilentReadsAgainThoughOthersAreToRead(t *testing.T) {
+	for name, list := range map[string]bool{"table": false, "list": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				si, log := &sink{}, event.NewLog(&bytes.Buffer{}, "i", time.Now)
+				defer func() { log.Close(time.Now().Add(time.Second)) }()
+				f := &catalog.Follower{
+					Store: &silentStore{}, Sink: si, Decoder: digitDecoder{}, Log: log, Readers: oneReader, ApplyTime: applyTime,
+					HasTable: func() bool { return true }, ListPosition: func() history.Position { return history.Position{Revision: 4} },
+				}
+				f.IsReader = func() bool { return !f.Unavailable() }
+				ctx, cancel := context.WithTimeout(context.Background(), applyTime())
+				defer cancel()
+				if list {
+					assert.NilError(t, f.FollowList(ctx))
+					assert.Assert(t, slices.Contains(si.lists, "changes 3"), "%v", si.lists)
+				} else {
+					assert.NilError(t, f.FollowTable(ctx))
+					assert.Assert(t, slices.Contains(si.versions, 3), "%v", si.versions)
+				}
+			})
+		})
+	}
+}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,6 +110,7 @@
 	assert.NilError(t, os.WriteFile(path, content, 0o600))
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	assert.NilError(t, err)
+	t.Cleanup(func() { logLastLines(t, n, logs.Name()) })
 	f.callers, f.links = append(f.callers, callers), append(f.links, newLink())
 	f.group.Go(func() {
 		defer logs.Close()
@@ -122,6 +124,20 @@
 	})
 }
 
+// maxLogLines is the maximum number of lines of an instance's log that a failed test shows.
+const maxLogLines = 200
+
+// logLastLines shows the last lines of an instance's log if the test has failed.
+func logLastLines(t *testing.T, n int, path string) {
+	if !t.Failed() {
+		return
+	}
+	content, err := os.ReadFile(path)
+	assert.Check(t, err)
+	lines := strings.Split(string(content), "\n")
+	t.Logf("the log of instance %d ends with\n%s", n, strings.Join(lines[max(0, len(lines)-maxLogLines):], "\n"))
+}
+
 // publish publishes a table with one route for each version up to the given one.
 func (f *fleet) publish(t *testing.T, version uint64) {
 	t.Helper()
