--- a/decide/limit.go
+++ b/decide/limit.go
@@ -188,9 +188,12 @@
 
 // accepting returns the candidates to which the request may be sent now: those that have
 // not asked for a pause, within the limits that they declared or showed.
-func (s *Scheduler) accepting(now time.Time, id ident.Request, candidates []*upstream) []*upstream {
+func (s *Scheduler) accepting(now time.Time, r *Request, candidates []*upstream) []*upstream {
 	rejects := func(u *upstream) bool {
-		return now.Before(u.pausedUntil) || !u.window.allows(now, len(u.requests)) || !u.limit.allows(now, hashFraction(id, ^u.hash))
+		if s.admittedBy(now, r, u).IsValid() {
+			return false
+		}
+		return now.Before(u.pausedUntil) || !s.hasRoom(now, r, u) || !u.limit.allows(now, hashFraction(r.ID, ^u.hash))
 	}
 	if !slices.ContainsFunc(candidates, rejects) {
 		return candidates
--- a/decide/memory_forecast.go
+++ b/decide/memory_forecast.go
@@ -32,8 +32,10 @@
 	upstream string
 	// handledByPeer reports whether another instance handles the request.
 	handledByPeer bool
-	lengths       Distribution
-	sentAt        time.Time
+	// admittedElsewhere reports whether the request was sent to the upstream's coordinator.
+	admittedElsewhere bool
+	lengths           Distribution
+	sentAt            time.Time
 	// tokens is the number of generated tokens as of tokensAt.
 	tokens   int
 	tokensAt time.Time
--- a/decide/move.go
+++ b/decide/move.go
@@ -26,7 +26,7 @@
 	// Even a run that has not begun may begin while it is copied.
 	r.NeedsVersion, r.Version = true, source.Version
 	r.Excluded = append([]string{source.Name}, e.Excluded...)
-	u, free := s.destination(now, f, s.accepting(now, r.ID, s.candidates(now, r)))
+	u, free := s.destination(now, f, s.accepting(now, &r, s.candidates(now, r)))
 	if u == nil {
 		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "no upstream can take the running request" + r.versionText()}}
 	}
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -68,6 +68,7 @@
 	p := s.pool(u.Pool)
 	p.observePlacement(now, r.PromptTokens)
 	f := &inFlight{Request: r, upstream: u.Name, handledByPeer: handledByPeer, lengths: lengths, sentAt: now, tokensAt: now}
+	f.admittedElsewhere = !handledByPeer && s.admittedBy(now, &r, u).IsValid()
 	s.estimateStart(now, u, f)
 	u.addRequest(f)
 	s.placed[r.ID] = u.Name
--- a/decide/pushback.go
+++ b/decide/pushback.go
@@ -11,34 +11,11 @@
 )
 
 // PushedBack reports that an upstream rejected a request of this instance and wants no
-// others from it before a time, or can reject only few requests in a second.
+// others from it before a time.
 type PushedBack struct {
 	Upstream    string
 	Incarnation ident.Incarnation
-	// Until is zero if the upstream did not say.
-	Until time.Time
-	// MaxRejections is the number of requests that it can reject in a second; 0 if it
-	// declares none.
-	MaxRejections int
-}
-
-// rejectionShare is the share of the rejections that an upstream can bear which all
-// instances together plan for.
-const rejectionShare = 0.6
-
-// windowGrowth is the time without a rejection after which one more request is sent to an
-// upstream that can reject only few.
-const windowGrowth = 1 * time.Second
-
-// window is the number of requests at an upstream, as known here, up to which it gets
-// others after a rejection.
-type window struct {
-	size  int
-	setAt time.Time
-}
-
-func (w window) allows(now time.Time, requests int) bool {
-	return w.size == 0 || requests < w.size+int(now.Sub(w.setAt)/windowGrowth)
+	Until       time.Time
 }
 
 func (PushedBack) decideEvent() {}
@@ -52,34 +29,32 @@
 func (Paused) decideAction() {}
 
 func (s *Scheduler) handlePushBack(now time.Time, e PushedBack) {
-	u := s.upstreams[e.Upstream]
-	if u != nil && e.MaxRejections > 0 {
-		// The rejected request is one of those known.
-		u.window = window{max(1, len(u.requests)-1), now}
-		// Each instance has one rejection in this time.
-		pause := time.Duration(float64(s.instances) / (rejectionShare * float64(e.MaxRejections)) * float64(time.Second))
-		e.Until = now.Add(min(pause, maxRetryDelay))
+	if u := s.upstreams[e.Upstream]; u != nil && u.Incarnation == e.Incarnation {
+		s.pause(now, u, e.Until.Sub(now))
 	}
-	if u == nil || u.Incarnation != e.Incarnation || !e.Until.After(u.pausedUntil) {
+}
+
+// pause sends no requests to the upstream for a time.
+func (s *Scheduler) pause(now time.Time, u *upstream, d time.Duration) {
+	until := now.Add(d)
+	if !until.After(u.pausedUntil) {
 		return
 	}
-	u.pausedUntil = e.Until
-	s.outgoing = append(s.outgoing, Paused{Upstream: u.Name, Until: e.Until})
+	u.pausedUntil = until
+	s.outgoing = append(s.outgoing, Paused{Upstream: u.Name, Until: until})
 }
 
-// refuseUnaccepted refuses a request that no candidate accepts now: a call at once, since
-// it does not wait, and a stream if all candidates are paused until after its deadline.
-// It reports whether it did.
+// refuseUnaccepted refuses a request that no candidate accepts now: a call at once, unless it
+// can wait for room at a brittle upstream, and a stream if all candidates are paused until
+// after its deadline. It reports whether it did.
 func (s *Scheduler) refuseUnaccepted(now time.Time, w *waitingRequest, candidates []*upstream) (Refuse, bool) {
 	var earliest time.Time
 	var states []string
 	var limited []*upstream
 	for _, u := range candidates {
 		switch {
-		case !now.Before(u.pausedUntil) && !u.window.allows(now, len(u.requests)):
-			earliest = now.Add(minRetryDelay)
-			states = append(states, fmt.Sprintf("%s rejected requests and has %d", u.Name, len(u.requests)))
-			continue
+		case !now.Before(u.pausedUntil) && !s.hasRoom(now, &w.Request, u):
+			return Refuse{}, false
 		case !now.Before(u.pausedUntil):
 			limited = append(limited, u)
 			states = append(states, fmt.Sprintf("%s at its limit of %.4g/s", u.Name, u.limit.perSecond))
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -48,6 +49,12 @@
 	// reaches contains the pools in which upstreams could not be reached recently.
 	reaches map[string]*reach
 	retries retryBudget
+	// brittle contains the pools whose upstreams are brittle. self is the control address
+	// of this instance, invalid if it can't coordinate upstreams, and localMembers are the
+	// others of its data centre.
+	brittle      map[string]*brittlePool
+	self         netip.AddrPort
+	localMembers []Member
 	// origins contains the versions that began streams, and retired the times at which the
 	// last upstream of a version left its pool.
 	origins *origin.Table
@@ -73,7 +80,7 @@
 func NewWithLengths(dataCentre string, lengths LengthForecaster) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, reaches: map[string]*reach{}, retries: newRetryBudget(),
+		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, reaches: map[string]*reach{}, retries: newRetryBudget(), brittle: map[string]*brittlePool{},
 		trackers: newTrackers(), origins: origin.New(), retired: map[poolVersion]time.Time{},
 		instances: 1,
 	}
@@ -98,6 +105,7 @@
 // backwards between calls.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.trackers.tick(now)
+	s.claimAll(now)
 	actions := append(s.handle(now, e), s.outgoing...)
 	actions = append(actions, s.containmentActions()...)
 	s.outgoing = nil
@@ -108,8 +116,10 @@
 	switch e := e.(type) {
 	case UpstreamsChanged:
 		s.replaceUpstreams(now, e.Upstreams)
+		s.renewClaims()
 	case UpstreamChanged:
 		s.changeUpstream(now, e.Upstream, e.Removed)
+		s.renewClaims()
 	case ReportReceived:
 		s.handleReport(now, e)
 	case LimitReported:
@@ -117,6 +127,19 @@
 	case PushedBack:
 		s.handlePushBack(now, e)
 		return nil
+	case BrittleReported:
+		s.handleBrittleReported(now, e)
+		return nil
+	case BrittleNoticeReceived:
+		s.handleBrittleNotice(now, e.Notice)
+		return nil
+	case CoordinatorFailed:
+		s.handleCoordinatorFailed(e)
+		return nil
+	case MembersChanged:
+		s.self, s.localMembers = e.Self, e.Others
+		s.renewClaims()
+		return nil
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
 		return nil
@@ -168,7 +191,7 @@
 	for _, listed := range list {
 		u, ok := previous[listed.Name]
 		if !ok || u.Incarnation != listed.Incarnation {
-			u = newUpstream(listed)
+			u = newUpstream(now, listed)
 		}
 		u.Upstream = listed
 		s.upstreams[listed.Name] = u
@@ -205,7 +228,7 @@
 		previous.Upstream = changed
 		return
 	}
-	s.upstreams[changed.Name] = newUpstream(changed)
+	s.upstreams[changed.Name] = newUpstream(now, changed)
 	if previous != nil {
 		s.dropPeerRequests(previous)
 	}
@@ -299,7 +322,7 @@
 	completed := e.Outcome.Reason == verdict.Completed
 	s.trackers.closed(now, e.ID, completed, e.Outcome.Verdict == verdict.NotRun)
 	f := s.finish(now, e.ID, e.Tokens, completed)
-	if f == nil {
+	if f == nil || f.admittedElsewhere {
 		return
 	}
 	if f.Class.Kind == config.Stream {
@@ -392,9 +415,12 @@
 		return []Action{refusal}
 	}
 	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
-	if firstAttempt {
+	switch {
+	case r.Only != "":
+		// The instance that sent the request counts its attempts.
+	case firstAttempt:
 		s.retries.deposit()
-	} else if !r.NeverSent && !s.retries.tryWithdraw() {
+	case !r.NeverSent && !s.retries.tryWithdraw():
 		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is exhausted")}
 	}
 	candidates := s.candidates(now, r)
@@ -407,7 +433,7 @@
 		if place, ok := s.place(now, w, candidates); ok {
 			return []Action{place}
 		}
-		if len(s.accepting(now, r.ID, candidates)) == 0 {
+		if len(s.accepting(now, &w.Request, candidates)) == 0 {
 			if refusal, ok := s.refuseUnaccepted(now, w, candidates); ok {
 				return []Action{refusal}
 			}
@@ -420,7 +446,9 @@
 	}
 	s.setLatestStart(w)
 	s.queue.add(now, w)
-	s.notify(Notice{Kind: NoticeWaiting, Request: r})
+	if r.Class.Kind == config.Stream {
+		s.notify(Notice{Kind: NoticeWaiting, Request: r})
+	}
 	return nil
 }
 
@@ -431,7 +459,7 @@
 	var live []*upstream
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.Pool == r.Class.Pool && !u.Leaving && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && u.health.trafficShare(now) > 0 {
+		if u.Pool == r.Class.Pool && (r.Only == "" || name == r.Only) && !u.Leaving && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && (u.health.trafficShare(now) > 0 || s.admittedBy(now, &r, u).IsValid()) {
 			live = append(live, u)
 		}
 	}
@@ -453,6 +481,10 @@
 	if !ok {
 		return Place{}, false
 	}
+	if coordinator := s.admittedBy(now, &w.Request, c.upstream); coordinator.IsValid() {
+		s.recordPlacement(now, c.upstream, w.Request, c.lengths, false)
+		return Place{ID: w.ID, Upstream: c.upstream.Upstream, Coordinator: coordinator, Explanation: c.explanation}, true
+	}
 	if l := &c.upstream.limit; l.active {
 		c.explanation += fmt.Sprintf("; %.1f of its limit of %.4g/s available", l.tokens, l.perSecond)
 	}
@@ -462,13 +494,13 @@
 	if w.Class.Kind == config.Stream {
 		s.notify(Notice{Kind: NoticePlaced, Request: w.Request, Upstream: c.upstream.Name})
 	}
-	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Limited: c.upstream.limit.active, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
+	return Place{ID: w.ID, Upstream: c.upstream.Upstream, Limited: c.upstream.limit.active, Brittle: s.brittleOf(now, c.upstream.Pool) != nil, Priority: priorityOf(w.Request, c.lengths.Mean()), Explanation: c.explanation}, true
 }
 
 // choose returns an upstream that has capacity for the request and accepts it, if there
 // is one.
 func (s *Scheduler) choose(now time.Time, w *waitingRequest, candidates []*upstream) (choice, bool) {
-	if candidates = s.accepting(now, w.ID, candidates); len(candidates) == 0 {
+	if candidates = s.accepting(now, &w.Request, candidates); len(candidates) == 0 {
 		return choice{}, false
 	}
 	lengths := s.lengthsOf(w.Request)
@@ -569,9 +601,10 @@
 // reservations instead, at most maxReservations times, and are then dropped.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
 	var actions []Action
-	overtaken := map[string]int{}
+	overtaken := map[lane]int{}
 	s.queue.sort(now)
 	for _, w := range slices.Clone(s.queue.list) {
+		lane := lane{w.Class.Pool, w.Only}
 		switch {
 		case w.handledByPeer && now.Before(w.reservedUntil):
 			continue
@@ -595,7 +628,7 @@
 			actions = append(actions, refusal)
 			continue
 		}
-		if overtaken[w.Class.Pool] >= maxOvertaken {
+		if overtaken[lane] >= maxOvertaken {
 			continue
 		}
 		action, ok := s.serve(now, w)
@@ -603,15 +636,19 @@
 			actions = append(actions, action)
 		}
 		if !ok {
-			overtaken[w.Class.Pool]++
+			overtaken[lane]++
 			if urgent(now, w) {
-				overtaken[w.Class.Pool] = maxOvertaken
+				overtaken[lane] = maxOvertaken
 			}
 		}
 	}
 	return actions
 }
 
+// lane identifies the requests that can overtake each other: those of a pool that the same
+// upstreams can serve.
+type lane struct{ pool, only string }
+
 // urgentShare is the share of the wait target before a request's latestStart in
 // which no later request can overtake it. Otherwise small requests could starve
 // a large one.
@@ -750,11 +787,15 @@
 // hashFraction returns a number in (0, 1) that depends only on the request and
 // the salt.
 func hashFraction(id ident.Request, salt uint64) float64 {
-	x := uint64(id.Home.Incarnation) ^ id.Sequence*0x9e3779b97f4a7c15 ^ salt
+	x := hashMix(uint64(id.Home.Incarnation) ^ id.Sequence*0x9e3779b97f4a7c15 ^ salt)
+	return (float64(x>>11) + 0.5) / (1 << 53)
+}
+
+// hashMix returns a hash of x in which all bits depend on all bits of x.
+func hashMix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
 	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return (float64(x>>11) + 0.5) / (1 << 53)
+	return x ^ x>>31
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -85,6 +85,11 @@
 	// CanDetour reports whether another instance reaches the upstreams of the pool, as far
 	// as this one knows, and can be asked to serve the request.
 	CanDetour bool
+	// CanUseCoordinator reports whether the request can be sent to the coordinator of an
+	// upstream. Only is the name of the upstream for which another instance sent it here;
+	// empty if the caller did.
+	CanUseCoordinator bool
+	Only              string
 }
 
 // Report is an upstream's load at a time in the past.
@@ -192,8 +197,12 @@
 type Place struct {
 	ID       ident.Request
 	Upstream Upstream
-	// Limited reports whether the upstream has declared a limit.
-	Limited bool
+	// Coordinator is the control address of the instance that admits requests to the
+	// upstream; invalid if this one does.
+	Coordinator netip.AddrPort
+	// Limited reports whether the upstream has declared a limit, and Brittle whether an
+	// upstream of its pool has declared that it is brittle.
+	Limited, Brittle bool
 	// Priority is for engines: requests with a higher priority are preempted
 	// later.
 	Priority int
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -31,8 +32,13 @@
 	meanSquaredError float64
 	health           health
 	limit            requestLimit
-	// window limits the requests to an upstream that can reject only few.
-	window window
+	// window limits the requests to a brittle upstream. coordinator is the control address
+	// of the instance that admits calls to it, as of claimedAt.
+	window      window
+	coordinator netip.AddrPort
+	claimedAt   time.Time
+	// addedAt is the time at which the incarnation was listed first.
+	addedAt time.Time
 	// pausedUntil is the time before which the upstream wants no requests from this
 	// instance.
 	pausedUntil time.Time
@@ -68,10 +74,10 @@
 // maxReportAge is the age from which a load report is no longer used.
 const maxReportAge = 3 * time.Second
 
-func newUpstream(u Upstream) *upstream {
+func newUpstream(now time.Time, u Upstream) *upstream {
 	nameHash := fnv.New64a()
 	nameHash.Write([]byte(u.Name))
-	return &upstream{Upstream: u, hash: nameHash.Sum64(), stale: true}
+	return &upstream{Upstream: u, hash: nameHash.Sum64(), stale: true, addedAt: now}
 }
 
 // forecastable reports whether the upstream's memory can be forecast.
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	SendNotice(n decide.Notice)
 	// SendLimit sends a notice of an upstream's limit and its use.
 	SendLimit(n decide.LimitNotice)
+	// SendBrittle sends a notice of brittle upstreams.
+	SendBrittle(n decide.BrittleNotice)
 	// SendCrash sends the report of a crash of an upstream.
 	SendCrash(c containment.Crash)
 	// SendFinding sends what is known of a trait of requests.
@@ -75,8 +78,12 @@
 	decide.Upstream
 	// Detour reports that Addr is that of another instance, which places the request.
 	Detour bool
-	// Limited reports whether the upstream has declared a limit on its requests.
-	Limited bool
+	// Admits reports that this is the upstream's coordinator, and Upstream is where it is to
+	// place the request; with a detour only.
+	Admits bool
+	// Limited reports whether the upstream has declared a limit on its requests, and
+	// Brittle whether one of its pool has declared that it is brittle.
+	Limited, Brittle bool
 	// Explanation contains the figures behind the choice.
 	Explanation string
 	// Leaving receives the status of the upstream when it leaves.
@@ -196,6 +203,12 @@
 			c.log.Emit(event.UpstreamPaused, "upstream", a.Upstream, "for_ms", a.Until.Sub(now).Milliseconds())
 		case decide.NotifyLimit:
 			c.announcer.SendLimit(a.Notice)
+		case decide.BrittleChanged:
+			c.log.Emit(event.PoolBrittle, "service", a.Pool, "brittle", a.MaxRejections > 0, "max_rejections", a.MaxRejections, "from_peer", a.FromPeer)
+		case decide.CoordinatorChanged:
+			c.log.Emit(event.CoordinatorChanged, "upstream", a.Upstream, "member", addressText(a.Coordinator), "self", a.IsSelf)
+		case decide.NotifyBrittle:
+			c.announcer.SendBrittle(a.Notice)
 		case decide.NotifyCrash:
 			c.logCrash(a.Crash)
 			c.announcer.SendCrash(a.Crash)
@@ -212,6 +225,14 @@
 	}
 }
 
+// addressText returns the address for the log; empty if it is invalid.
+func addressText(addr netip.AddrPort) string {
+	if !addr.IsValid() {
+		return ""
+	}
+	return addr.String()
+}
+
 func (c *Controller) logCrash(crash containment.Crash) {
 	fields := []any{"upstream", crash.Upstream.Name, "born", int64(crash.Upstream.Incarnation)}
 	if crash.Kind == containment.Requests {
@@ -412,7 +433,11 @@
 	case d := <-cmd.reply:
 		switch a := d.action.(type) {
 		case decide.Place:
-			return Placement{Upstream: a.Upstream, Limited: a.Limited, Explanation: a.Explanation, Leaving: d.leaving}, nil
+			p := Placement{Upstream: a.Upstream, Limited: a.Limited, Brittle: a.Brittle, Explanation: a.Explanation, Leaving: d.leaving}
+			if a.Coordinator.IsValid() {
+				p.Addr, p.Detour, p.Admits = a.Coordinator, true, true
+			}
+			return p, nil
 		case decide.Refuse:
 			return Placement{}, verdict.FailAt(verdict.NotRun, a.Reason, a.RetryAt, "%s", a.Explanation)
 		}
@@ -472,6 +497,24 @@
 // ReportPushBack forwards the time before which an upstream wants no requests.
 func (c *Controller) ReportPushBack(e decide.PushedBack) { c.send(schedulerEventCommand{e}) }
 
+// ReportBrittle forwards what an upstream declared in a response about the rejections that
+// it bears.
+func (c *Controller) ReportBrittle(e decide.BrittleReported) { c.send(schedulerEventCommand{e}) }
+
+// ReportCoordinatorFailed reports that a request could not be sent through the coordinator
+// of an upstream.
+func (c *Controller) ReportCoordinatorFailed(e decide.CoordinatorFailed) {
+	c.send(schedulerEventCommand{e})
+}
+
+// HandleBrittle forwards another instance's notice of brittle upstreams to the scheduler.
+func (c *Controller) HandleBrittle(n decide.BrittleNotice) {
+	c.send(schedulerEventCommand{decide.BrittleNoticeReceived{Notice: n}})
+}
+
+// SetMembers sets the instances of the local data centre that can coordinate upstreams.
+func (c *Controller) SetMembers(e decide.MembersChanged) { c.send(schedulerEventCommand{e}) }
+
 // ReportEnded reports that the process of an engine has ended.
 func (c *Controller) ReportEnded(e decide.UpstreamEnded) { c.send(schedulerEventCommand{e}) }
 
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -51,6 +51,8 @@
 
 func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
 
+func (a *recordingAnnouncer) SendBrittle(decide.BrittleNotice) {}
+
 func (a *recordingAnnouncer) SendCrash(containment.Crash) {}
 func (a *recordingAnnouncer) PoolReachChanged()           {}
 func (a *recordingAnnouncer) Reaching(string) int         { return 0 }
--- a/event/event.go
+++ b/event/event.go
@@ -71,6 +71,8 @@
 	RequestReleased       ID = 418
 	PoolUnreachable       ID = 419
 	PoolReachable         ID = 420
+	PoolBrittle           ID = 421
+	CoordinatorChanged    ID = 422
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -127,6 +129,8 @@
 	RequestReleased:       "request_released",
 	PoolUnreachable:       "pool_unreachable",
 	PoolReachable:         "pool_reachable",
+	PoolBrittle:           "pool_brittle",
+	CoordinatorChanged:    "coordinator_changed",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -11,22 +11,32 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/routing"
 	"mangoloft/verdict"
 )
 
 // An instance that is cut off from the upstreams of a pool, while others reach them, takes
 // a detour: it sends the request to one of these, which serves it like one of its own, but
 // never sends it on. To the rest of the gateway the other instance is the upstream.
+//
+// An instance that does not coordinate a brittle upstream also sends its requests for it to
+// the coordinator, which sends them only there.
 
 const (
 	// detourHeader marks a request from another instance. Its value is the number of
 	// attempts that may have had an effect.
 	detourHeader = "Mangoloft-Detour"
+	// detourUpstreamHeader names the upstream for which a request was sent to its
+	// coordinator.
+	detourUpstreamHeader = "Mangoloft-Upstream"
 	// detourOutcomeHeader is set in responses to these requests that come from the
 	// instance itself. Its value is the verdict and the reason.
 	detourOutcomeHeader = "Mangoloft-Outcome"
 	// maxDetours is the maximum number of instances to which one request is sent.
 	maxDetours = 3
+	// maxAdmissions is the maximum number of times that one request is sent to
+	// coordinators.
+	maxAdmissions = 4
 )
 
 // Members are the other instances.
@@ -66,11 +76,15 @@
 	}
 	header := g.Protocol.MemberHeader(q.callerHeader, info, time.Now())
 	header.Set(detourHeader, strconv.Itoa(q.attempts))
+	header.Del(detourUpstreamHeader) // Callers may send anything.
+	if placement.Admits {
+		header.Set(detourUpstreamHeader, placement.Name)
+	}
 	return header
 }
 
-// DetourHandler returns a handler that serves the requests of other instances that are cut
-// off, and leaves all others to next.
+// DetourHandler returns a handler that serves the requests of other instances, and leaves
+// all others to next.
 func (g *Gateway) DetourHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		value := r.Header.Get(detourHeader)
@@ -78,14 +92,16 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		only := r.Header.Get(detourUpstreamHeader)
 		r.Header.Del(detourHeader)
+		r.Header.Del(detourUpstreamHeader)
 		attempts, err := strconv.Atoi(value)
 		if err != nil || attempts < 0 {
 			g.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed detour", "address", r.RemoteAddr, "value", value)
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		g.serve(w, r, &request{fromMember: true, attempts: attempts})
+		g.serve(w, r, &request{fromMember: true, attempts: attempts, only: only})
 	})
 }
 
@@ -106,10 +122,12 @@
 
 // checkDetour returns an error unless a response of another instance is that of an
 // upstream.
-func (g *Gateway) checkDetour(q *request, response *http.Response) error {
+func (g *Gateway) checkDetour(q *request, placement dispatch.Placement, response *http.Response) error {
 	value := response.Header.Get(detourOutcomeHeader)
 	if value == "" {
-		q.useAllAttempts()
+		if !placement.Admits {
+			q.useAllAttempts()
+		}
 		return checkResponse(response, g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now()), q.info.ID)
 	}
 	o := verdict.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost}
@@ -132,10 +150,14 @@
 // useAllAttempts records that another instance has used the attempts that the route allows.
 func (q *request) useAllAttempts() { q.attempts = max(q.attempts, 1, q.route.MaxAttempts) }
 
-// endDetour records the end of an attempt at another instance.
-func (g *Gateway) endDetour(q *request, placement dispatch.Placement, err error) {
+// endDetour records the end of an attempt at another instance. failed reports whether it
+// failed or the upstream responded with an error.
+func (g *Gateway) endDetour(q *request, placement dispatch.Placement, failed bool, err error) {
 	o := verdict.OutcomeOf(err)
-	if o.Verdict != verdict.NotRun {
+	switch {
+	case placement.Admits:
+		g.endAdmission(q, placement, failed, o)
+	case o.Verdict != verdict.NotRun:
 		q.useAllAttempts()
 	}
 	if err != nil {
@@ -145,6 +167,28 @@
 	}
 }
 
+// endAdmission records the end of an attempt at the coordinator of an upstream.
+func (g *Gateway) endAdmission(q *request, placement dispatch.Placement, failed bool, o verdict.Outcome) {
+	q.admissions++
+	if o.Reason == verdict.UpstreamUnreachable {
+		g.Dispatcher.ReportCoordinatorFailed(decide.CoordinatorFailed{Upstream: placement.Name, Coordinator: placement.Addr})
+		return
+	}
+	if failed {
+		q.excluded = append(q.excluded, placement.Name)
+	}
+	if o.Verdict == verdict.NotRun && o.Reason != verdict.UpstreamRefused {
+		// The coordinator had no room, so no upstream has received it.
+		q.lastAttemptUnsent = true
+	}
+}
+
+// canUseCoordinator reports whether the request can be sent to the coordinator of an
+// upstream.
+func (g *Gateway) canUseCoordinator(q *request) bool {
+	return g.Members != nil && !q.fromMember && q.route.Kind != routing.Streaming
+}
+
 // canDetour reports whether the request can be sent to another instance, if this one is cut
 // off.
 func (g *Gateway) canDetour(q *request) bool {
@@ -159,5 +203,5 @@
 func (g *Gateway) logDetour(q *request, placement dispatch.Placement) {
 	g.Metrics.CountSend(q.service)
 	g.Log.Emit(event.RequestDetoured, "request", q.info.ID, "route", q.route.Name, "kind", q.route.Kind.String(), "service", q.service, "member", placement.Addr.String(),
-		"why", placement.Explanation, "attempts", q.attempts, "waited_ms", time.Since(q.received).Milliseconds())
+		"admits", placement.Admits, "upstream", q.upstream, "why", placement.Explanation, "attempts", q.attempts, "waited_ms", time.Since(q.received).Milliseconds())
 }
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"mangoloft/decide"
 )
 
 // members are the other instances that a gateway knows, in the order in which it tries
@@ -145,3 +148,77 @@
 		t.Error("the upstream still works on the request")
 	}
 }
+
+// TestBrittleUpstreamIsReachedThroughCoordinator checks what callers of a gateway get whose
+// upstream is coordinated by another gateway.
+func TestBrittleUpstreamIsReachedThroughCoordinator(t *testing.T) {
+	tests := map[string]struct {
+		method, path string
+		header       map[string]string
+		respond      behaviour
+		// isDead reports whether the coordinator doesn't accept connections.
+		isDead bool
+		status int
+		runs   int
+		// admitted is the number of requests that the coordinator placed.
+		admitted int
+	}{
+		"safe":                        {"GET", "/patient-safe/x", nil, respondOK, false, 200, 1, 1},
+		"unsafe":                      {"POST", "/patient-unsafe/x", nil, respondOK, false, 200, 1, 1},
+		"coordinator is dead":         {"POST", "/patient-unsafe/x", nil, respondOK, true, 200, 1, 0},
+		"unsafe, answer lost":         {"POST", "/patient-unsafe/x", nil, respondRaw(""), false, 502, 1, 1},
+		"unsafe, rejected":            {"POST", "/patient-unsafe/x", nil, respondNotRun, false, 503, 0, 1},
+		"unsafe, server error":        {"POST", "/patient-unsafe/x", nil, respond500, false, 500, 1, 1},
+		"stream is sent directly":     {"POST", "/long/x", nil, streamEvents(3, true), false, 200, 1, 0},
+		"caller names the upstream":   {"GET", "/patient-safe/x", map[string]string{"Mangoloft-Upstream": "other"}, respondOK, false, 200, 1, 1},
+		"caller sets all the headers": {"GET", "/patient-safe/x", map[string]string{"Mangoloft-Upstream": "other", "Mangoloft-Outcome": "not_run x"}, respondOK, false, 200, 1, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, "b", test.respond)
+			coordinator := startMember(t, &fakeEngines{}, members{}, b)
+			if test.isDead {
+				coordinator.server.Close()
+			}
+			g := startMember(t, &fakeEngines{}, members{}, b)
+			for _, member := range []*testGateway{g, coordinator} {
+				// Each takes the other for the coordinator.
+				other := g
+				if member == g {
+					other = coordinator
+				}
+				member.control.HandleBrittle(decide.BrittleNotice{Pool: "pool", MaxRejections: 3, HeardAt: time.Now(), Coordinator: other.addr(), Upstreams: []string{"b"}})
+			}
+			response, content, err := g.send(t, test.method, test.path, "", test.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, test.status, content)
+			assert.Equal(t, b.runCount(), test.runs)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if n := coordinator.logs.count(`"request_placed"`); n != test.admitted {
+					return poll.Continue("the coordinator placed %d requests, want %d", n, test.admitted)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(20*time.Second), poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+// TestRequestIsServedByAnotherCoordinatorIfOneHasNoRoom checks that a request which no
+// upstream has received is sent to another one.
+func TestRequestIsServedByAnotherCoordinatorIfOneHasNoRoom(t *testing.T) {
+	full, free := startBackend(t, "full", respondOK), startBackend(t, "free", respondOK)
+	// It doesn't know the upstream, so it has no room there.
+	without := startMember(t, &fakeEngines{}, members{}, free)
+	with := startMember(t, &fakeEngines{}, members{}, free)
+	g := startMember(t, &fakeEngines{}, members{}, full, free)
+	for name, coordinator := range map[string]*testGateway{"full": without, "free": with} {
+		g.control.HandleBrittle(decide.BrittleNotice{Pool: "pool", MaxRejections: 3, HeardAt: time.Now(), Coordinator: coordinator.addr(), Upstreams: []string{name}})
+	}
+	for range 8 {
+		response, content, err := g.send(t, "POST", "/patient-unsafe/x", "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, 200, content)
+	}
+	assert.Equal(t, full.runCount(), 0)
+	assert.Equal(t, free.runCount(), 8)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,12 @@
 	// ReportLimit submits the limit that an upstream declared in a response, or that
 	// it declared none.
 	ReportLimit(r decide.LimitReported)
+	// ReportBrittle submits what an upstream declared in a response about the rejections
+	// that it bears.
+	ReportBrittle(e decide.BrittleReported)
+	// ReportCoordinatorFailed reports that a request could not be sent through the
+	// coordinator of an upstream.
+	ReportCoordinatorFailed(e decide.CoordinatorFailed)
 	// ReportEnded reports that the process of an upstream has ended.
 	ReportEnded(e decide.UpstreamEnded)
 	// ReportPushBack reports that an upstream wants no requests from this instance for
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -76,6 +76,7 @@
 func (noopAnnouncer) SendNotice(decide.Notice)                                        {}
 func (noopAnnouncer) SendLeaving(string, int64, time.Time)                            {}
 func (noopAnnouncer) SendLimit(decide.LimitNotice)                                    {}
+func (noopAnnouncer) SendBrittle(decide.BrittleNotice)                                {}
 func (noopAnnouncer) SendCrash(containment.Crash)                                     {}
 func (noopAnnouncer) PoolReachChanged()                                               {}
 func (noopAnnouncer) Reaching(string) int                                             { return 0 }
@@ -249,6 +250,12 @@
 	return b.content.Write(p)
 }
 
+func (b *logBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.content.String(), text)
+}
+
 func (b *logBuffer) contains(text string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -59,7 +59,7 @@
 
 // hasAttemptsLeft reports whether the request can be sent to one more upstream.
 func (q *request) hasAttemptsLeft() bool {
-	return q.sends < maxSends && (q.attempts == 0 || q.attempts < max(1, q.route.MaxAttempts))
+	return q.sends < maxSends && q.admissions < maxAdmissions && (q.attempts == 0 || q.attempts < max(1, q.route.MaxAttempts))
 }
 
 // canRetryAfter reports whether a request can be sent again after an attempt that
@@ -121,7 +121,7 @@
 // upstream's load and identity to the dispatcher.
 func (g *Gateway) checkHeader(q *request, placement dispatch.Placement, response *http.Response) error {
 	if placement.Detour {
-		return g.checkDetour(q, response)
+		return g.checkDetour(q, placement, response)
 	}
 	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now())
 	if responseInfo.Misdirected {
@@ -148,8 +148,8 @@
 	if !info.RetryAt.IsZero() {
 		g.Dispatcher.ReportPushBack(decide.PushedBack{Upstream: placement.Name, Incarnation: placement.Incarnation, Until: info.RetryAt})
 	}
-	if info.NotRun && info.MaxRejections > 0 {
-		g.Dispatcher.ReportPushBack(decide.PushedBack{Upstream: placement.Name, Incarnation: placement.Incarnation, MaxRejections: info.MaxRejections})
+	if info.MaxRejections > 0 || placement.Brittle {
+		g.Dispatcher.ReportBrittle(decide.BrittleReported{Upstream: placement.Name, Incarnation: placement.Incarnation, MaxRejections: info.MaxRejections, Rejected: info.NotRun})
 	}
 	if info.Leaving {
 		g.Dispatcher.ReportLeaving(placement.Name, int64(placement.Incarnation), time.Time{}, upstream.FromAnswer)
@@ -174,14 +174,14 @@
 // reportAttempt logs an attempt that failed or returned a server error, and
 // reports it to the dispatcher.
 func (g *Gateway) reportAttempt(ctx context.Context, q *request, placement dispatch.Placement, plain *plainResponse, err error) {
-	if placement.Detour {
-		g.endDetour(q, placement, err)
-		return
-	}
 	o, status := verdict.OutcomeOf(err), 0
 	if plain != nil {
 		status = plain.status
 	}
+	if placement.Detour {
+		g.endDetour(q, placement, err != nil || status >= http.StatusInternalServerError, err)
+		return
+	}
 	if err != nil || status >= http.StatusInternalServerError {
 		q.excluded = append(q.excluded, placement.Name)
 		if o.Reason == verdict.UpstreamUnreachable {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -92,10 +92,14 @@
 	responseBytes int64
 	// upstream is the name of the upstream that was chosen last.
 	upstream string
-	// fromMember reports whether another instance sent the request, because it is cut off,
-	// and detours are the instances to which this one has sent it.
+	// fromMember reports whether another instance sent the request, because it is cut off
+	// or this one coordinates the upstream named by only. detours are the instances to
+	// which this one has sent it because it is cut off, and admissions is the number of
+	// coordinators to which it has.
 	fromMember bool
+	only       string
 	detours    []netip.AddrPort
+	admissions int
 }
 
 // ServeHTTP implements http.Handler.
@@ -226,7 +230,7 @@
 }
 
 // placementRequest returns the request in the form that the scheduler uses.
-func (q *request) placementRequest(canDetour bool) decide.Request {
+func (q *request) placementRequest(canDetour, canUseCoordinator bool) decide.Request {
 	class := config.Class{
 		Name: q.route.Name, Pool: q.service, Kind: config.Charge,
 		WaitTarget: time.Duration(float64(q.route.Target) * maxWaitShare), MaxOutputTokens: q.info.MaxOutputTokens,
@@ -239,7 +243,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
 	}
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
@@ -257,7 +261,7 @@
 // request of another instance it does not wait, because that one can ask a third one.
 func (g *Gateway) place(ctx context.Context, q *request) (dispatch.Placement, error) {
 	for {
-		placement, err := g.Dispatcher.Place(ctx, q.placementRequest(g.canDetour(q)))
+		placement, err := g.Dispatcher.Place(ctx, q.placementRequest(g.canDetour(q), g.canUseCoordinator(q)))
 		if err != nil && verdict.OutcomeOf(err).Reason == verdict.CutOff {
 			return g.placeAtMember(q, err)
 		}
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -34,14 +34,16 @@
 // and sink.
 type simulatedNode struct {
 	// limitedSent is the number of requests to limited upstreams in notices.
-	limitedSent int
-	fleet       *simulatedFleet
-	addr        netip.AddrPort
-	dataCentre  string
-	peers       *Peers
-	inbox       chan []byte
-	closed      chan struct{}
-	down        atomic.Bool
+	brittle      []decide.BrittleNotice
+	localMembers int
+	limitedSent  int
+	fleet        *simulatedFleet
+	addr         netip.AddrPort
+	dataCentre   string
+	peers        *Peers
+	inbox        chan []byte
+	closed       chan struct{}
+	down         atomic.Bool
 
 	// sent and sentBytes count the datagrams that the node sent, remoteBytes those
 	// bytes that it sent to other data centres.
@@ -118,6 +120,18 @@
 	n.limitedSent += l.Sent
 }
 
+func (n *simulatedNode) HandleBrittle(b decide.BrittleNotice) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.brittle = append(n.brittle, b)
+}
+
+func (n *simulatedNode) SetMembers(e decide.MembersChanged) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.localMembers = len(e.Others)
+}
+
 func (n *simulatedNode) HandleCrash(c containment.Crash) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -298,6 +312,7 @@
 	for range limitUses {
 		sender.peers.SendLimit(decide.LimitNotice{Upstream: "u1", Incarnation: 1, Limited: true, PerSecond: 1000, HeardAt: time.Now(), Sent: 1})
 	}
+	sender.peers.SendBrittle(decide.BrittleNotice{Pool: "shop", MaxRejections: 3, HeardAt: time.Now(), Coordinator: sender.addr, Upstreams: []string{"u1"}})
 	crash := containment.Crash{Upstream: containment.Upstream{Name: "u1", Incarnation: 1}, At: time.Now(), Traits: make([]containment.Trait, maxTraits+1)}
 	sender.peers.SendCrash(crash)
 	sender.peers.SendFinding(containment.Finding{Trait: 7, ContainedAt: time.Now(), CrashedAt: time.Now(), ProbeAt: time.Now().Add(time.Minute), Probes: 1})
@@ -306,13 +321,16 @@
 	for _, n := range f.nodes {
 		n.mu.Lock()
 		notices, revision, reports, limitedSent, suspected, finding := n.notices, n.revision, len(n.reports), n.limitedSent, n.suspected, n.findings[7]
+		brittle, localMembers := n.brittle, n.localMembers
 		n.mu.Unlock()
+		assert.Equal(t, localMembers, f.perDataCentre()-1, "other members of the data centre known at %s", n.addr)
 		if n != sender && n.dataCentre == "dc1" {
 			assert.Equal(t, notices, 1, "notices at %s", n.addr)
 		}
 		assert.Equal(t, revision, uint64(5), "list revision at %s", n.addr)
 		if n != sender {
 			assert.Equal(t, limitedSent, limitUses, "requests to a limited upstream known at %s", n.addr)
+			assert.Assert(t, len(brittle) == 1 && brittle[0].Coordinator == sender.addr && len(brittle[0].Upstreams) == 1, "brittle pools at %s: %v", n.addr, brittle)
 			assert.Equal(t, suspected, len(crash.Traits), "suspected parts at %s", n.addr)
 			assert.Assert(t, !finding.ContainedAt.IsZero() && finding.Probes == 1 && time.Until(finding.ProbeAt) > 50*time.Second, "finding at %s", n.addr)
 		}
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -56,6 +56,10 @@
 	limitNoticeShare = 0.02
 	// maxLimitAge is the maximum time since an upstream declared its limit in a notice.
 	maxLimitAge = 24 * time.Hour
+	// maxBrittleAge is the maximum time since an upstream declared that it is brittle, and
+	// maxClaims the maximum number of upstreams, in a notice.
+	maxBrittleAge = time.Minute
+	maxClaims     = 64
 	// maxTraits is the maximum number of traits of requests in one datagram.
 	maxTraits = 40
 	// maxHeartbeatFindings is the maximum number of contained traits in a heartbeat.
@@ -127,6 +131,10 @@
 	SetListUnreadable()
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
+	// HandleBrittle receives a notice of brittle upstreams.
+	HandleBrittle(n decide.BrittleNotice)
+	// SetMembers sets the live instances of the local data centre.
+	SetMembers(e decide.MembersChanged)
 	// HandleCrash receives the report of a crash of an upstream.
 	HandleCrash(c containment.Crash)
 	// HandleFinding receives what another instance knows of a trait of requests.
@@ -178,6 +186,8 @@
 	leaving        []leavingAnnouncement
 	// limits contains the next notice of each upstream's limit, by the upstream's ID.
 	limits map[string]decide.LimitNotice
+	// brittle contains the next notice of each brittle pool.
+	brittle map[string]decide.BrittleNotice
 	// crashes and findings concern traits of requests.
 	crashes  []containment.Crash
 	findings []containment.Finding
@@ -206,6 +216,9 @@
 	stopping    atomic.Bool
 	// reachable contains the members that can be asked to serve requests.
 	reachable atomic.Pointer[[]Member]
+	// localMembers are the members that the sink knows. It is used only by the goroutine
+	// of Run.
+	localMembers decide.MembersChanged
 	// groupControls contains the control addresses of the broadcast group.
 	groupControls atomic.Pointer[[]netip.AddrPort]
 
@@ -332,6 +345,18 @@
 	}
 }
 
+// SendBrittle sends a notice of brittle upstreams at once.
+func (p *Peers) SendBrittle(n decide.BrittleNotice) {
+	p.mu.Lock()
+	if p.brittle == nil {
+		p.brittle = map[string]decide.BrittleNotice{}
+	}
+	p.brittle[n.Pool] = n
+	p.urgent = true
+	p.mu.Unlock()
+	p.wakeUp()
+}
+
 // SendCrash sends the report of a crash of an upstream at once: callers repeat requests
 // that failed through other instances within some milliseconds.
 func (p *Peers) SendCrash(c containment.Crash) {
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -64,6 +64,10 @@
 
 func (n *node) HandleLimit(decide.LimitNotice) {}
 
+func (n *node) HandleBrittle(decide.BrittleNotice) {}
+
+func (n *node) SetMembers(decide.MembersChanged) {}
+
 func (n *node) HandleCrash(containment.Crash) {}
 
 func (n *node) HandleFinding(containment.Finding) {}
--- a/gossip/reach.go
+++ b/gossip/reach.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+
+	"mangoloft/decide"
 )
 
 // maxLostPools is the maximum number of pools from which a datagram says that its sender is
@@ -18,10 +20,28 @@
 	return nil
 }
 
-// publishReachable publishes the live members for Detours.
+// publishReachable publishes the live members for Detours, and tells the sink of those of
+// the local data centre if they have changed.
 func (p *Peers) publishReachable() {
 	alive := p.members.Alive()
 	p.reachable.Store(&alive)
+	var e decide.MembersChanged
+	if !p.stopping.Load() {
+		e.Self = p.options.Control
+	}
+	for _, m := range alive {
+		if m.DataCentre == p.options.DataCentre {
+			e.Others = append(e.Others, decide.Member{Control: m.Control, LostPools: m.LostPools})
+		}
+	}
+	slices.SortFunc(e.Others, func(a, b decide.Member) int { return a.Control.Compare(b.Control) })
+	isSame := func(a, b decide.Member) bool {
+		return a.Control == b.Control && slices.Equal(a.LostPools, b.LostPools)
+	}
+	if e.Self != p.localMembers.Self || !slices.EqualFunc(e.Others, p.localMembers.Others, isSame) {
+		p.localMembers = e
+		p.sink.SetMembers(e)
+	}
 }
 
 // Detours returns the control addresses of the live members that reach the upstreams of a
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -110,6 +110,14 @@
 		}
 		p.sink.HandleLimit(notice)
 	}
+	for _, b := range w.Brittle {
+		notice, err := decodeBrittle(now, b)
+		if err != nil {
+			p.options.Log.EmitRateLimited(event.DatagramDropped, "reason", "malformed brittle pool", "peer", w.Name, "error", err.Error())
+			continue
+		}
+		p.sink.HandleBrittle(notice)
+	}
 	p.handleContainment(now, w)
 	if w.List != nil {
 		p.handleList(w.List)
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -26,7 +26,7 @@
 
 // content returns the part of a datagram that is forwarded.
 func (w datagramWire) content() datagramWire {
-	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads, Limits: w.Limits, Crashes: w.Crashes, Findings: w.Findings}
+	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads, Limits: w.Limits, Brittle: w.Brittle, Crashes: w.Crashes, Findings: w.Findings}
 }
 
 // forward sends the content to another data centre, or to all, through the relays.
@@ -68,6 +68,9 @@
 	if len(w.Limits) > 0 {
 		p.sendLocally(datagramWire{Limits: w.Limits})
 	}
+	if len(w.Brittle) > 0 {
+		p.sendLocally(datagramWire{Brittle: w.Brittle})
+	}
 	if len(w.Crashes)+len(w.Findings) > 0 {
 		p.sendLocally(datagramWire{Crashes: w.Crashes, Findings: w.Findings})
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -23,8 +23,8 @@
 // the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
-	limits, crashes, findings := p.limits, p.crashes, p.findings
-	p.limits, p.crashes, p.findings = nil, nil, nil
+	limits, brittle, crashes, findings := p.limits, p.brittle, p.crashes, p.findings
+	p.limits, p.brittle, p.crashes, p.findings = nil, nil, nil, nil
 	notices, leaving, items, after, upTo := p.pendingNotices, p.leaving, p.items, p.itemsAfter, p.itemsUpTo
 	p.pendingNotices, p.leaving, p.items, p.urgent, p.deferred = nil, nil, nil, false, false
 	p.mu.Unlock()
@@ -50,6 +50,7 @@
 		}
 	}
 	p.sendLimits(now, limits)
+	p.sendBrittle(now, brittle)
 	p.sendContainment(now, crashes, findings)
 	for _, changes := range p.chunkChanges(items, after, upTo) {
 		p.sendLocally(datagramWire{List: changes})
@@ -57,7 +58,7 @@
 	}
 	wires = append(wires, p.relayedNotices...)
 	p.relayedNotices = nil
-	if len(wires) == 0 && len(limits)+len(crashes)+len(findings) > 0 && len(datagram.Leaving) == 0 {
+	if len(wires) == 0 && len(limits)+len(brittle)+len(crashes)+len(findings) > 0 && len(datagram.Leaving) == 0 {
 		return
 	}
 	if len(wires) == 0 {
@@ -84,6 +85,13 @@
 	}
 }
 
+// sendBrittle sends notices of brittle pools to all instances.
+func (p *Peers) sendBrittle(now time.Time, notices map[string]decide.BrittleNotice) {
+	for _, pool := range slices.Sorted(maps.Keys(notices)) {
+		p.sendToAll(now, datagramWire{Brittle: []brittleWire{encodeBrittle(now, notices[pool])}})
+	}
+}
+
 // sendToAll sends a datagram to all instances.
 func (p *Peers) sendToAll(now time.Time, w datagramWire) {
 	p.broadcast(now, w)
--- a/gossip/traffic.go
+++ b/gossip/traffic.go
@@ -14,6 +14,7 @@
 	contentLoads     = "loads"
 	contentLeaving   = "leaving"
 	contentLimits    = "limits"
+	contentBrittle   = "brittle"
 	contentCrashes   = "crashes"
 	contentHeartbeat = "heartbeat"
 )
@@ -29,7 +30,7 @@
 
 func newTrafficCounters() map[string]*trafficCounters {
 	counters := map[string]*trafficCounters{}
-	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentLimits, contentCrashes, contentHeartbeat} {
+	for _, content := range []string{contentForwarded, contentNotices, contentList, contentLoads, contentLeaving, contentLimits, contentBrittle, contentCrashes, contentHeartbeat} {
 		counters[content] = &trafficCounters{}
 	}
 	return counters
@@ -50,6 +51,8 @@
 		return contentLeaving
 	case len(w.Limits) > 0:
 		return contentLimits
+	case len(w.Brittle) > 0:
+		return contentBrittle
 	case len(w.Crashes) > 0:
 		return contentCrashes
 	}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -53,6 +53,7 @@
 	Notices  []noticeWire                `json:"notices,omitempty"`
 	Leaving  []leavingWire               `json:"leaving,omitempty"`
 	Limits   []limitWire                 `json:"limits,omitempty"`
+	Brittle  []brittleWire               `json:"brittle,omitempty"`
 	Crashes  []crashWire                 `json:"crashes,omitempty"`
 	Findings []findingWire               `json:"findings,omitempty"`
 	List     *listWire                   `json:"list,omitempty"`
@@ -155,6 +156,32 @@
 	}, nil
 }
 
+// brittleWire tells that the upstreams of a pool are brittle, and which of them the sender
+// coordinates.
+type brittleWire struct {
+	Pool string `json:"pool"`
+	// MaxRejections is the number of requests that an upstream can reject in a second.
+	MaxRejections int `json:"max_rejections"`
+	// HeardAgoMS is the time in milliseconds since an upstream declared it.
+	HeardAgoMS int64 `json:"heard_ago_ms"`
+	// Coordinator is the control address of the sender.
+	Coordinator netip.AddrPort `json:"coordinator,omitzero"`
+	Upstreams   []string       `json:"upstreams,omitempty"`
+}
+
+func encodeBrittle(now time.Time, n decide.BrittleNotice) brittleWire {
+	return brittleWire{n.Pool, n.MaxRejections, max(0, now.Sub(n.HeardAt).Milliseconds()), n.Coordinator, n.Upstreams}
+}
+
+func decodeBrittle(now time.Time, w brittleWire) (decide.BrittleNotice, error) {
+	if w.Pool == "" || w.MaxRejections < 1 || w.HeardAgoMS < 0 || w.HeardAgoMS > maxBrittleAge.Milliseconds() || len(w.Upstreams) > maxClaims {
+		return decide.BrittleNotice{}, errorx.IllegalFormat.New("a value for the brittle pool %q is out of range", w.Pool)
+	}
+	return decide.BrittleNotice{
+		Pool: w.Pool, MaxRejections: w.MaxRejections, HeardAt: now.Add(-milliseconds(w.HeardAgoMS)), Coordinator: w.Coordinator, Upstreams: w.Upstreams,
+	}, nil
+}
+
 func encodeNotice(now time.Time, n decide.Notice) noticeWire {
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -48,6 +48,12 @@
 	s.scheduler.Step(s.now, decide.LimitNoticeReceived{Notice: n})
 }
 
+func (s *fuzzSink) HandleBrittle(n decide.BrittleNotice) {
+	s.scheduler.Step(s.now, decide.BrittleNoticeReceived{Notice: n})
+}
+
+func (s *fuzzSink) SetMembers(e decide.MembersChanged) { s.scheduler.Step(s.now, e) }
+
 func (s *fuzzSink) HandleCrash(c containment.Crash) {
 	s.scheduler.Step(s.now, decide.CrashReceived{Crash: c})
 }
