Test: brittle engines under more streams than they have room for

Streams are placed by instances that know of each other's streams, so engines have no coordinator (docs/PLATFORM.md). Nothing changed for it; the test keeps it so.

--- a/entry/brittle_test.go
+++ b/entry/brittle_test.go
@@ -95,3 +95,61 @@
 		})
 	}
 }
+
+// TestBrittleEnginesDoNotFallOver sends engines that declare themselves brittle, and then let
+// no streams wait, about one and a half times as many streams as they have room for.
+func TestBrittleEnginesDoNotFallOver(t *testing.T) {
+	const (
+		engines, slots, calmSlots = 2, 8, 64
+		allowedFalls              = 2 + engines/10
+		interval                  = 16 * time.Millisecond
+		output                    = 400
+		brittleTime               = 10 * time.Second
+	)
+	tests := map[string]struct{ instances, rejections int }{
+		"three instances":    {3, 3},
+		"eighteen instances": {18, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, test.instances)
+			f.publishStreams(t, 2)
+			var all []*standin.Server
+			var mu sync.Mutex
+			room := calmSlots
+			for range engines {
+				f.addFragile(t, func(id string) *standin.Server {
+					s := &standin.Server{ID: id, Service: model, Zone: "a", StartUnixMS: time.Now().UnixMilli(), IsModel: true, Executions: f.executions}
+					mu.Lock()
+					defer mu.Unlock()
+					s.SetBrittle(test.rejections, room)
+					all = append(all, s)
+					return s
+				})
+			}
+			time.Sleep(2 * settle)
+			var begun share
+			var group sync.WaitGroup
+			startedAt := time.Now()
+			for i := 0; time.Since(startedAt) < contactTime+brittleTime; i++ {
+				if mu.Lock(); room == calmSlots && time.Since(startedAt) >= contactTime {
+					room = slots
+					for _, s := range all {
+						s.SetBrittle(test.rejections, slots)
+					}
+				}
+				mu.Unlock()
+				group.Go(func() {
+					begun.sent.Add(1)
+					if f.streamOf(t, i%test.instances, fmt.Sprintf("/tag/%d", i), output, false, "a0", fmt.Sprintf("b%d", i%5)) {
+						begun.begun.Add(1)
+					}
+				})
+				time.Sleep(interval)
+			}
+			group.Wait()
+			t.Logf("%d falls, %d of %d streams began", len(f.crashes.all()), begun.begun.Load(), begun.sent.Load())
+			assert.Check(t, len(f.crashes.all()) <= allowedFalls)
+		})
+	}
+}
--- a/entry/containment_test.go
+++ b/entry/containment_test.go
@@ -108,13 +108,21 @@
 
 // streamAt is stream with the path of the request.
 func (f *fleet) streamAt(t *testing.T, n int, path string, leaves bool, parts ...string) bool {
+	return f.streamOf(t, n, path, defaultOutput, leaves, parts...)
+}
+
+// defaultOutput is the number of tokens of a stream that sets no other.
+const defaultOutput = 40
+
+// streamOf is streamAt with the number of output tokens.
+func (f *fleet) streamOf(t *testing.T, n int, path string, outputTokens int, leaves bool, parts ...string) bool {
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s%s", f.callers[n], path), nil)
 	if !assert.Check(t, err) {
 		return false
 	}
 	id := fmt.Sprintf("%x", f.sent.Add(1))
 	r.Host = host
-	r.Header = standin.CallerRequest{ID: id, Key: credential, Timeout: 6 * time.Second, PromptTokens: 100, OutputTokens: 40, Parts: append(parts, "f"+id)}.Header()
+	r.Header = standin.CallerRequest{ID: id, Key: credential, Timeout: 6 * time.Second, PromptTokens: 100, OutputTokens: outputTokens, Parts: append(parts, "f"+id)}.Header()
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
