Test: a whole data centre of a fleet of 36 is cut off from all servers

In fleets of more than 32 an instance knows only some members of other data centres, so that all of a data centre being cut off was listed as not measured (recover-cut-off-instances.md). Nothing changed for it.

--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -140,19 +140,21 @@
 		minServed = 0.95
 	)
 	tests := map[string]struct {
-		instances, cut int
-		mode           cutMode
+		instances, dataCentres, cut int
+		mode                        cutMode
 	}{
-		"one of four, reset":   {4, 1, resetting},
-		"one of four, refused": {4, 1, refusing},
-		"two of four, hanging": {4, 2, hanging},
-		"three of four, hang":  {4, 3, hanging},
-		"three of four, reset": {4, 3, resetting},
+		"one of four, reset":            {4, 1, 1, resetting},
+		"one of four, refused":          {4, 1, 1, refusing},
+		"two of four, hanging":          {4, 1, 2, hanging},
+		"three of four, hang":           {4, 1, 3, hanging},
+		"three of four, reset":          {4, 1, 3, resetting},
+		"a data centre of three, hangs": {36, 3, 12, hanging},
+		"a data centre of three, reset": {36, 3, 12, resetting},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := startFleet(t, test.instances)
+			f := startFleetIn(t, test.instances, test.dataCentres)
 			f.publishCallsAndStreams(t, 2)
 			for n := range 3 {
 				f.addServer(t, fmt.Sprintf("p%d", n))
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -62,6 +62,13 @@
 // startFleet starts the given number of instances in one data centre, behind a proxy in
 // front of the store.
 func startFleet(t *testing.T, instances int) *fleet {
+	t.Helper()
+	return startFleetIn(t, instances, 1)
+}
+
+// startFleetIn starts the given number of instances, spread over data centres, the first
+// ones in the first.
+func startFleetIn(t *testing.T, instances, dataCentres int) *fleet {
 	t.Helper()
 	f := &fleet{store: standin.NewStore(), executions: &standin.ExecutionLog{}, group: &sync.WaitGroup{}, firstIP: fleetIP(fleets.Add(1))}
 	server := httptest.NewServer(f.store)
@@ -77,7 +84,7 @@
 	gossip := bench.NewAddr(f.firstIP).Port()
 	ip := f.firstIP
 	for n := range instances {
-		f.startInstance(ctx, t, n, ip, gossip)
+		f.startInstance(ctx, t, n, dataCentreName(n*dataCentres/instances), ip, gossip)
 		ip = ip.Next()
 	}
 	return f
@@ -93,11 +100,14 @@
 // maxInstances is the maximum number of instances of a fleet.
 const maxInstances = 4
 
-func (f *fleet) startInstance(ctx context.Context, t *testing.T, n int, ip netip.Addr, gossip uint16) {
+// dataCentreName returns the name of the nth data centre.
+func dataCentreName(n int) string { return string(rune('a' + n)) }
+
+func (f *fleet) startInstance(ctx context.Context, t *testing.T, n int, dataCentre string, ip netip.Addr, gossip uint16) {
 	t.Helper()
 	callers := bench.NewAddr(ip)
 	content, err := json.Marshal(map[string]any{
-		"instance": fmt.Sprintf("i%d", n), "data_centre": "a",
+		"instance": fmt.Sprintf("i%d", n), "data_centre": dataCentre,
 		"listen": map[string]any{
 			"callers": callers, "readiness": bench.NewAddr(ip), "control": bench.NewAddr(ip), "metrics": bench.NewAddr(ip), "peers": netip.AddrPortFrom(ip, gossip),
 		},
