--- a/entry/containment_test.go
+++ b/entry/containment_test.go
@@ -137,7 +137,9 @@
 	}
 	if !leaves {
 		// A stream may be cut off with its engine.
-		_, _ = io.Copy(io.Discard, body)
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			f.cutOff.Add(1)
+		}
 	}
 	return true
 }
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -48,6 +48,8 @@
 	// links are the networks between each instance and all servers.
 	links []*link
 	sent  atomic.Int64
+	// cutOff is the number of streams that ended early.
+	cutOff atomic.Int64
 	// engines is the number of engines so far, and crashes are the times at which some
 	// crashed.
 	engines atomic.Int64
