Soak: repeated crashing requests, brittle and silent servers

New faults, in series and overlapping with the others: one request that crashes the plain servers that run it, repeated at random instances; plain servers that declare that they are brittle and later run one request at a time; a server that is silent for up to 1.5 s.

Calls take 20 ms now instead of 5, so that brittle servers have less room than there are calls. Instances that are cut off from all servers are not played: the proxies tell instances apart by their address, and they all dial upstreams from 127.0.0.1.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -103,6 +103,21 @@
 	{"server crashes", func(env *environment, ctx context.Context, r *rand.Rand) error {
 		return env.replaceServer(ctx, env.randomServer(r, r.IntN(2) == 0), r, false)
 	}},
+	{"guilty request", func(env *environment, ctx context.Context, r *rand.Rand) error {
+		return env.repeatGuilty(ctx, r, randomDuration(r, time.Second, 4*time.Second))
+	}},
+	{"brittle servers", func(env *environment, ctx context.Context, r *rand.Rand) error {
+		env.makeBrittle(ctx, randomDuration(r, time.Second, 3*time.Second))
+		return nil
+	}},
+	{"server silent", func(env *environment, ctx context.Context, r *rand.Rand) error {
+		if server := env.randomServer(r, r.IntN(2) == 0); server != nil {
+			server.proxy.Set(bench.AllSources, bench.Silence)
+			pause.Sleep(ctx, randomDuration(r, 500*time.Millisecond, 1500*time.Millisecond))
+			server.proxy.Heal()
+		}
+		return nil
+	}},
 }
 
 // restoreStore restores the store from a copy of some seconds ago, and has the
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -54,6 +54,8 @@
 	dataCentres  = 2
 	stopGrace    = 6 * time.Second
 	startTimeout = 10 * time.Second
+	// callTime is the time that a plain server takes for a call.
+	callTime = 20 * time.Millisecond
 	// serverSlots is the number of concurrent requests that a server accepts.
 	serverSlots = 32
 )
@@ -81,6 +83,11 @@
 	lastIncarnation int64
 	results         Results
 	sentRequests    map[string]sentRequest
+	// crashes are the times at which requests crashed servers, or servers fell over.
+	crashes []time.Time
+	// rejections is the number of rejections in a second that plain servers bear, 0 if they
+	// are not brittle, and plainSlots the number of requests that they run.
+	rejections, plainSlots int
 }
 
 // proxiedServer is a server and the proxy in front of it.
@@ -163,6 +170,10 @@
 	incarnation := env.lastIncarnation
 	env.mu.Unlock()
 	s := &standin.Server{ID: id, Service: service, Zone: dataCentre, StartUnixMS: incarnation, IsModel: model, Slots: serverSlots, Executions: env.executionLog, ServerAt: env.serverAt}
+	s.Crashed = func() { env.handleCrash(id) }
+	if !model {
+		s.CrashPath, s.CallTime = guiltyPath, callTime
+	}
 	if err := s.Start("127.0.0.1", &env.group); err != nil {
 		return err
 	}
@@ -172,6 +183,9 @@
 	}
 	s.Addr = proxy.Addr()
 	env.mu.Lock()
+	if !model && env.rejections > 0 {
+		s.SetBrittle(env.rejections, env.plainSlots)
+	}
 	env.servers[id] = &proxiedServer{s, proxy}
 	env.mu.Unlock()
 	return env.store.AddEntry(s)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,7 +100,12 @@
 	if err := env.waitUntilServing(ctx, startTimeout); err != nil {
 		env.addViolation("after all faults have ended: %v", err)
 	}
-	return env.checkRestore(ctx, rand.New(rand.NewPCG(env.plan.Seed, 300)))
+	r := rand.New(rand.NewPCG(env.plan.Seed, 300))
+	err := env.checkRestore(ctx, r)
+	if !env.plan.NoFaults {
+		err = errors.Join(err, env.checkCrashes(ctx, r))
+	}
+	return err
 }
 
 // injectFaults injects random faults, one after the other, until ctx ends.
