Brittle upstreams: coordinators of large services announce themselves less often

Each coordinator sent a notice each 0.4 s to all instances. With 100 upstreams an instance would have received 90 KB/s (derived from 361 bytes for one datagram); 27 KB/s is the target. Now the interval grows with the number of upstreams, 20 ms for each, so that all of them together send 50 a second at most, and a claim holds four intervals.

--- a/decide/brittle.go
+++ b/decide/brittle.go
@@ -100,10 +100,12 @@
 	// brittleOverlap is the time for which some upstreams of a pool may still declare
 	// that they are brittle when others no longer do.
 	brittleOverlap = 1 * time.Second
-	// claimInterval is the time between two notices of a coordinator, and claimTTL the
-	// time after which it is no longer one without another notice.
-	claimInterval = 400 * time.Millisecond
-	claimTTL      = 1500 * time.Millisecond
+	// A coordinator sends a notice each minClaimInterval, or in a large pool less often: each
+	// claimSpacing times the number of upstreams. After claimTTL times as long without a
+	// notice it no longer is the coordinator.
+	minClaimInterval = 400 * time.Millisecond
+	claimSpacing     = 20 * time.Millisecond
+	claimTTL         = 4
 	// claimGrace is the time for which an upstream without a coordinator gets no calls,
 	// so that it can get one first.
 	claimGrace = 2 * time.Second
@@ -135,6 +137,13 @@
 	// the upstreams in it.
 	notifiedAt time.Time
 	claimed    []string
+	// claimInterval is the time between two notices of a coordinator.
+	claimInterval time.Duration
+}
+
+// hasExpired reports whether a claim is no longer valid.
+func (b *brittlePool) hasExpired(now, claimedAt time.Time) bool {
+	return now.Sub(claimedAt) > claimTTL*b.claimInterval
 }
 
 // window limits the requests at a brittle upstream, as far as they are known here.
@@ -180,7 +189,7 @@
 // coordinator returns the control address of the instance that admits calls to the
 // upstream; invalid if there is none.
 func (s *Scheduler) coordinator(now time.Time, u *upstream) netip.AddrPort {
-	if now.Sub(u.claimedAt) > claimTTL || s.brittleOf(now, u.Pool) == nil {
+	if b := s.brittleOf(now, u.Pool); b == nil || b.hasExpired(now, u.claimedAt) {
 		return netip.AddrPort{}
 	}
 	return u.coordinator
@@ -206,7 +215,7 @@
 	if b == nil || !r.CanUseCoordinator && r.Only == "" || u.CapacityTokens > 0 || s.coordinator(now, u).IsValid() || now.Sub(b.since) < claimGrace {
 		return false
 	}
-	return now.Sub(u.addedAt) < claimGrace || now.Sub(u.claimedAt) < claimTTL+claimGrace
+	return now.Sub(u.addedAt) < claimGrace || !b.hasExpired(now.Add(-claimGrace), u.claimedAt)
 }
 
 // hasRoom reports whether an upstream that may be brittle has room for a request, as far as
@@ -247,7 +256,7 @@
 		s.handleRejection(now, u, e.MaxRejections)
 	}
 	s.claim(now, u.Pool, b)
-	if !s.coordinator(now, u).IsValid() && now.Sub(b.notifiedAt) >= claimInterval {
+	if !s.coordinator(now, u).IsValid() && now.Sub(b.notifiedAt) >= b.claimInterval {
 		s.notifyBrittle(now, u.Pool, b, nil)
 	}
 }
@@ -267,7 +276,7 @@
 func (s *Scheduler) setBrittle(now time.Time, pool string, maxRejections int, heardAt time.Time, fromPeer bool) *brittlePool {
 	b := s.brittleOf(now, pool)
 	if b == nil {
-		b = &brittlePool{since: now}
+		b = &brittlePool{since: now, claimInterval: minClaimInterval}
 		s.brittle[pool] = b
 	}
 	if b.maxRejections != maxRejections {
@@ -312,13 +321,15 @@
 // tells the others.
 func (s *Scheduler) claim(now time.Time, pool string, b *brittlePool) {
 	var own []string
-	for _, u := range s.listed(pool) {
+	listed := s.listed(pool)
+	b.claimInterval = max(minClaimInterval, time.Duration(len(listed))*claimSpacing)
+	for _, u := range listed {
 		if len(own) < maxClaims && s.isOwn(u) {
 			own = append(own, u.Name)
 			s.setCoordinator(now, u, s.self)
 		}
 	}
-	if len(own) > 0 && (now.Sub(b.notifiedAt) >= claimInterval || !slices.Equal(own, b.claimed)) {
+	if len(own) > 0 && (now.Sub(b.notifiedAt) >= b.claimInterval || !slices.Equal(own, b.claimed)) {
 		s.notifyBrittle(now, pool, b, own)
 	}
 }
@@ -337,7 +348,7 @@
 		switch {
 		case now.Sub(b.heardAt) >= brittleMemory:
 			s.forgetBrittle(pool)
-		case now.Sub(b.notifiedAt) >= claimInterval:
+		case now.Sub(b.notifiedAt) >= b.claimInterval:
 			s.claim(now, pool, b)
 		}
 	}
--- a/decide/brittle_test.go
+++ b/decide/brittle_test.go
@@ -334,35 +334,35 @@
 // for.
 func TestBrittleUpstreamsDoNotFallOver(t *testing.T) {
 	const (
-		servers      = 6
-		allowedFalls = 2 + servers/10
-		minUsed      = 0.9
-		seeds        = 5
-		before       = 5 * time.Second
-		brittleTime  = 10 * time.Second
+		fewServers  = 6
+		minUsed     = 0.9
+		seeds       = 5
+		before      = 5 * time.Second
+		brittleTime = 10 * time.Second
 	)
 	tests := map[string]struct {
-		instances, dataCentres, rejections, room int
+		instances, servers, dataCentres, rejections, room int
 		// disturb disturbs the fleet while the servers are brittle.
 		disturb func(f *brittleFleet)
 		// used is the share of the room that must be used.
 		used float64
 	}{
-		"one instance":                       {1, 1, 3, 2, nil, minUsed},
-		"three instances":                    {3, 1, 3, 1, nil, minUsed},
-		"18 instances":                       {18, 3, 3, 2, nil, minUsed},
-		"18 instances, one bearable":         {18, 3, 1, 4, nil, minUsed},
-		"300 instances":                      {300, 6, 3, 2, nil, minUsed},
-		"300 instances, room of all slots":   {300, 6, 2, 8, nil, minUsed},
-		"18 instances, coordinators die":     {18, 3, 3, 4, (*brittleFleet).killCoordinators, 0.8},
-		"18 instances, servers are replaced": {18, 3, 3, 4, (*brittleFleet).replaceServers, 0.8},
+		"one instance":                       {1, fewServers, 1, 3, 2, nil, minUsed},
+		"three instances":                    {3, fewServers, 1, 3, 1, nil, minUsed},
+		"18 instances":                       {18, fewServers, 3, 3, 2, nil, minUsed},
+		"18 instances, one bearable":         {18, fewServers, 3, 1, 4, nil, minUsed},
+		"300 instances":                      {300, fewServers, 6, 3, 2, nil, minUsed},
+		"100 instances, many servers":        {100, 30, 4, 3, 2, nil, minUsed},
+		"300 instances, room of all slots":   {300, fewServers, 6, 2, 8, nil, minUsed},
+		"18 instances, coordinators die":     {18, fewServers, 3, 3, 4, (*brittleFleet).killCoordinators, 0.8},
+		"18 instances, servers are replaced": {18, fewServers, 3, 3, 4, (*brittleFleet).replaceServers, 0.8},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(seeds) {
-				f := newBrittleFleet(seed, test.instances, servers, test.dataCentres, test.rejections)
-				perSecond := 2 * servers * float64(test.room) / callTime.Seconds()
+				f := newBrittleFleet(seed, test.instances, test.servers, test.dataCentres, test.rejections)
+				perSecond := 2 * float64(test.servers*test.room) / callTime.Seconds()
 				f.submit(perSecond, f.now.Add(before+brittleTime))
 				f.runFor(before)
 				f.room, f.sent, f.served = test.room, 0, 0
@@ -370,9 +370,9 @@
 					f.after(brittleTime/2, func() { test.disturb(f) })
 				}
 				f.runFor(brittleTime)
-				used := float64(f.served) / (float64(servers*test.room) * brittleTime.Seconds() / callTime.Seconds())
+				used := float64(f.served) / (float64(test.servers*test.room) * brittleTime.Seconds() / callTime.Seconds())
 				t.Logf("seed %d: %d falls, %d of %d calls served, %.2f of the room used", seed, f.falls, f.served, f.sent, used)
-				assert.Check(t, f.falls <= allowedFalls, "seed %d: %d falls", seed, f.falls)
+				assert.Check(t, f.falls <= 2+test.servers/10, "seed %d: %d falls", seed, f.falls)
 				assert.Check(t, used >= test.used, "seed %d: %.2f of the room used", seed, used)
 			}
 		})
