Brittle upstreams: no notices about engines, which have no coordinator

Found by reading: an instance that hears that an upstream without a coordinator is brittle tells all others each 0.4 s, so that whoever is to coordinate it learns of it. Engines never get a coordinator, so each instance with streams there would have sent these notices as long as the engines are brittle, 295 instances some 700 a second, each through the relays. Now only for upstreams that can have a coordinator, and for the first 2 s. TestBrittleEnginesAreNotCoordinated had 20 notices before, for 20 answers in 20 s.

--- a/decide/brittle.go
+++ b/decide/brittle.go
@@ -256,7 +256,8 @@
 		s.handleRejection(now, u, e.MaxRejections)
 	}
 	s.claim(now, u.Pool, b)
-	if !s.coordinator(now, u).IsValid() && now.Sub(b.notifiedAt) >= b.claimInterval {
+	// Whoever is to be the coordinator may not have heard it yet.
+	if !s.coordinator(now, u).IsValid() && u.CapacityTokens == 0 && now.Sub(b.since) < claimGrace && now.Sub(b.notifiedAt) >= b.claimInterval {
 		s.notifyBrittle(now, u.Pool, b, nil)
 	}
 }
--- a/decide/brittle_test.go
+++ b/decide/brittle_test.go
@@ -398,3 +398,32 @@
 	}
 	f.publishServers()
 }
+
+// brittleScheduler returns the scheduler of an instance that is alone in its data centre, and
+// that has heard that its upstream is brittle.
+func brittleScheduler(u decide.Upstream) (*decide.Scheduler, []decide.Action) {
+	s := decide.New("dc0")
+	s.Step(epoch, decide.MembersChanged{Self: netip.MustParseAddrPort("10.0.0.1:80")})
+	s.Step(epoch, decide.UpstreamsChanged{Upstreams: []decide.Upstream{u}})
+	return s, s.Step(epoch, decide.BrittleReported{Upstream: u.Name, Incarnation: u.Incarnation, MaxRejections: 3})
+}
+
+func brittleNotices(actions []decide.Action) []decide.BrittleNotice {
+	var notices []decide.BrittleNotice
+	for _, a := range actions {
+		if n, ok := a.(decide.NotifyBrittle); ok {
+			notices = append(notices, n.Notice)
+		}
+	}
+	return notices
+}
+
+func TestBrittleEnginesAreNotCoordinated(t *testing.T) {
+	engine := decide.Upstream{Name: "e0", Pool: "llm", DataCentre: "dc0", Incarnation: 1, Slots: 8, CapacityTokens: 1000}
+	s, actions := brittleScheduler(engine)
+	notices := brittleNotices(actions)
+	for n := range 20 {
+		notices = append(notices, brittleNotices(s.Step(epoch.Add(time.Duration(n)*time.Second), decide.BrittleReported{Upstream: "e0", Incarnation: 1, MaxRejections: 3}))...)
+	}
+	assert.Equal(t, len(notices), 0, "%v", notices)
+}
