Brittle upstreams: an instance that stops no longer coordinates them

Found by reading: an instance that was told to stop had no address of its own as a coordinator any more, but its claims still held for 1.6 s, so it sent its callers' requests to itself, through its own control address. Now its claims end with the change, and the next coordinator, which hears of the stop at once, takes over. TestInstanceThatStopsNoLongerCoordinates failed before: the call was sent to the instance itself.

--- a/decide/brittle.go
+++ b/decide/brittle.go
@@ -335,6 +335,20 @@
 	}
 }
 
+// setMembers applies the live instances of the local data centre. An instance that is
+// stopping no longer coordinates upstreams.
+func (s *Scheduler) setMembers(e MembersChanged) {
+	if e.Self != s.self {
+		for _, u := range s.upstreams {
+			if u.coordinator == s.self {
+				u.coordinator = netip.AddrPort{}
+			}
+		}
+	}
+	s.self, s.localMembers = e.Self, e.Others
+	s.renewClaims()
+}
+
 // renewClaims makes the next step claim the upstreams of all brittle pools anew, since the
 // list has changed.
 func (s *Scheduler) renewClaims() {
--- a/decide/brittle_test.go
+++ b/decide/brittle_test.go
@@ -427,3 +427,31 @@
 	}
 	assert.Equal(t, len(notices), 0, "%v", notices)
 }
+
+func TestInstanceThatStopsNoLongerCoordinates(t *testing.T) {
+	server := decide.Upstream{Name: "u0", Pool: brittlePool, DataCentre: "dc0", Incarnation: 1, Slots: 8}
+	s, actions := brittleScheduler(server)
+	notices := brittleNotices(actions)
+	assert.Equal(t, len(notices), 1)
+	assert.DeepEqual(t, notices[0].Upstreams, []string{"u0"})
+	s.Step(epoch.Add(time.Second), decide.MembersChanged{Others: []decide.Member{{Control: netip.MustParseAddrPort("10.0.0.2:80")}}})
+	assert.Equal(t, len(brittleNotices(s.Step(epoch.Add(2*time.Second), decide.Tick{}))), 0)
+	call := decide.Request{ID: ident.Request{Sequence: 1}, CanUseCoordinator: true, Class: config.Class{Name: "read", Pool: brittlePool, Kind: config.Read}}
+	for _, a := range s.Step(epoch.Add(2*time.Second), decide.Arrived{Request: call}) {
+		if place, ok := a.(decide.Place); ok {
+			assert.Assert(t, !place.Coordinator.IsValid(), "sent to %v", place.Coordinator)
+		}
+	}
+	// The next coordinator gets the calls.
+	claim := decide.BrittleNotice{Pool: brittlePool, MaxRejections: 3, HeardAt: epoch.Add(2 * time.Second), Coordinator: netip.MustParseAddrPort("10.0.0.2:80"), Upstreams: []string{"u0"}}
+	s.Step(epoch.Add(2*time.Second), decide.BrittleNoticeReceived{Notice: claim})
+	call.ID.Sequence = 2
+	s.Step(epoch.Add(2*time.Second), decide.Ended{ID: ident.Request{Sequence: 1}})
+	for _, a := range s.Step(epoch.Add(2*time.Second), decide.Arrived{Request: call}) {
+		if place, ok := a.(decide.Place); ok {
+			assert.Equal(t, place.Coordinator, claim.Coordinator)
+			return
+		}
+	}
+	t.Error("the call was not placed")
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -137,8 +137,7 @@
 		s.handleCoordinatorFailed(e)
 		return nil
 	case MembersChanged:
-		s.self, s.localMembers = e.Self, e.Others
-		s.renewClaims()
+		s.setMembers(e)
 		return nil
 	case LimitNoticeReceived:
 		s.handleLimitNotice(now, e.Notice)
