Scheduler: waiting calls are not announced; brittle pools in a fixed order

The ends of calls that waited for room in vain were sent to all other instances, which know only of waiting streams. Claims of several brittle pools were made in the random order of a map; a decision must depend on the state, the time and the event only. A rejection at an upstream with no limit on its calls yet can't remove the limit.

No change in any test: decide, gossip, gateway and dispatch pass.

--- a/decide/brittle.go
+++ b/decide/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -359,7 +360,11 @@
 
 // claimAll renews the claims of this instance, and forgets pools that were not heard of.
 func (s *Scheduler) claimAll(now time.Time) {
-	for pool, b := range s.brittle {
+	if len(s.brittle) == 0 {
+		return
+	}
+	for _, pool := range slices.Sorted(maps.Keys(s.brittle)) {
+		b := s.brittle[pool]
 		switch {
 		case now.Sub(b.heardAt) >= brittleMemory:
 			s.forgetBrittle(pool)
@@ -409,7 +414,7 @@
 	hold := time.Duration(float64(rejectionWindow) / max(1, bearable))
 	w := window{size: max(1, others), limit: max(1, u.Slots), setAt: now, growth: roomGrowth}
 	switch {
-	case others >= u.window.size:
+	case u.window.size > 0 && others >= u.window.size:
 		// It was the one more than there is known to be room for.
 		w.size = u.window.size
 	case !u.window.isOpening(now, others):
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -615,15 +615,13 @@
 			// A previous reservation, if any, has ended.
 			s.cancelPlacement(w.ID)
 		case !now.Before(w.expiresAt):
-			s.queue.remove(w.ID)
-			s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: w.ID}})
+			s.dequeue(w)
 			explanation := fmt.Sprintf("no upstream had room within %v", now.Sub(w.arrivedAt).Round(time.Millisecond))
 			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, explanation))
 			continue
 		}
 		if refusal, ok := s.refuseContained(now, w.Request); ok {
-			s.queue.remove(w.ID)
-			s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: w.ID}})
+			s.dequeue(w)
 			actions = append(actions, refusal)
 			continue
 		}
@@ -644,6 +642,15 @@
 	return actions
 }
 
+// dequeue removes a request of this instance from the queue. Only streams that wait are known
+// to the other instances.
+func (s *Scheduler) dequeue(w *waitingRequest) {
+	s.queue.remove(w.ID)
+	if w.Class.Kind == config.Stream {
+		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: w.ID}})
+	}
+}
+
 // lane identifies the requests that can overtake each other: those of a pool that the same
 // upstreams can serve.
 type lane struct{ pool, only string }
