Test harness: loopback addresses from more of the process id

Two test programs whose process ids were equal modulo 250 had the same addresses and ports. Now they must be equal modulo 16,000.

--- a/bench/address.go
+++ b/bench/address.go
@@ -10,16 +10,21 @@
 var processCount atomic.Uint32
 
 // nextIP returns a loopback address that no other process uses, not even one of
-// another fleet that runs concurrently. If processes shared an address, an outgoing
-// connection of one could occupy the port on which another is about to listen.
+// another fleet that runs concurrently, unless their process ids differ by a multiple of
+// 16,000. If processes shared an address, an outgoing connection of one could occupy the
+// port on which another is about to listen.
 func nextIP() netip.Addr {
-	n := processCount.Add(1)
-	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%subnetCount), byte(n / addrsPerSubnet), byte(1 + n%addrsPerSubnet)})
+	n, pid := processCount.Add(1), uint32(os.Getpid())
+	subnet := pid/netCount%groupCount*subnetsPerGroup + n/addrsPerSubnet
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid%netCount), byte(subnet), byte(1 + n%addrsPerSubnet)})
 }
 
+// A program has a group of subnets of one network, both derived from its process id.
 const (
-	subnetCount    = 250
-	addrsPerSubnet = 200
+	netCount        = 250
+	groupCount      = 64
+	subnetsPerGroup = 4
+	addrsPerSubnet  = 200
 )
 
 // assignAddrs returns a new address on which a process listens. It sets addr to the
