Test harness: processes have groups of their own

The harness shows the ends of the processes' logs now: the log of a stopped instance simply ends, while the others go on.

Cause: in each case the shell command that had started the tests in the background had just ended. Their process group is then orphaned, and stopped processes in it get SIGHUP. Shown without any code of ours: a stopped "sleep" in the group of a command that ends is ended by signal 1, a running one in that group and a stopped one in a group of its own are not.

The bench and the soak start each process in a group of its own, and TestStoppedProcessGetsNoHangUp checks it.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,10 +48,27 @@
 	plan.Bin, plan.Dir = bin, t.TempDir()
 	fleet, err := bench.Start(ctx, plan)
 	t.Cleanup(fleet.Close)
+	t.Cleanup(func() { showLogs(t, plan.Dir) })
 	assert.NilError(t, err)
 	return fleet, ctx
 }
 
+// showLogs shows the ends of the processes' logs if the test has failed.
+func showLogs(t *testing.T, dir string) {
+	const maxLines = 15
+	if !t.Failed() {
+		return
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	assert.Check(t, err)
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		assert.Check(t, err)
+		lines := strings.Split(string(content), "\n")
+		t.Logf("%s ends with\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-maxLines):], "\n"))
+	}
+}
+
 // TestStreamSurvivesItsEntryInstance checks that a reader can resume a stream in
 // another data centre after its entry instance was killed.
 func TestStreamSurvivesItsEntryInstance(t *testing.T) {
@@ -68,3 +88,13 @@
 	assert.Equal(t, len(r.Texts), 500)
 	assert.NilError(t, r.Check())
 }
+
+// TestStoppedProcessGetsNoHangUp checks that processes are not in the process group of the
+// tests, whose stopped members get SIGHUP when the shell that started them ends.
+func TestStoppedProcessGetsNoHangUp(t *testing.T) {
+	fleet, _ := startFleet(t, bench.Plan{DataCentres: 1, Entries: 1, Engines: 1, Services: 1, Step: 10 * time.Millisecond})
+	pid := fleet.Entries[0].PID()
+	group, err := syscall.Getpgid(pid)
+	assert.NilError(t, err)
+	assert.Equal(t, group, pid)
+}
--- a/bench/process.go
+++ b/bench/process.go
@@ -59,6 +59,8 @@
 	}
 	defer logs.Close()
 	p.command.Stdout, p.command.Stderr = trail, logs
+	// In the group of a shell that ends, stopped processes get SIGHUP.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.command.Start(); err != nil {
 		return err
 	}
@@ -72,6 +74,9 @@
 	return nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.command.Process.Signal(s) }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -285,6 +285,8 @@
 	defer logs.Close()
 	i.command = exec.Command(filepath.Join(bin, "mangoloft-edge"), "serve", "--settings", i.settings)
 	i.command.Stdout, i.command.Stderr = logs, logs
+	// In the group of a shell that ends, stopped processes get SIGHUP.
+	i.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := i.command.Start(); err != nil {
 		return err
 	}
