Brittle upstreams: an instance that has just started does not coordinate them

Found by reading: until an instance has heard of the others it takes itself for the only one, so it would have claimed all upstreams of its data centre in a brittle service, beside their coordinators, and both would have filled the upstream. TestInstanceThatHasJustStartedIsNoCoordinator failed before.

--- a/decide/brittle.go
+++ b/decide/brittle.go
@@ -53,7 +53,8 @@
 // MembersChanged contains the live instances of the local data centre that can be
 // coordinators.
 type MembersChanged struct {
-	// Self is the control address of this instance; invalid if it is stopping.
+	// Self is the control address of this instance; invalid if it is stopping or has just
+	// started.
 	Self   netip.AddrPort
 	Others []Member
 }
--- a/gossip/reach.go
+++ b/gossip/reach.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"time"
 
 	"mangoloft/decide"
 )
@@ -26,7 +27,8 @@
 	alive := p.members.Alive()
 	p.reachable.Store(&alive)
 	var e decide.MembersChanged
-	if !p.stopping.Load() {
+	// An instance that has just started does not know the others yet.
+	if !p.stopping.Load() && time.Since(p.startedAt) >= startupWait {
 		e.Self = p.options.Control
 	}
 	for _, m := range alive {
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"mangoloft/decide"
 )
 
 func TestDetours(t *testing.T) {
@@ -60,3 +63,31 @@
 		})
 	}
 }
+
+// membersSink records the live members of the local data centre.
+type membersSink struct {
+	*simulatedNode
+	changes []decide.MembersChanged
+}
+
+func (s *membersSink) SetMembers(e decide.MembersChanged) { s.changes = append(s.changes, e) }
+
+// TestInstanceThatHasJustStartedIsNoCoordinator checks when an instance may be chosen to
+// coordinate upstreams: not before it has heard of the others, nor while it is stopping.
+func TestInstanceThatHasJustStartedIsNoCoordinator(t *testing.T) {
+	control := netip.MustParseAddrPort("10.0.0.1:8748")
+	sink := &membersSink{simulatedNode: &simulatedNode{}}
+	p := newPeers(Options{Name: "i1", DataCentre: "a", Control: control}, nil, sink)
+	p.startedAt = time.Now()
+	p.publishReachable()
+	assert.Equal(t, len(sink.changes), 0)
+	p.startedAt = time.Now().Add(-startupWait)
+	p.publishReachable()
+	p.publishReachable()
+	assert.Equal(t, len(sink.changes), 1)
+	assert.Equal(t, sink.changes[0].Self, control)
+	p.stopping.Store(true)
+	p.publishReachable()
+	assert.Equal(t, len(sink.changes), 2)
+	assert.Assert(t, !sink.changes[1].Self.IsValid())
+}
