--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -137,7 +137,7 @@
 }
 
 // maxLogLines is the maximum number of lines of an instance's log that a failed test shows.
-const maxLogLines = 200
+const maxLogLines = 30
 
 // logLastLines shows the last lines of an instance's log if the test has failed.
 func logLastLines(t *testing.T, n int, path string) {
