Evacuation: orders from the store reach every instance, which omits the data centre

Nothing read the keys op/evacuate/NAME, so requests went on to data centres that operators had evacuated.

Where the settings have evacuation.apply_ms, the read and watch of the routing table cover the prefix op/, and orders are decoded. Package evacuation keeps the newest set by its position in the store's history, across restores. Every datagram and /state carry the set; readers send changes at once. The scheduler omits upstreams of evacuated data centres without a fallback, and refuses requests at once if no others are left (503, evacuated). The gateway checks again just before it sends, and moves choose another destination. Without the setting the calls are as before.

Tests: entry.TestEvacuatedDataCentreGetsNoRequests, three instances in two and three data centres, also with one or two of them cut off from the store: no request arrived after the order, and servers were used again within 1 s of its end. Without the code all servers get requests. evacuation.TestRegister covers restores on a virtual clock. gossip, decide, catalog, dispatch, gateway, platform, event and telemetry pass.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/pause"
@@ -35,6 +36,12 @@
 type Store interface {
 	// Table returns the routing table as published, and the store's position.
 	Table(ctx context.Context) (raw []byte, at history.Position, err error)
+	// Published returns the routing table and the orders, and the store's position.
+	// The orders may contain later changes. It replaces Table if orders are followed.
+	Published(ctx context.Context) (p Published, at history.Position, err error)
+	// WatchPublished waits for changes of the table or the orders after the position until
+	// the deadline.
+	WatchPublished(ctx context.Context, after history.Position, deadline time.Time) (p Published, at history.Position, err error)
 	// List returns all upstreams. The list contains all changes up to the
 	// position.
 	List(ctx context.Context) (items []upstream.Item, at history.Position, err error)
@@ -54,6 +61,9 @@
 	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that the latest attempt to read the list failed.
 	SetListUnreadable()
+	// UpdateOrders submits the orders to evacuate data centres that were read from the named
+	// source.
+	UpdateOrders(o evacuation.Orders, sourceName string)
 }
 
 // Decoder decodes a routing table.
@@ -105,6 +115,9 @@
 	// ApplyTime returns the time within which all instances must apply a published
 	// change.
 	ApplyTime func() time.Duration
+	// EvacuationTime returns the time within which all instances must apply an order to
+	// evacuate a data centre; 0 if there are no such orders, and they are not read.
+	EvacuationTime func() time.Duration
 	// HasTable reports whether the instance has a routing table. An instance
 	// without a table, or without a list, reads the store even if it is not a
 	// reader.
@@ -113,6 +126,9 @@
 	// none.
 	ListPosition func() history.Position
 
+	// orders are the orders as of the position up to which the table is known. They are used
+	// only by FollowTable.
+	orders evacuation.Orders
 	// calls counts the calls to the store.
 	calls atomic.Uint64
 	// era is the latest known era of the store.
@@ -231,7 +247,7 @@
 			position = history.Position{}
 		}
 		startedAt := time.Now()
-		raw, at, err := f.readTable(f.tableCall.start(ctx), position)
+		published, at, err := f.readTable(f.tableCall.start(ctx), position)
 		superseded := f.tableCall.end()
 		if err == nil {
 			at, err = f.observeEra("table", at)
@@ -265,9 +281,14 @@
 			position = history.Position{}
 			continue
 		}
+		f.deliverOrders(published, at, position.IsZero())
+		if position.IsZero() && published.Table == nil && !noTable {
+			noTable = true
+			f.Log.EmitRateLimited(event.TableRefused, "error", "the store has no configuration")
+		}
 		position = history.Max(position, at)
-		if raw != nil {
-			f.deliverTable(raw, at)
+		if published.Table != nil {
+			f.deliverTable(published.Table, at)
 		}
 		pause.Sleep(ctx, watchPause)
 	}
@@ -275,18 +296,32 @@
 }
 
 // readTable reads the table, or waits for one newer than a position that is not zero.
-func (f *Follower) readTable(ctx context.Context, after history.Position) ([]byte, history.Position, error) {
+func (f *Follower) readTable(ctx context.Context, after history.Position) (p Published, at history.Position, err error) {
 	f.calls.Add(1)
+	followsOrders := f.followsOrders()
+	if after.IsZero() && followsOrders {
+		return f.Store.Published(ctx)
+	}
 	if after.IsZero() {
-		return f.Store.Table(ctx)
+		p.Table, at, err = f.Store.Table(ctx)
+		return p, at, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.shareOfApplyTime(watchTimeoutShare))
 	defer cancel()
-	return f.Store.WatchTable(ctx, after, time.Now().Add(f.shareOfApplyTime(watchShare)))
+	deadline := time.Now().Add(f.shareOfApplyTime(watchShare))
+	if followsOrders {
+		return f.Store.WatchPublished(ctx, after, deadline)
+	}
+	p.Table, at, err = f.Store.WatchTable(ctx, after, deadline)
+	return p, at, err
 }
 
 func (f *Follower) shareOfApplyTime(share float64) time.Duration {
-	return time.Duration(share * float64(f.ApplyTime()))
+	applyTime := f.ApplyTime()
+	if f.followsOrders() {
+		applyTime = min(applyTime, f.EvacuationTime())
+	}
+	return time.Duration(share * float64(applyTime))
 }
 
 // observeEra records the era of a response. If the store was restored, both documents are
--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"mangoloft/catalog"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/routing"
@@ -26,7 +27,10 @@
 	items    []upstream.Item
 	revision uint64
 	era      uint64
-	err      error
+	// orders and malformed are changes of orders to evacuate data centres.
+	orders    []evacuation.Key
+	malformed []string
+	err       error
 }
 
 // store returns its responses in order, and blocks further calls until they are
@@ -73,6 +77,24 @@
 	return []byte(r.raw), r.position(), r.err
 }
 
+func (s *store) Published(ctx context.Context) (catalog.Published, history.Position, error) {
+	r := s.respond(ctx, "published")
+	return r.published(), r.position(), r.err
+}
+
+func (s *store) WatchPublished(ctx context.Context, _ history.Position, _ time.Time) (catalog.Published, history.Position, error) {
+	r := s.respond(ctx, "watch published")
+	return r.published(), r.position(), r.err
+}
+
+func (r response) published() catalog.Published {
+	p := catalog.Published{Orders: r.orders, Malformed: r.malformed}
+	if r.raw != "" {
+		p.Table = []byte(r.raw)
+	}
+	return p
+}
+
 func (s *store) WatchList(ctx context.Context, _ history.Position, _ time.Time) ([]upstream.Item, history.Position, error) {
 	r := s.respond(ctx, "watch")
 	return r.items, r.position(), r.err
@@ -83,6 +105,7 @@
 	mu       sync.Mutex
 	versions []uint64
 	lists    []string
+	orders   []evacuation.Orders
 	lost     int
 }
 
@@ -105,6 +128,12 @@
 	s.lists = append(s.lists, content)
 }
 
+func (s *sink) UpdateOrders(o evacuation.Orders, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, o)
+}
+
 func (s *sink) SetListUnreadable() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -49,6 +49,8 @@
 	// reaches contains the pools in which upstreams could not be reached recently.
 	reaches map[string]*reach
 	retries retryBudget
+	// evacuated contains the evacuated data centres.
+	evacuated []string
 	// brittle contains the pools whose upstreams are brittle. self is the control address
 	// of this instance, invalid if it can't coordinate upstreams, and localMembers are the
 	// others of its data centre.
@@ -177,6 +179,8 @@
 		if e.Notice.Kind != NoticeEnded {
 			return nil
 		}
+	case EvacuationsChanged:
+		return append(s.setEvacuated(now, e.DataCentres), s.serveQueue(now)...)
 	case Tick:
 		s.expirePeerRequests(now)
 	}
@@ -413,6 +417,9 @@
 	if refusal, ok := s.refuseCutOff(now, r); ok {
 		return []Action{refusal}
 	}
+	if refusal, ok := s.refuseEvacuated(now, r); ok {
+		return []Action{refusal}
+	}
 	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
 	switch {
 	case r.Only != "":
@@ -452,13 +459,13 @@
 }
 
 // candidates returns the upstreams of the request's pool that are neither
-// leaving, ejected nor excluded by the request. Those in partitioned data
+// leaving, evacuated, ejected nor excluded by the request. Those in partitioned data
 // centres are omitted unless no others are left.
 func (s *Scheduler) candidates(now time.Time, r Request) []*upstream {
 	var live []*upstream
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.Pool == r.Class.Pool && (r.Only == "" || name == r.Only) && !u.Leaving && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && (u.health.trafficShare(now) > 0 || s.admittedBy(now, &r, u).IsValid()) {
+		if u.Pool == r.Class.Pool && (r.Only == "" || name == r.Only) && !u.Leaving && !s.isEvacuated(u) && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && (u.health.trafficShare(now) > 0 || s.admittedBy(now, &r, u).IsValid()) {
 			live = append(live, u)
 		}
 	}
@@ -708,7 +715,7 @@
 	}
 	jitter := 0.75 + hashFraction(r.ID, 0)/2
 	delay = time.Duration(float64(min(delay, maxRetryDelay)) * jitter)
-	return Refuse{ID: r.ID, Reason: reason, RetryAt: now.Add(delay), Explanation: explanation}
+	return Refuse{ID: r.ID, Reason: reason, RetryAt: now.Add(delay), Explanation: explanation + s.evacuatedText()}
 }
 
 // maxSampled is the maximum number of upstreams whose memory is forecast for
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -12,6 +12,7 @@
 
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -55,6 +56,8 @@
 	// ListChanged announces the items of the list of upstreams that changed between
 	// two positions; none if the other instances need the complete list.
 	ListChanged(items []upstream.Item, after, upTo history.Position)
+	// OrdersChanged announces orders that this instance has read from the store.
+	OrdersChanged(o evacuation.Orders)
 	// TableChanged announces a newer routing table.
 	TableChanged()
 }
@@ -71,6 +74,10 @@
 	Contained []containment.Finding
 	// LostPools are the pools from which this instance is cut off.
 	LostPools []string
+	// Orders are the newest orders to evacuate data centres; zero if there never were any.
+	// Evacuated are the data centres to whose upstreams nothing may be sent.
+	Orders    evacuation.Orders
+	Evacuated []string
 }
 
 // Placement is the upstream that a request is placed on.
@@ -102,6 +109,8 @@
 	tables    routing.Register
 	directory *upstream.Directory
 	scheduler *decide.Scheduler
+	orders    evacuation.Register
+	evacuated []string
 	// pending contains the requests that wait for a decision.
 	pending map[ident.Request]chan<- decision
 	runs    map[ident.Request]*run
@@ -183,6 +192,7 @@
 	if changes := c.directory.Tick(now); len(changes) > 0 {
 		c.handleChanges(now, changes)
 	}
+	c.tickOrders(now)
 	c.schedule(now, decide.Tick{})
 }
 
@@ -344,7 +354,7 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools()})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools(), Orders: c.orders.Current(), Evacuated: c.evacuated})
 }
 
 // ProbeTargets returns an upstream of each pool from which this instance is cut off.
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -14,6 +14,7 @@
 	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -49,6 +50,8 @@
 	a.lists++
 }
 
+func (a *recordingAnnouncer) OrdersChanged(evacuation.Orders) {}
+
 func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
 
 func (a *recordingAnnouncer) SendBrittle(decide.BrittleNotice) {}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -56,6 +56,21 @@
 	crashes times
 	// firstIP is the address of the first instance; those of the others follow.
 	firstIP netip.Addr
+	fleetOptions
+	// ownProxies are the proxies between each instance and the store, if it has its own.
+	ownProxies []*bench.Proxy
+	storeAddr  netip.AddrPort
+}
+
+// fleetOptions are what differs between fleets.
+type fleetOptions struct {
+	instances, dataCentres int
+	// evacuationMS is the time within which an evacuation must be applied; 0 if there are none.
+	evacuationMS int
+	// ownProxies gives each instance its own proxy in front of the store.
+	hasOwnProxies bool
+	// regions contains the region of each data centre.
+	regions map[string]string
 }
 
 // fleets is the number of fleets so far.
@@ -72,11 +87,18 @@
 // ones in the first.
 func startFleetIn(t *testing.T, instances, dataCentres int) *fleet {
 	t.Helper()
-	f := &fleet{store: standin.NewStore(), executions: &standin.ExecutionLog{}, group: &sync.WaitGroup{}, firstIP: fleetIP(fleets.Add(1))}
+	return startFleetWith(t, fleetOptions{instances: instances, dataCentres: dataCentres})
+}
+
+// startFleetWith starts a fleet with options.
+func startFleetWith(t *testing.T, o fleetOptions) *fleet {
+	t.Helper()
+	f := &fleet{fleetOptions: o, store: standin.NewStore(), executions: &standin.ExecutionLog{}, group: &sync.WaitGroup{}, firstIP: fleetIP(fleets.Add(1))}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	var err error
-	f.proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), server.Listener.Addr().(*net.TCPAddr).AddrPort())
+	f.storeAddr = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	f.proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), f.storeAddr)
 	assert.NilError(t, err)
 	t.Cleanup(f.proxy.Close)
 	f.publish(t, 1)
@@ -85,8 +107,8 @@
 	t.Cleanup(func() { cancel(); f.group.Wait() })
 	gossip := bench.NewAddr(f.firstIP).Port()
 	ip := f.firstIP
-	for n := range instances {
-		f.startInstance(ctx, t, n, dataCentreName(n*dataCentres/instances), ip, gossip)
+	for n := range o.instances {
+		f.startInstance(ctx, t, n, dataCentreName(n*o.dataCentres/o.instances), ip, gossip)
 		ip = ip.Next()
 	}
 	return f
@@ -108,15 +130,27 @@
 func (f *fleet) startInstance(ctx context.Context, t *testing.T, n int, dataCentre string, ip netip.Addr, gossip uint16) {
 	t.Helper()
 	callers := bench.NewAddr(ip)
-	content, err := json.Marshal(map[string]any{
+	proxy := f.proxy
+	if f.hasOwnProxies {
+		var err error
+		proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), f.storeAddr)
+		assert.NilError(t, err)
+		t.Cleanup(proxy.Close)
+		f.ownProxies = append(f.ownProxies, proxy)
+	}
+	settings := map[string]any{
 		"instance": fmt.Sprintf("i%d", n), "data_centre": dataCentre,
 		"listen": map[string]any{
 			"callers": callers, "readiness": bench.NewAddr(ip), "control": bench.NewAddr(ip), "metrics": bench.NewAddr(ip), "peers": netip.AddrPortFrom(ip, gossip),
 		},
-		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": f.proxy.Addr()},
+		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": proxy.Addr()},
 		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
 		"retries": map[string]any{"share": 0.2, "slack": 100, "window_seconds": 10},
-	})
+	}
+	if f.evacuationMS > 0 {
+		settings["evacuation"] = map[string]any{"apply_ms": f.evacuationMS}
+	}
+	content, err := json.Marshal(settings)
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
 	assert.NilError(t, os.WriteFile(path, content, 0o600))
--- a/entry/run.go
+++ b/entry/run.go
@@ -132,8 +132,9 @@
 	i.follower = &catalog.Follower{
 		Store: deps.Store(func() netip.AddrPort { return i.settings.Load().Store.Address }), Sink: i.controller, Decoder: deps.Decoder, Log: i.log,
 		IsReader: i.peers.ShouldReadStore, Readers: i.peers.StoreReaders, ApplyTime: func() time.Duration { return i.settings.Load().Store.applyTime() },
-		HasTable:     func() bool { return i.controller.Snapshot().Document.Table != nil },
-		ListPosition: func() history.Position { return i.controller.Snapshot().ListPosition },
+		EvacuationTime: func() time.Duration { return i.settings.Load().Evacuation.applyTime() },
+		HasTable:       func() bool { return i.controller.Snapshot().Document.Table != nil },
+		ListPosition:   func() history.Position { return i.controller.Snapshot().ListPosition },
 	}
 	i.reports = &reports.Poller{Engines: deps.Engines, Sink: i.controller, Log: i.log, IsPoller: i.peers.IsPrimary, ListUnavailable: func() bool { return !i.peers.ListCurrent() }, Candidates: i.engines, Reread: i.follower.Reread}
 	dial := deps.Dial
@@ -161,6 +162,7 @@
 		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
 		ContainedParts:    func() int { return i.contained(containment.PromptParts) },
 		ContainedRequests: func() int { return i.contained(containment.Requests) },
+		Evacuated:         func() int { return len(i.controller.Snapshot().Evacuated) }, EvacuatedRequests: i.controller.EvacuatedRequests,
 	}
 }
 
@@ -207,7 +209,7 @@
 	snapshot := i.controller.Snapshot()
 	state := gossip.State{
 		ListPosition: snapshot.ListPosition, StoreLost: i.follower.Unavailable(), ReadsStore: i.follower.ReadsList(), Table: snapshot.Document.Raw,
-		Contained: snapshot.Contained, LostPools: snapshot.LostPools,
+		Contained: snapshot.Contained, LostPools: snapshot.LostPools, Orders: snapshot.Orders,
 	}
 	if snapshot.Document.Table != nil {
 		state.TableVersion = snapshot.Document.Table.Version
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -88,6 +88,14 @@
 	return s.Table(ctx)
 }
 
+func (s *fakeStore) Published(context.Context) (catalog.Published, history.Position, error) {
+	panic("orders are not followed")
+}
+
+func (s *fakeStore) WatchPublished(context.Context, history.Position, time.Time) (catalog.Published, history.Position, error) {
+	panic("orders are not followed")
+}
+
 func (s *fakeStore) WatchList(ctx context.Context, after history.Position, deadline time.Time) ([]upstream.Item, history.Position, error) {
 	select {
 	case <-time.After(time.Until(deadline)):
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -21,6 +21,7 @@
 	Limits     Limits           `json:"limits"`
 	Stop       Stop             `json:"stop"`
 	Retries    Retries          `json:"retries"`
+	Evacuation Evacuation       `json:"evacuation"`
 }
 
 // Listen contains the addresses on which the instance listens.
@@ -54,6 +55,18 @@
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// Evacuation describes the orders to evacuate data centres.
+type Evacuation struct {
+	// ApplyMS is the time in milliseconds within which all instances must apply an order; 0
+	// if there are no such orders.
+	ApplyMS float64 `json:"apply_ms"`
+}
+
+// applyTime returns the time within which an order must be applied; 0 if there are none.
+func (e Evacuation) applyTime() time.Duration {
+	return time.Duration(e.ApplyMS * float64(time.Millisecond))
+}
+
 // Limits are the resource limits of the machine.
 type Limits struct {
 	MemoryMB    float64 `json:"memory_mb"`
@@ -102,6 +115,7 @@
 	check(s.Listen.Peers.IsValid(), "listen.peers", s.Listen.Peers, "an address and a port")
 	check(s.Store.Address.IsValid(), "store.address", s.Store.Address, "an address and a port")
 	check(s.Store.ApplyMS >= 0, "store.apply_ms", s.Store.ApplyMS, "a number of milliseconds, 0 or more")
+	check(s.Evacuation.ApplyMS >= 0, "evacuation.apply_ms", s.Evacuation.ApplyMS, "a number of milliseconds, 0 or more")
 	check(s.Stop.GraceSeconds > 0, "stop.grace_seconds", s.Stop.GraceSeconds, "a number of seconds above 0")
 	check(s.Limits.MemoryMB > 0, "limits.memory_mb", s.Limits.MemoryMB, "a number of megabytes above 0")
 	check(s.Limits.Descriptors > 0, "limits.descriptors", s.Limits.Descriptors, "a number above 0")
--- a/event/event.go
+++ b/event/event.go
@@ -39,6 +39,10 @@
 	StoreLost           ID = 207
 	StoreRecovered      ID = 208
 	StoreEraChanged     ID = 209
+	EvacuationStarted   ID = 210
+	EvacuationEnded     ID = 211
+	EvacuationRefused   ID = 212
+	PlacementsHeld      ID = 213
 
 	PeerAlive    ID = 301
 	PeerSilent   ID = 302
@@ -137,6 +141,10 @@
 	StoreLost:             "store_lost",
 	StoreRecovered:        "store_back",
 	StoreEraChanged:       "store_era_changed",
+	EvacuationStarted:     "evacuation_started",
+	EvacuationEnded:       "evacuation_ended",
+	EvacuationRefused:     "evacuation_refused",
+	PlacementsHeld:        "placements_held",
 	RequestPlaced:         "request_placed",
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/gateway"
 	"mangoloft/history"
@@ -82,6 +83,7 @@
 func (noopAnnouncer) Reaching(string) int                                             { return 0 }
 func (noopAnnouncer) SendFinding(containment.Finding)                                 {}
 func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
+func (noopAnnouncer) OrdersChanged(evacuation.Orders)                                 {}
 func (noopAnnouncer) TableChanged()                                                   {}
 
 // fakeEngines records the requested copies; every copy succeeds.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -229,6 +229,10 @@
 // nil error means that the run has stopped and can continue from a copy.
 func (m *mover) copyTo(ctx context.Context, destination dispatch.Placement, leavesAt time.Time) error {
 	for {
+		if m.stream.g.isEvacuated(destination) {
+			m.discardDestination()
+			return ErrNoCapacity.New("data centre %s was evacuated", destination.DataCentre)
+		}
 		stop := m.shouldStop(leavesAt)
 		if stop {
 			m.mu.Lock()
@@ -276,6 +280,14 @@
 	return m.handle != (KVHandle{}) && (m.lastCopyQuick || time.Until(leavesAt) < finalCopyMargin)
 }
 
+// discardDestination forgets the copies at a destination to which nothing may be sent any
+// more, so that the run isn't continued there. The engine drops them after their lifetime.
+func (m *mover) discardDestination() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.destination, m.handle, m.lastCopyQuick = dispatch.Placement{}, KVHandle{}, false
+}
+
 func (m *mover) recordCopy(destination dispatch.Placement, h KVHandle, duration time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -107,7 +107,7 @@
 // recordFailure updates the request's counts after a failed send.
 func (q *request) recordFailure(err error) {
 	o := verdict.OutcomeOf(err)
-	q.lastAttemptUnsent = o.Reason == verdict.UpstreamUnreachable
+	q.lastAttemptUnsent = o.Reason == verdict.UpstreamUnreachable || o.Reason == verdict.Evacuated
 	if !q.lastAttemptUnsent {
 		q.sends++
 	}
@@ -205,7 +205,7 @@
 // as failed.
 func (q *request) countsAgainstUpstream(r verdict.Reason) bool {
 	switch r {
-	case verdict.CallerDisconnected, verdict.UpstreamLeaving, verdict.Overloaded:
+	case verdict.CallerDisconnected, verdict.UpstreamLeaving, verdict.Overloaded, verdict.Evacuated:
 		return false
 	case verdict.WaitExpired:
 		return q.deadline.Equal(q.info.Deadline)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -73,6 +73,9 @@
 // of send must close. An error with verdict NotRun proves that nothing was
 // sent.
 func (g *Gateway) send(ctx context.Context, q *request, placement dispatch.Placement, header http.Header) (*http.Response, error) {
+	if err := g.checkEvacuation(placement); err != nil {
+		return nil, err
+	}
 	outgoing := q.outgoing
 	ctx, use := freshconn.Watch(ctx)
 	request := (&http.Request{
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -50,6 +51,7 @@
 	sent, sentBytes, remoteBytes atomic.Int64
 
 	mu       sync.Mutex
+	orders   evacuation.Register
 	revision uint64
 	notices  int
 	reports  map[string]bool
@@ -114,6 +116,12 @@
 
 func (n *simulatedNode) SetListUnreadable() {}
 
+func (n *simulatedNode) UpdateOrders(o evacuation.Orders, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.orders.Update(time.Now(), o)
+}
+
 func (n *simulatedNode) HandleLimit(l decide.LimitNotice) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -10,6 +10,7 @@
 
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -109,6 +110,8 @@
 	Contained []containment.Finding
 	// LostPools are the pools from which the instance is cut off.
 	LostPools []string
+	// Orders are the newest orders to evacuate data centres; zero if there never were any.
+	Orders evacuation.Orders
 }
 
 // Sink receives the state that other instances send, and is queried for the
@@ -129,6 +132,8 @@
 	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that no instance can read the list at present.
 	SetListUnreadable()
+	// UpdateOrders submits orders to evacuate data centres that the named member sent.
+	UpdateOrders(o evacuation.Orders, sourceName string)
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
 	// HandleBrittle receives a notice of brittle upstreams.
@@ -195,6 +200,8 @@
 	// itemsAfter and itemsUpTo are the positions of the list between which the items
 	// changed.
 	itemsAfter, itemsUpTo history.Position
+	// orders are the orders to announce; nil if there are none.
+	orders *ordersWire
 	// deferred is true if a flush has been requested for deferrable notices.
 	deferred bool
 	// urgent is true if the next flush must not wait for more notices.
@@ -243,6 +250,9 @@
 	// was relayed in this way.
 	relayedNotices  []noticeWire
 	relayedPosition history.Position
+	// relayedOrders is the latest position of orders that were sent on to the local data
+	// centre.
+	relayedOrders history.Position
 
 	pulls *pullTracker
 }
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -16,6 +16,7 @@
 	"mangoloft/config"
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/gossip"
 	"mangoloft/history"
@@ -62,6 +63,8 @@
 
 func (n *node) SetListUnreadable() {}
 
+func (n *node) UpdateOrders(evacuation.Orders, string) {}
+
 func (n *node) HandleLimit(decide.LimitNotice) {}
 
 func (n *node) HandleBrittle(decide.BrittleNotice) {}
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -78,6 +78,7 @@
 			p.members.AddAddress(now, dataCentre, addr)
 		}
 	}
+	p.handleOrders(w)
 	if w.Forward != "" && w.DataCentre == p.options.DataCentre {
 		// The members of this data centre have already received the content.
 		p.sendToRelays(now, w.Forward, w.content())
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -26,7 +26,7 @@
 
 // content returns the part of a datagram that is forwarded.
 func (w datagramWire) content() datagramWire {
-	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads, Limits: w.Limits, Brittle: w.Brittle, Crashes: w.Crashes, Findings: w.Findings}
+	return datagramWire{Notices: w.Notices, List: w.List, Loads: w.Loads, Limits: w.Limits, Brittle: w.Brittle, Crashes: w.Crashes, Findings: w.Findings, Orders: w.Orders}
 }
 
 // forward sends the content to another data centre, or to all, through the relays.
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -22,6 +22,7 @@
 // and the list changes to the local data centre. List changes are also forwarded to
 // the other data centres, and notices to those outside the broadcast group.
 func (p *Peers) flush(now time.Time) {
+	p.announceOrders(now)
 	p.mu.Lock()
 	limits, brittle, crashes, findings := p.limits, p.brittle, p.crashes, p.findings
 	p.limits, p.brittle, p.crashes, p.findings = nil, nil, nil, nil
@@ -171,6 +172,9 @@
 		w.Relays = p.members.LocalRelays()
 	}
 	w.HeartbeatMS = p.members.HeartbeatInterval().Milliseconds()
+	if w.Orders == nil {
+		w.Orders = encodeOrders(state.Orders)
+	}
 	w.ReadsStore, w.ListCurrent = state.ReadsStore, p.members.localReads(state.ReadsStore)
 	content, err := json.Marshal(w)
 	if err == nil && len(content) > maxDatagramBytes {
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -35,7 +35,7 @@
 	mux.HandleFunc("GET "+originPath, p.serveOrigin)
 	mux.HandleFunc("GET "+statePath, func(w http.ResponseWriter, r *http.Request) {
 		state, query := p.options.State(), r.URL.Query()
-		body := stateWire{}
+		body := stateWire{Orders: encodeOrders(state.Orders)}
 		if version, err := strconv.ParseUint(query.Get("table_version"), 10, 64); err == nil && state.TableVersion > version {
 			body.Table = state.Table
 		}
@@ -63,6 +63,14 @@
 	if err := getJSON(ctx, url, maxStateBytes, &wire); err != nil {
 		return err
 	}
+	if wire.Orders != nil {
+		// Before the table, with which the instance begins to serve.
+		orders, err := decodeOrders(wire.Orders)
+		if err != nil {
+			return errorx.Decorate(err, "decode orders of %s", m.Name)
+		}
+		p.sink.UpdateOrders(orders, m.Name)
+	}
 	if len(wire.Table) > 0 {
 		table, err := p.options.Decoder.Table(wire.Table)
 		if err != nil {
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -57,6 +57,7 @@
 	Crashes  []crashWire                 `json:"crashes,omitempty"`
 	Findings []findingWire               `json:"findings,omitempty"`
 	List     *listWire                   `json:"list,omitempty"`
+	Orders   *ordersWire                 `json:"orders,omitempty"`
 	// Loads contains the loads of the engines of a data centre.
 	Loads []loadsWire `json:"loads,omitempty"`
 }
@@ -229,6 +230,8 @@
 	ListEra      uint64     `json:"list_era,omitempty"`
 	ListRevision uint64     `json:"list_revision"`
 	Items        []itemWire `json:"items,omitempty"`
+	// Orders are sent in every response, if there ever were any.
+	Orders *ordersWire `json:"orders,omitempty"`
 }
 
 // itemWire is one entry of the list of upstreams.
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -14,6 +14,7 @@
 	"mangoloft/config"
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -26,6 +27,7 @@
 	now       time.Time
 	scheduler *decide.Scheduler
 	directory *upstream.Directory
+	orders    evacuation.Register
 }
 
 func (s *fuzzSink) HandleNotice(n decide.Notice) {
@@ -44,6 +46,11 @@
 
 func (s *fuzzSink) SetListUnreadable() {}
 
+func (s *fuzzSink) UpdateOrders(o evacuation.Orders, _ string) {
+	s.orders.Update(s.now, o)
+	s.scheduler.Step(s.now, decide.EvacuationsChanged{DataCentres: s.orders.DataCentres()})
+}
+
 func (s *fuzzSink) HandleLimit(n decide.LimitNotice) {
 	s.scheduler.Step(s.now, decide.LimitNoticeReceived{Notice: n})
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -42,6 +42,8 @@
 	tableAge          = "mangoloft_table_confirmed_age_seconds"
 	contained         = "mangoloft_contained_parts"
 	containedRequests = "mangoloft_contained_requests"
+	evacuated         = "mangoloft_evacuated_data_centres"
+	evacuatedRequests = "mangoloft_evacuated_requests"
 )
 
 // Names returns the names of all metrics.
@@ -49,7 +51,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests,
+		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests,
 	}
 }
 
@@ -96,6 +98,9 @@
 	OpenRequests, PeersAlive, FleetSize, ControlBacklog, ContainedParts, ContainedRequests func() int
 	TableVersion, ListRevision                                                             func() uint64
 	LinesDropped, StoreCalls, StoreEra                                                     func() uint64
+	// Evacuated returns the number of evacuated data centres, and EvacuatedRequests that of
+	// the instance's requests that still run there.
+	Evacuated, EvacuatedRequests func() int
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -136,6 +141,8 @@
 	}
 	m.set.NewGauge(contained, fromInt(s.ContainedParts))
 	m.set.NewGauge(containedRequests, fromInt(s.ContainedRequests))
+	m.set.NewGauge(evacuated, fromInt(s.Evacuated))
+	m.set.NewGauge(evacuatedRequests, fromInt(s.EvacuatedRequests))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -79,6 +79,9 @@
 	// NotFound means that the request id or reference is unknown or belongs to
 	// another team.
 	NotFound
+	// Evacuated means that the operators let nothing be sent to the data centres of all
+	// upstreams that could serve the request.
+	Evacuated
 )
 
 var reasonNames = [...]string{
@@ -89,7 +92,7 @@
 	UpstreamRefused: "upstream_refused", UpstreamUnreachable: "upstream_unreachable",
 	UpstreamLost: "upstream_lost", UpstreamFailed: "upstream_failed", AnswerMismatch: "answer_mismatch",
 	UpstreamLeaving: "upstream_leaving", GenerationLost: "generation_lost", CallerDisconnected: "caller_gone", NotFound: "not_found",
-	PromptContained: "prompt_contained", RequestContained: "request_contained", CutOff: "cut_off",
+	PromptContained: "prompt_contained", RequestContained: "request_contained", CutOff: "cut_off", Evacuated: "evacuated",
 }
 
 // String returns the reason's name in snake case.
