Evacuation: requests are held after a pause of the process until orders are known

An instance that is stopped while an order is given has requests that were accepted or placed before. When it goes on, it sent them with the orders that it knew before.

The control goroutine notices that it has not run for a second. Before a request is sent, the gateway then waits until one of three other instances has told its orders, at most 0.3 s, and checks again. Only where evacuation.apply_ms is set.

dispatch.TestRequestsAreHeldAfterPause passes: requests are held until the answer, 0.3 s without one, and not at all without the setting.

--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -58,6 +58,9 @@
 	ListChanged(items []upstream.Item, after, upTo history.Position)
 	// OrdersChanged announces orders that this instance has read from the store.
 	OrdersChanged(o evacuation.Orders)
+	// RequestOrders asks another instance for the orders that it knows. ConfirmOrders is called
+	// when they have been submitted.
+	RequestOrders()
 	// TableChanged announces a newer routing table.
 	TableChanged()
 }
@@ -99,6 +102,11 @@
 
 // Controller owns the control state of an instance.
 type Controller struct {
+	// FollowsOrders reports whether operators can evacuate data centres. It must be set before
+	// Run; nil stands for no.
+	FollowsOrders func() bool
+
+	hold      hold
 	log       *event.Log
 	announcer Announcer
 	commands  chan command
@@ -145,6 +153,7 @@
 		pending: map[ident.Request]chan<- decision{}, runs: map[ident.Request]*run{},
 	}
 	c.snapshot.Store(&Snapshot{})
+	c.hold.start(time.Now())
 	return c
 }
 
@@ -162,13 +171,16 @@
 	defer close(c.stopped)
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
+	c.hold.start(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case cmd := <-c.commands:
+			c.checkPause(time.Now())
 			cmd.apply(c, time.Now())
 		case <-timer.C:
+			c.checkPause(time.Now())
 			c.tick(time.Now())
 		}
 		if c.scheduler.Waiting() > 0 || c.directory.HasLapsed() {
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	leaving []string
 	lists   int
 	tables  int
+	// ordersRequested is the number of requests for the orders of other instances.
+	ordersRequested atomic.Int64
 }
 
 func (a *recordingAnnouncer) SendNotice(n decide.Notice) {
@@ -52,6 +55,8 @@
 
 func (a *recordingAnnouncer) OrdersChanged(evacuation.Orders) {}
 
+func (a *recordingAnnouncer) RequestOrders() { a.ordersRequested.Add(1) }
+
 func (a *recordingAnnouncer) SendLimit(decide.LimitNotice) {}
 
 func (a *recordingAnnouncer) SendBrittle(decide.BrittleNotice) {}
@@ -81,10 +86,17 @@
 }
 
 func start(t *testing.T) (*dispatch.Controller, *recordingAnnouncer) {
+	t.Helper()
+	return startFollowing(t, false)
+}
+
+// startFollowing starts a controller that follows orders to evacuate data centres, or not.
+func startFollowing(t *testing.T, followsOrders bool) (*dispatch.Controller, *recordingAnnouncer) {
 	t.Helper()
 	log := event.NewLog(io.Discard, "i", time.Now)
 	c, announcer := dispatch.New("a", log), &recordingAnnouncer{}
 	c.SetAnnouncer(announcer)
+	c.FollowsOrders = func() bool { return followsOrders }
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { _ = c.Run(ctx) })
--- a/entry/run.go
+++ b/entry/run.go
@@ -121,6 +121,7 @@
 // assemble creates and connects the parts of the instance.
 func (i *instance) assemble(s Settings, deps Dependencies) (err error) {
 	i.controller = dispatch.New(s.DataCentre, i.log)
+	i.controller.FollowsOrders = func() bool { return i.settings.Load().Evacuation.applyTime() > 0 }
 	i.peers, err = gossip.Listen(gossip.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Listen: s.Listen.Peers, Control: s.Listen.Control, Incarnation: i.home.Incarnation,
 		Seeds: func() []netip.AddrPort { return i.settings.Load().Seeds }, State: i.state, List: i.controller.List, Origin: i.origin, Decoder: deps.Decoder, Log: i.log,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,9 @@
 type Dispatcher interface {
 	// Snapshot returns the current routing table and upstreams.
 	Snapshot() *dispatch.Snapshot
+	// AwaitOrders waits until this instance knows which data centres are evacuated, if the
+	// process was stopped for a while.
+	AwaitOrders(ctx context.Context)
 	// Place waits for a placement of the request. End must be called for each
 	// placed request.
 	Place(ctx context.Context, r decide.Request) (dispatch.Placement, error)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -84,6 +84,7 @@
 func (noopAnnouncer) SendFinding(containment.Finding)                                 {}
 func (noopAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {}
 func (noopAnnouncer) OrdersChanged(evacuation.Orders)                                 {}
+func (noopAnnouncer) RequestOrders()                                                  {}
 func (noopAnnouncer) TableChanged()                                                   {}
 
 // fakeEngines records the requested copies; every copy succeeds.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -73,6 +73,7 @@
 // of send must close. An error with verdict NotRun proves that nothing was
 // sent.
 func (g *Gateway) send(ctx context.Context, q *request, placement dispatch.Placement, header http.Header) (*http.Response, error) {
+	g.Dispatcher.AwaitOrders(ctx)
 	if err := g.checkEvacuation(placement); err != nil {
 		return nil, err
 	}
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -116,6 +116,8 @@
 
 func (n *simulatedNode) SetListUnreadable() {}
 
+func (n *simulatedNode) ConfirmOrders() {}
+
 func (n *simulatedNode) UpdateOrders(o evacuation.Orders, _ string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gossip/orders.go
+++ b/gossip/orders.go
@@ -1,6 +1,11 @@
 package gossip
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"time"
 	"unicode/utf8"
 
@@ -94,3 +99,48 @@
 		p.sendLocally(datagramWire{Orders: w.Orders})
 	}
 }
+
+const (
+	// maxOrderPulls is the number of instances that are asked for their orders after a pause of
+	// the process; some may have failed meanwhile.
+	maxOrderPulls = 3
+	// orderPullTimeout is the timeout for their responses. Requests are held for little longer.
+	orderPullTimeout = 250 * time.Millisecond
+)
+
+// RequestOrders makes Run ask other instances for their orders. It does not block.
+func (p *Peers) RequestOrders() {
+	select {
+	case p.ordersRequested <- struct{}{}:
+	default:
+	}
+}
+
+// pullOrders asks some members of the broadcast group for their orders.
+func (p *Peers) pullOrders(ctx context.Context) {
+	controls := slices.Clone(p.latestControls)
+	rand.Shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
+	for _, control := range controls[:min(maxOrderPulls, len(controls))] {
+		p.pulls.group.Go(func() { p.pullOrdersFrom(ctx, control) })
+	}
+}
+
+func (p *Peers) pullOrdersFrom(ctx context.Context, control netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, orderPullTimeout)
+	defer cancel()
+	var wire stateWire
+	// Without positions, the response has nothing but the orders.
+	err := getJSON(ctx, fmt.Sprintf("http://%s%s", control, statePath), maxStateBytes, &wire)
+	var orders evacuation.Orders
+	if err == nil && wire.Orders != nil {
+		orders, err = decodeOrders(wire.Orders)
+	}
+	if err != nil {
+		p.options.Log.EmitRateLimited(event.StatePullFailed, "peer", control.String(), "what", "orders", "error", err.Error())
+		return
+	}
+	if wire.Orders != nil {
+		p.sink.UpdateOrders(orders, control.String())
+	}
+	p.sink.ConfirmOrders()
+}
--- a/gossip/origins.go
+++ b/gossip/origins.go
@@ -93,4 +93,7 @@
 		list = append(list, m.Control)
 	}
 	p.groupControls.Store(&list)
+	if len(list) > 0 {
+		p.latestControls = list
+	}
 }
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -134,6 +134,9 @@
 	SetListUnreadable()
 	// UpdateOrders submits orders to evacuate data centres that the named member sent.
 	UpdateOrders(o evacuation.Orders, sourceName string)
+	// ConfirmOrders reports that the orders submitted last were those of another instance a
+	// moment ago, as requested.
+	ConfirmOrders()
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
 	// HandleBrittle receives a notice of brittle upstreams.
@@ -210,8 +213,9 @@
 	// traffic contains the counters of each content. The map doesn't change.
 	traffic map[string]*trafficCounters
 
-	// wake requests a flush.
-	wake     chan struct{}
+	// wake requests a flush, and ordersRequested a pull of other instances' orders.
+	wake            chan struct{}
+	ordersRequested chan struct{}
 	received chan datagramWire
 	// The atomic fields are updated by Run for other goroutines.
 	alive       atomic.Int64
@@ -253,6 +257,9 @@
 	// relayedOrders is the latest position of orders that were sent on to the local data
 	// centre.
 	relayedOrders history.Position
+	// latestControls are the latest groupControls that were not empty: after a pause of this
+	// process, all members count as silent.
+	latestControls []netip.AddrPort
 
 	pulls *pullTracker
 }
@@ -283,7 +290,7 @@
 
 func newPeers(o Options, conn packetConn, sink Sink) *Peers {
 	p := &Peers{
-		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
+		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), ordersRequested: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
 		members: NewMemberTable(o.Listen, o.DataCentre),
 		traffic: newTrafficCounters(), pulls: newPullTracker(),
 	}
@@ -464,6 +471,8 @@
 			continue
 		case <-p.pulls.due:
 			p.catchUp(ctx, time.Now())
+		case <-p.ordersRequested:
+			p.pullOrders(ctx)
 		case <-p.wake:
 			if !p.isUrgent() {
 				p.handleDatagramsUntil(ctx, time.After(flushInterval))
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -63,6 +63,8 @@
 
 func (n *node) SetListUnreadable() {}
 
+func (n *node) ConfirmOrders() {}
+
 func (n *node) UpdateOrders(evacuation.Orders, string) {}
 
 func (n *node) HandleLimit(decide.LimitNotice) {}
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -46,6 +46,8 @@
 
 func (s *fuzzSink) SetListUnreadable() {}
 
+func (s *fuzzSink) ConfirmOrders() {}
+
 func (s *fuzzSink) UpdateOrders(o evacuation.Orders, _ string) {
 	s.orders.Update(s.now, o)
 	s.scheduler.Step(s.now, decide.EvacuationsChanged{DataCentres: s.orders.DataCentres()})
