--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -10,6 +10,7 @@
 
 	"mangoloft/containment"
 	"mangoloft/decide"
+	"mangoloft/evacuation"
 	"mangoloft/event"
 	"mangoloft/history"
 	"mangoloft/ident"
@@ -109,6 +110,8 @@
 	Contained []containment.Finding
 	// LostPools are the pools from which the instance is cut off.
 	LostPools []string
+	// Orders are the newest orders to evacuate data centres; zero if there never were any.
+	Orders evacuation.Orders
 }
 
 // Sink receives the state that other instances send, and is queried for the
@@ -129,6 +132,11 @@
 	UpdateList(items []upstream.Item, at history.Position, complete bool, source upstream.Source)
 	// SetListUnreadable reports that no instance can read the list at present.
 	SetListUnreadable()
+	// UpdateOrders submits orders to evacuate data centres that the named member sent.
+	UpdateOrders(o evacuation.Orders, sourceName string)
+	// ConfirmOrders reports that the orders submitted last were those of another instance a
+	// moment ago, as requested.
+	ConfirmOrders()
 	// HandleLimit receives a notice of an upstream's limit.
 	HandleLimit(n decide.LimitNotice)
 	// HandleBrittle receives a notice of brittle upstreams.
@@ -195,6 +203,8 @@
 	// itemsAfter and itemsUpTo are the positions of the list between which the items
 	// changed.
 	itemsAfter, itemsUpTo history.Position
+	// orders are the orders to announce; nil if there are none.
+	orders *ordersWire
 	// deferred is true if a flush has been requested for deferrable notices.
 	deferred bool
 	// urgent is true if the next flush must not wait for more notices.
@@ -203,8 +213,9 @@
 	// traffic contains the counters of each content. The map doesn't change.
 	traffic map[string]*trafficCounters
 
-	// wake requests a flush.
-	wake     chan struct{}
+	// wake requests a flush, and ordersRequested a pull of other instances' orders.
+	wake            chan struct{}
+	ordersRequested chan struct{}
 	received chan datagramWire
 	// The atomic fields are updated by Run for other goroutines.
 	alive       atomic.Int64
@@ -243,6 +254,12 @@
 	// was relayed in this way.
 	relayedNotices  []noticeWire
 	relayedPosition history.Position
+	// relayedOrders is the latest position of orders that were sent on to the local data
+	// centre.
+	relayedOrders history.Position
+	// latestControls are the latest groupControls that were not empty: after a pause of this
+	// process, all members count as silent.
+	latestControls []netip.AddrPort
 
 	pulls *pullTracker
 }
@@ -273,7 +290,7 @@
 
 func newPeers(o Options, conn packetConn, sink Sink) *Peers {
 	p := &Peers{
-		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
+		options: o, sink: sink, conn: conn, wake: make(chan struct{}, 1), ordersRequested: make(chan struct{}, 1), received: make(chan datagramWire, receiveBacklog),
 		members: NewMemberTable(o.Listen, o.DataCentre),
 		traffic: newTrafficCounters(), pulls: newPullTracker(),
 	}
@@ -454,6 +471,8 @@
 			continue
 		case <-p.pulls.due:
 			p.catchUp(ctx, time.Now())
+		case <-p.ordersRequested:
+			p.pullOrders(ctx)
 		case <-p.wake:
 			if !p.isUrgent() {
 				p.handleDatagramsUntil(ctx, time.After(flushInterval))
