Order requests of a service by rank

The ranks of routes and teams were decoded but not used: the queue served teams in rounds, by deadline, so streams that want their first event soon waited behind long ones that hold memory for seconds.

The routing table computes which services have different ranks. There the queue is ordered by rank, then by whether a request can start in time, then by rounds of teams and deadline; notices carry the rank; engines get it as their priority; and lower ranks leave upstreams to higher ones that wait for room. With equal ranks nothing changes.

--- a/decide/notice.go
+++ b/decide/notice.go
@@ -66,7 +66,7 @@
 // recordPlacement counts a new request on an upstream.
 func (s *Scheduler) recordPlacement(now time.Time, u *upstream, r Request, lengths Distribution, handledByPeer bool) {
 	p := s.pool(u.Pool)
-	p.observePlacement(now, r.PromptTokens)
+	p.observePlacement(now, r.Rank, r.PromptTokens)
 	f := &inFlight{Request: r, upstream: u.Name, handledByPeer: handledByPeer, lengths: lengths, sentAt: now, tokensAt: now}
 	f.admittedElsewhere = !handledByPeer && s.admittedBy(now, &r, u).IsValid()
 	s.estimateStart(now, u, f)
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -10,6 +10,8 @@
 	// placements is the rate of placements, by this and other instances, that
 	// this scheduler made or received notices of.
 	placements rate
+	// placementsByRank contains the rates for the ranks.
+	placementsByRank [MaxRank + 1]rate
 	// promptTokens is the average length of a prompt.
 	promptTokens float64
 	prefill      prefillRate
@@ -35,8 +37,9 @@
 
 func newPool() *pool { return &pool{promptTokens: initialPromptTokens} }
 
-func (p *pool) observePlacement(now time.Time, promptTokens int) {
+func (p *pool) observePlacement(now time.Time, rank, promptTokens int) {
 	p.placements.count(now)
+	p.placementsByRank[rank].count(now)
 	p.promptTokens += (float64(promptTokens) - p.promptTokens) / ratioSamples
 }
 
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -1,8 +1,6 @@
 package decide
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -37,8 +35,9 @@
 	latestStart time.Time
 	// attempts is the number of searches for an upstream.
 	attempts uint64
-	// round is the request's position among the requests of its team.
-	round int
+	// round is the request's position among the requests of its team and rank, and rank
+	// the one by which it is ordered.
+	round, rank int
 	// handledByPeer reports whether the request is queued at another instance,
 	// which will place it. When it is first in the queue, capacity is reserved for it
 	// until reservedUntil, at most maxReservations times.
@@ -69,9 +68,7 @@
 
 // queue contains the requests that no upstream has capacity for. It also
 // contains the waiting requests of other instances, as known from their
-// notices, so that all instances serve them in the same order. Each round
-// serves one request of every team, ordered by deadline, so a team with many
-// requests delays only itself.
+// notices, so that all instances serve them in the same order.
 type queue struct{ list []*waitingRequest }
 
 func (q *queue) add(now time.Time, w *waitingRequest) {
@@ -79,46 +76,30 @@
 	q.sort(now)
 }
 
-// sort sorts the queue in the order of service. A request that can no longer
-// start in time goes behind the requests that can. Serving it first would make
-// the next request late too, and under overload all of them.
-func (q *queue) sort(now time.Time) {
-	byDeadline := func(a, b *waitingRequest) int { return a.deadline.Compare(b.deadline) }
-	overdue := func(w *waitingRequest) int {
-		if now.After(w.latestStart) {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(q.list, byDeadline)
-	rounds := map[string]int{}
-	for _, w := range q.list {
-		w.round = rounds[w.Team]
-		rounds[w.Team]++
-	}
-	slices.SortStableFunc(q.list, func(a, b *waitingRequest) int {
-		return cmp.Or(cmp.Compare(overdue(a), overdue(b)), cmp.Compare(a.round, b.round), byDeadline(a, b))
-	})
-}
-
 func (q *queue) remove(id ident.Request) bool {
 	lengthBefore := len(q.list)
 	q.list = slices.DeleteFunc(q.list, func(w *waitingRequest) bool { return w.ID == id })
 	return len(q.list) < lengthBefore
 }
 
-// ahead returns the number of requests of the pool that are served before a
-// new one. Requests that can no longer start in time are served after it.
-func (q *queue) ahead(now time.Time, w *waitingRequest) int {
-	count, sameTeam := 0, 0
+// ahead returns the number of requests of the pool that are served before a new one, by
+// rank. Requests that can no longer start in time are served after it, except those of
+// higher rank.
+func (q *queue) ahead(now time.Time, w *waitingRequest) aheadByRank {
+	var count aheadByRank
+	sameTeam := 0
 	for _, other := range q.list {
-		if other.Team == w.Team && q.precedes(now, other, w) {
+		if other.Team == w.Team && other.rank == w.Rank && q.precedes(now, other, w) {
 			sameTeam++
 		}
 	}
 	for _, other := range q.list {
-		if q.inTime(now, other, w) && (other.round < sameTeam || other.round == sameTeam && !other.deadline.After(w.deadline)) {
-			count++
+		switch {
+		case other.Class.Pool != w.Class.Pool || other.rank > w.Rank:
+		case other.rank < w.Rank:
+			count[other.rank]++
+		case q.inTime(now, other, w) && (other.round < sameTeam || other.round == sameTeam && !other.deadline.After(w.deadline)):
+			count[other.rank]++
 		}
 	}
 	return count
@@ -135,15 +116,3 @@
 func (q *queue) precedes(now time.Time, other, w *waitingRequest) bool {
 	return q.inTime(now, other, w) && !other.deadline.After(w.deadline)
 }
-
-// optimisticStart returns an optimistic start time for a request with the
-// given number of requests ahead of it, if placements continue at the given
-// rate. It returns the zero time if the rate is unknown or the request may
-// start immediately.
-func optimisticStart(now time.Time, ahead int, rate float64) time.Time {
-	turns := float64(ahead + 1)
-	if optimistic := turns - optimismDeviations*math.Sqrt(turns); rate > 0 && optimistic > 0 {
-		return now.Add(time.Duration(optimistic / rate * float64(time.Second)))
-	}
-	return time.Time{}
-}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -428,7 +428,7 @@
 	}
 	w := newWaitingRequest(now, r)
 	ahead := s.queue.ahead(now, w)
-	if ahead == 0 {
+	if ahead.total() == 0 {
 		if place, ok := s.place(now, w, candidates); ok {
 			return []Action{place}
 		}
@@ -438,9 +438,9 @@
 			}
 		}
 	}
-	start := optimisticStart(now, ahead, s.pool(r.Class.Pool).placements.perSecond(now))
+	start := s.pool(r.Class.Pool).optimisticStart(now, r.Rank, ahead)
 	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
-		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v after the target", ahead, start.Sub(w.deadline).Round(time.Millisecond))
+		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v after the target", ahead.total(), start.Sub(w.deadline).Round(time.Millisecond)) + r.rankText(ahead)
 		return []Action{s.refuse(now, r, verdict.Overloaded, explanation)}
 	}
 	s.setLatestStart(w)
@@ -596,14 +596,14 @@
 
 // serveQueue places the waiting requests that fit on an upstream now, and
 // refuses those whose waiting time has expired. No later request of the pool
-// can overtake an urgent one. Requests queued on other instances get
+// and rank can overtake an urgent one. Requests queued on other instances get
 // reservations instead, at most maxReservations times, and are then dropped.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
 	var actions []Action
-	overtaken := map[lane]int{}
+	overtaken, held, waiting := map[lane]int{}, holds{}, map[string]aheadByRank{}
 	s.queue.sort(now)
 	for _, w := range slices.Clone(s.queue.list) {
-		lane := lane{w.Class.Pool, w.Only}
+		lane := lane{w.Class.Pool, w.Only, w.rank}
 		switch {
 		case w.handledByPeer && now.Before(w.reservedUntil):
 			continue
@@ -616,7 +616,7 @@
 			s.cancelPlacement(w.ID)
 		case !now.Before(w.expiresAt):
 			s.dequeue(w)
-			explanation := fmt.Sprintf("no upstream had room within %v", now.Sub(w.arrivedAt).Round(time.Millisecond))
+			explanation := fmt.Sprintf("no upstream had room within %v", now.Sub(w.arrivedAt).Round(time.Millisecond)) + w.rankText(waiting[w.Class.Pool])
 			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, explanation))
 			continue
 		}
@@ -625,19 +625,27 @@
 			actions = append(actions, refusal)
 			continue
 		}
-		if overtaken[lane] >= maxOvertaken {
-			continue
-		}
-		action, ok := s.serve(now, w)
-		if ok && action != nil {
-			actions = append(actions, action)
-		}
-		if !ok {
+		if overtaken[lane] < maxOvertaken {
+			action, ok := s.serve(now, w, held)
+			if ok && action != nil {
+				actions = append(actions, action)
+			}
+			if ok {
+				continue
+			}
 			overtaken[lane]++
 			if urgent(now, w) {
 				overtaken[lane] = maxOvertaken
 			}
 		}
+		ahead := waiting[w.Class.Pool]
+		if refusal, ok := s.refuseDisplaced(now, w, ahead); ok {
+			s.dequeue(w)
+			actions = append(actions, refusal)
+			continue
+		}
+		ahead[w.rank]++
+		waiting[w.Class.Pool] = ahead
 	}
 	return actions
 }
@@ -652,8 +660,11 @@
 }
 
 // lane identifies the requests that can overtake each other: those of a pool that the same
-// upstreams can serve.
-type lane struct{ pool, only string }
+// upstreams can serve, and of one rank.
+type lane struct {
+	pool, only string
+	rank       int
+}
 
 // urgentShare is the share of the wait target before a request's latestStart in
 // which no later request can overtake it. Otherwise small requests could starve
@@ -672,8 +683,9 @@
 // serve places a waiting request, or reserves capacity for it if it is in
 // another instance's queue. It reports whether an upstream has capacity for
 // the request.
-func (s *Scheduler) serve(now time.Time, w *waitingRequest) (Action, bool) {
-	candidates := s.candidates(now, w.Request)
+func (s *Scheduler) serve(now time.Time, w *waitingRequest, held holds) (Action, bool) {
+	all := s.candidates(now, w.Request)
+	candidates := held.without(now, w, all)
 	if len(candidates) == 0 {
 		return nil, false
 	}
@@ -681,11 +693,14 @@
 		c, ok := s.choose(now, w, candidates)
 		if ok {
 			s.reserve(now, w, c.upstream, c.lengths)
+		} else {
+			held.hold(now, w, all)
 		}
 		return nil, ok
 	}
 	place, ok := s.place(now, w, candidates)
 	if !ok {
+		held.hold(now, w, all)
 		return nil, false
 	}
 	s.queue.remove(w.ID)
--- a/decide/types.go
+++ b/decide/types.go
@@ -49,6 +49,10 @@
 	ID    ident.Request
 	Team  string
 	Class config.Class
+	// Rank orders the requests of a service: 0 to MaxRank, the most urgent first. Ranked
+	// reports whether the requests of the service differ in rank; otherwise Rank is 0.
+	Rank   int
+	Ranked bool
 	// PromptTokens is the length of the prompt, estimated if the model's
 	// tokenizer is not available.
 	PromptTokens int
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -48,6 +48,9 @@
 	c.scheduler.SetInstances(cmd.instances)
 }
 
+// maxLoggedRanks bounds the log line of a table with many ranks out of range.
+const maxLoggedRanks = 20
+
 type updateTableCommand struct {
 	document routing.Document
 	source   string
@@ -61,6 +64,9 @@
 	table := cmd.document.Table
 	c.log.Emit(event.TableAccepted, "version", table.Version, "before", versionBefore, "routes", len(table.Routes), "credentials", table.CredentialCount(), "source", cmd.source,
 		"era", cmd.document.ReadAt.Era, "revision", cmd.document.ReadAt.Revision)
+	if clamped := table.ClampedRanks(); len(clamped) > 0 {
+		c.log.Emit(event.RanksClamped, "version", table.Version, "count", len(clamped), "ranks", clamped[:min(len(clamped), maxLoggedRanks)])
+	}
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
--- a/event/event.go
+++ b/event/event.go
@@ -39,6 +39,7 @@
 	StoreLost           ID = 207
 	StoreRecovered      ID = 208
 	StoreEraChanged     ID = 209
+	RanksClamped        ID = 216
 
 	PeerAlive    ID = 301
 	PeerSilent   ID = 302
@@ -137,6 +138,7 @@
 	StoreLost:             "store_lost",
 	StoreRecovered:        "store_back",
 	StoreEraChanged:       "store_era_changed",
+	RanksClamped:          "ranks_clamped",
 	RequestPlaced:         "request_placed",
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -56,6 +56,10 @@
 	Team string
 	// LastEventID is the ID of the event after which a stream continues.
 	LastEventID string
+	// Priority is the rank of the request among those of the service, 0 to 9, the most
+	// urgent first, if HasPriority is true. Otherwise all have the same rank.
+	Priority    int
+	HasPriority bool
 	// ResumeFrom is the copy of a run's KV cache from which the run continues.
 	ResumeFrom KVHandle
 	// BackupAddr is the address to which the run's KV cache is copied as it
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,8 +55,10 @@
 	route    *routing.Route
 	table    *routing.Table
 	team     string
-	service  string
-	outgoing outgoingRequest
+	// teamEntry is the team's entry in the table; nil if credentials aren't used.
+	teamEntry *routing.Team
+	service   string
+	outgoing  outgoingRequest
 	// fingerprint is the same for all attempts of the caller at the request.
 	fingerprint  fingerprint.Fingerprint
 	callerHeader http.Header
@@ -172,7 +174,7 @@
 		if !ok {
 			return http.StatusUnauthorized, verdict.Fail(verdict.NotRun, verdict.UnknownTeam, "the credential is unknown in version %d of the routing table", table.Version)
 		}
-		q.team = team.Name
+		q.team, q.teamEntry = team.Name, team
 	}
 	q.service = route.PickService(q.serviceFraction())
 	timeout := defaultTimeout
@@ -245,6 +247,7 @@
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
 		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
 	}
+	r.Rank, r.Ranked = q.table.Rank(q.route, q.teamEntry, q.service)
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
 	}
@@ -286,7 +289,9 @@
 // attemptInfo returns the values that the gateway adds to the caller's headers
 // for the named upstream.
 func (q *request) attemptInfo(upstreamName string) AttemptInfo {
-	return AttemptInfo{Deadline: q.deadline, Upstream: upstreamName, Team: q.team, LastEventID: q.info.LastEventID}
+	info := AttemptInfo{Deadline: q.deadline, Upstream: upstreamName, Team: q.team, LastEventID: q.info.LastEventID}
+	info.Priority, info.HasPriority = q.table.Rank(q.route, q.teamEntry, q.service)
+	return info
 }
 
 // errorBody is the body of an error response of the gateway itself.
--- a/gossip/peers_test.go
+++ b/gossip/peers_test.go
@@ -183,14 +183,14 @@
 	})
 
 	id := ident.Request{Home: ident.Home{Peer: netip.MustParseAddrPort("127.0.0.2:1"), Incarnation: 5}, Sequence: 7}
-	request := decide.Request{ID: id, Team: "reef", Class: config.Class{Name: "r", Pool: "p", Kind: config.Stream}, PromptTokens: 40, MaxOutputTokens: 9}
+	request := decide.Request{ID: id, Team: "reef", Class: config.Class{Name: "r", Pool: "p", Kind: config.Stream}, PromptTokens: 40, MaxOutputTokens: 9, Rank: 2}
 	second.peers.SendNotice(decide.Notice{Kind: decide.NoticePlaced, Request: request, Upstream: "u1"})
 	second.peers.SendLeaving("u2", 1, time.Time{})
 	for _, n := range []*node{first, third} {
 		waitFor(t, "the notice", func() bool {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return len(n.notices) == 1 && n.notices[0].Request.ID == id && n.notices[0].Request.PromptTokens == 40 && len(n.leaving) == 1
+			return len(n.notices) == 1 && n.notices[0].Request.ID == id && n.notices[0].Request.PromptTokens == 40 && n.notices[0].Request.Rank == 2 && len(n.leaving) == 1
 		})
 	}
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -105,6 +105,8 @@
 	Pool         string            `json:"pool,omitempty"`
 	PromptTokens int               `json:"prompt_tokens,omitempty"`
 	MaxOutput    int               `json:"max_output,omitempty"`
+	// Rank is the rank of the request, in notices that it waits or was placed.
+	Rank int `json:"rank,omitempty"`
 	// StartInMS is the time left until the request should start, and WaitMS the
 	// wait target of its class, in milliseconds; WaitMS is 0 if there is no
 	// wait target.
@@ -185,7 +187,7 @@
 func encodeNotice(now time.Time, n decide.Notice) noticeWire {
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
-		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
+		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Rank: n.Request.Rank, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
 	}
 	if n.Began != 0 {
 		w.Began = n.Began.String()
@@ -204,7 +206,10 @@
 	if err != nil {
 		return decide.Notice{}, err
 	}
-	r := decide.Request{ID: id, Team: w.Team, PromptTokens: w.PromptTokens, MaxOutputTokens: w.MaxOutput}
+	if w.Rank < 0 || w.Rank > decide.MaxRank {
+		return decide.Notice{}, errorx.IllegalFormat.New("the rank %d of request %q is out of range", w.Rank, w.ID)
+	}
+	r := decide.Request{ID: id, Team: w.Team, Rank: w.Rank, PromptTokens: w.PromptTokens, MaxOutputTokens: w.MaxOutput}
 	r.Class = config.Class{Name: w.Class, Pool: w.Pool, Kind: config.Stream, WaitTarget: time.Duration(w.WaitMS) * time.Millisecond}
 	if w.WaitMS != 0 {
 		r.StartBy = now.Add(time.Duration(w.StartInMS) * time.Millisecond)
--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,6 +84,7 @@
 		{Kind: decide.NoticePlaced, ID: request.String(), Pool: "pool", PromptTokens: 100, MaxOutput: 10, Upstream: "e1"},
 		{Kind: decide.NoticePlaced, ID: request.String(), Pool: "pool", PromptTokens: -1 << 62, MaxOutput: -1, Upstream: "e1", Tokens: -5},
 		{Kind: decide.NoticeWaiting, ID: request.String(), Pool: "pool", StartInMS: 1 << 62, WaitMS: -1 << 62, FirstInMS: 1 << 62},
+		{Kind: decide.NoticeWaiting, ID: request.String(), Pool: "pool", StartInMS: 100, WaitMS: 900, Rank: 1 << 40},
 		{Kind: 200, ID: request.String()},
 	} {
 		content, err := json.Marshal(datagramWire{
@@ -132,3 +134,22 @@
 		assert.Assert(t, placed, "an idle engine must get the request after the datagram %s", content)
 	})
 }
+
+// TestRankOfNotice checks that a notice carries its rank, that rank 0 adds no bytes, and
+// that a rank out of range, which the scheduler can't count, is refused.
+func TestRankOfNotice(t *testing.T) {
+	now := time.Now()
+	n := decide.Notice{Kind: decide.NoticeWaiting, Request: decide.Request{ID: ident.Request{Home: ident.Home{Peer: netip.MustParseAddrPort("10.0.0.1:7200"), Incarnation: 7}, Sequence: 1}}}
+	for rank, valid := range map[int]bool{-1: false, 0: true, 9: true, 10: false} {
+		n.Request.Rank = rank
+		w := encodeNotice(now, n)
+		content, err := json.Marshal(w)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Contains(string(content), "rank"), rank != 0)
+		got, err := decodeNotice(now, w)
+		assert.Equal(t, err == nil, valid, "rank %d", rank)
+		if valid {
+			assert.Equal(t, got.Request.Rank, rank)
+		}
+	}
+}
--- /dev/null
+++ b/routing/rank.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"fmt"
+	"slices"
+)
+
+// MaxRank is the least urgent rank; 0 is the most urgent.
+const MaxRank = 9
+
+// clampRanks limits the priorities of routes and teams to 0 to MaxRank, and records
+// which were out of range.
+func (t *Table) clampRanks(teams []Team) {
+	clamp := func(owner, name string, rank *int) {
+		clamped := min(max(*rank, 0), MaxRank)
+		if clamped != *rank {
+			t.clampedRanks = append(t.clampedRanks, fmt.Sprintf("%s %q: %d", owner, name, *rank))
+		}
+		*rank = clamped
+	}
+	for i := range t.Routes {
+		clamp("route", t.Routes[i].Name, &t.Routes[i].Priority)
+	}
+	for i := range teams {
+		if teams[i].HasPriority {
+			clamp("team", teams[i].Name, &teams[i].Priority)
+		}
+	}
+}
+
+// ClampedRanks returns the routes and teams whose priority was out of range, with the
+// published value.
+func (t *Table) ClampedRanks() []string { return t.clampedRanks }
+
+// findRankedServices records the services whose requests can differ in rank.
+func (t *Table) findRankedServices(teams []Team, keys map[string][]string) {
+	var teamRanks []int
+	anyWithoutRank := false
+	for _, team := range teams {
+		switch {
+		case len(keys[team.Name]) == 0: // It can't send requests.
+		case team.HasPriority:
+			teamRanks = append(teamRanks, team.Priority)
+		default:
+			anyWithoutRank = true
+		}
+	}
+	ranks := map[string][]int{}
+	for _, r := range t.Routes {
+		var routeRanks []int
+		needsTeam := t.RequiresCredential && !r.Public
+		if !needsTeam || anyWithoutRank {
+			routeRanks = append(routeRanks, r.Priority)
+		}
+		if needsTeam {
+			routeRanks = append(routeRanks, teamRanks...)
+		}
+		for _, share := range r.Shares {
+			if share.Weight > 0 {
+				ranks[share.Service] = append(ranks[share.Service], routeRanks...)
+			}
+		}
+	}
+	t.rankedServices = map[string]bool{}
+	for service, list := range ranks {
+		t.rankedServices[service] = len(list) > 0 && slices.Min(list) != slices.Max(list)
+	}
+}
+
+// Rank returns the rank of a request, from its route and its team, which is nil if it has
+// none. It reports false, and rank 0, if all requests of the service have the same rank.
+func (t *Table) Rank(route *Route, team *Team, service string) (rank int, ranked bool) {
+	if !t.rankedServices[service] {
+		return 0, false
+	}
+	if team != nil && team.HasPriority {
+		return team.Priority, true
+	}
+	return route.Priority, true
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -153,11 +153,17 @@
 
 	byHost map[string][]*Route
 	teams  map[[sha256.Size]byte]*Team
+	// rankedServices contains the services whose requests can differ in rank, and
+	// clampedRanks the ranks that were out of range.
+	rankedServices map[string]bool
+	clampedRanks   []string
 }
 
 // New returns the table with its lookup indexes. The keys are the credentials
 // of each team by its name.
 func New(t Table, teams []Team, keys map[string][]string) *Table {
+	t.clampRanks(teams)
+	t.findRankedServices(teams, keys)
 	t.byHost = map[string][]*Route{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
