--- a/decide/rank.go
+++ b/decide/rank.go
@@ -15,8 +15,10 @@
 const MaxRank = 9
 
 // agingShare is the share of the time from its arrival to its latestStart after which a
-// waiting request rises by one rank. Without it, a steady load of the next higher rank
-// would keep the request waiting until it is too late.
+// waiting request rises by one rank. It rises by another one each time when half of the
+// remaining time has passed. Without this, a steady load of higher ranks would keep the
+// request waiting until it is too late; if it rose sooner, most requests would be in the
+// highest rank under overload.
 const agingShare = 0.75
 
 // rankAt returns the rank by which a waiting request is ordered. It is computed from the
@@ -29,10 +31,12 @@
 	if !w.StartBy.IsZero() {
 		since = w.StartBy.Add(-w.Class.WaitTarget)
 	}
-	if float64(now.Sub(since)) > agingShare*float64(w.latestStart.Sub(since)) {
-		return w.Rank - 1
+	remaining := float64(w.latestStart.Sub(now)) / float64(max(1, w.latestStart.Sub(since)))
+	rank := w.Rank
+	for threshold := 1 - agingShare; rank > 0 && remaining < threshold; threshold /= 2 {
+		rank--
 	}
-	return w.Rank
+	return rank
 }
 
 // overdue reports whether the request can no longer start in time.
