Regions: requests stay in the regions that their route and team allow

allowed-regions of routes and teams were not read, so restricted requests could reach any upstream, and their bodies any instance.

The gateway intersects the two lists; the scheduler omits upstreams in other or unknown regions, without a fallback, for repeats, retries, moves, waiting requests and those of other instances. Detours go only to instances of the own data centre, the own region or an allowed one. Settings: regions, from the platform's table of data centres. Requests without an open upstream are refused at once. When failing upstreams are ejected, those in evacuated data centres don't count: before, the last two that were left were both ejected after one failure each, which decide.TestClosedUpstreamsGetNoRequests found.

entry.TestRequestsStayInTheirRegions passes with three instances in three regions, also with one cut off from all servers. decide, routing, gateway, dispatch and docs tests of these parts pass.

--- a/decide/evacuation.go
+++ b/decide/evacuation.go
@@ -14,54 +14,48 @@
 
 func (EvacuationsChanged) decideEvent() {}
 
-// evacuatedRetryDelay is the time after which a request that was refused because of
-// evacuations may be repeated. Operators evacuate all upstreams of a service only briefly.
-const evacuatedRetryDelay = 1 * time.Second
+// closedRetryDelay is the time after which a request may be repeated that was refused because
+// nothing may be sent to any upstream that could serve it. Operators evacuate all of them only
+// briefly, and engines of a region that has none are soon replaced.
+const closedRetryDelay = 1 * time.Second
 
 // isEvacuated reports whether the upstream's data centre is evacuated. There is no fallback:
 // the operators' order is binding even if no other upstream is left.
 func (s *Scheduler) isEvacuated(u *upstream) bool { return slices.Contains(s.evacuated, u.DataCentre) }
 
-// setEvacuated replaces the evacuated data centres, and refuses the waiting requests that can
-// only be served there. The others wait for upstreams elsewhere.
-func (s *Scheduler) setEvacuated(now time.Time, dataCentres []string) []Action {
-	s.evacuated = slices.Clone(dataCentres)
-	var actions []Action
-	for _, w := range slices.Clone(s.queue.list) {
-		if w.handledByPeer {
-			continue
-		}
-		if refusal, ok := s.refuseEvacuated(now, w.Request); ok {
-			s.dequeue(w)
-			actions = append(actions, refusal)
-		}
-	}
-	return actions
-}
-
-// refuseEvacuated refuses a request if all upstreams that could serve it are in evacuated
-// data centres. It reports whether it did.
-func (s *Scheduler) refuseEvacuated(now time.Time, r Request) (Refuse, bool) {
-	if len(s.evacuated) == 0 {
+// refuseClosed refuses a request if there are upstreams that could serve it, but all of them
+// are in evacuated data centres, or outside the regions to which it is restricted. It reports
+// whether it did.
+func (s *Scheduler) refuseClosed(now time.Time, r Request) (Refuse, bool) {
+	if len(s.evacuated) == 0 && r.Regions == nil {
 		return Refuse{}, false
 	}
-	evacuated := 0
+	evacuated, outside := 0, 0
 	for _, name := range s.order {
 		u := s.upstreams[name]
 		if u.Pool != r.Class.Pool || u.Leaving || r.Only != "" && name != r.Only || !r.canRunOn(u.Version) {
 			continue
 		}
-		if !s.isEvacuated(u) {
+		switch {
+		case s.isOpen(&r, u):
 			return Refuse{}, false
+		case s.regions.Allow(r.Regions, u.DataCentre):
+			evacuated++
+		default:
+			outside++
 		}
-		evacuated++
 	}
-	if evacuated == 0 {
+	if evacuated+outside == 0 {
 		return Refuse{}, false
 	}
-	refusal := s.refuse(now, r, verdict.Evacuated, fmt.Sprintf("all %d upstreams that could serve the request are in evacuated data centres", evacuated))
+	reason := verdict.NoUpstream
+	if evacuated > 0 {
+		reason = verdict.Evacuated
+	}
+	explanation := fmt.Sprintf("of the upstreams that could serve the request, %d are in evacuated data centres and %d outside its regions%s", evacuated, outside, r.regionsText())
+	refusal := s.refuse(now, r, reason, explanation)
 	jitter := 0.75 + hashFraction(r.ID, 0)/2
-	refusal.RetryAt = now.Add(time.Duration(float64(evacuatedRetryDelay) * jitter))
+	refusal.RetryAt = now.Add(time.Duration(float64(closedRetryDelay) * jitter))
 	return refusal, true
 }
 
--- a/decide/reach.go
+++ b/decide/reach.go
@@ -144,7 +144,7 @@
 // refuseCutOff refuses a request that another instance can serve while this one is cut off
 // from its pool. It reports whether it did.
 func (s *Scheduler) refuseCutOff(now time.Time, r Request) (Refuse, bool) {
-	isAdmittedElsewhere := func(u *upstream) bool { return s.admittedBy(now, &r, u).IsValid() }
+	isAdmittedElsewhere := func(u *upstream) bool { return s.isOpen(&r, u) && s.admittedBy(now, &r, u).IsValid() }
 	if !r.CanDetour || !s.isLost(r.Class.Pool) || slices.ContainsFunc(s.listed(r.Class.Pool), isAdmittedElsewhere) {
 		return Refuse{}, false
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -11,6 +11,7 @@
 	"mangoloft/config"
 	"mangoloft/ident"
 	"mangoloft/origin"
+	"mangoloft/routing"
 	"mangoloft/verdict"
 )
 
@@ -51,6 +52,8 @@
 	retries retryBudget
 	// evacuated contains the evacuated data centres.
 	evacuated []string
+	// regions contains the regions of the data centres.
+	regions routing.Regions
 	// brittle contains the pools whose upstreams are brittle. self is the control address
 	// of this instance, invalid if it can't coordinate upstreams, and localMembers are the
 	// others of its data centre.
@@ -179,8 +182,10 @@
 		if e.Notice.Kind != NoticeEnded {
 			return nil
 		}
+	case RegionsChanged:
+		s.regions = e.Regions
 	case EvacuationsChanged:
-		return append(s.setEvacuated(now, e.DataCentres), s.serveQueue(now)...)
+		s.evacuated = slices.Clone(e.DataCentres)
 	case Tick:
 		s.expirePeerRequests(now)
 	}
@@ -391,7 +396,7 @@
 	}
 	ejected, total := 1, 0
 	for _, other := range s.upstreams {
-		if other.Pool != u.Pool {
+		if other.Pool != u.Pool || s.isEvacuated(other) {
 			continue
 		}
 		total++
@@ -417,7 +422,7 @@
 	if refusal, ok := s.refuseCutOff(now, r); ok {
 		return []Action{refusal}
 	}
-	if refusal, ok := s.refuseEvacuated(now, r); ok {
+	if refusal, ok := s.refuseClosed(now, r); ok {
 		return []Action{refusal}
 	}
 	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
@@ -431,7 +436,7 @@
 	}
 	candidates := s.candidates(now, r)
 	if len(candidates) == 0 {
-		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool+r.versionText())}
+		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool+r.versionText()+r.regionsText())}
 	}
 	w := newWaitingRequest(now, r)
 	ahead := s.queue.ahead(now, w)
@@ -465,7 +470,7 @@
 	var live []*upstream
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.Pool == r.Class.Pool && (r.Only == "" || name == r.Only) && !u.Leaving && !s.isEvacuated(u) && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && (u.health.trafficShare(now) > 0 || s.admittedBy(now, &r, u).IsValid()) {
+		if u.Pool == r.Class.Pool && (r.Only == "" || name == r.Only) && !u.Leaving && s.isOpen(&r, u) && !slices.Contains(r.Excluded, name) && r.canRunOn(u.Version) && (u.health.trafficShare(now) > 0 || s.admittedBy(now, &r, u).IsValid()) {
 			live = append(live, u)
 		}
 	}
@@ -632,6 +637,11 @@
 			actions = append(actions, refusal)
 			continue
 		}
+		if refusal, ok := s.refuseClosed(now, w.Request); ok && !w.handledByPeer {
+			s.dequeue(w)
+			actions = append(actions, refusal)
+			continue
+		}
 		if overtaken[lane] >= maxOvertaken {
 			continue
 		}
--- a/decide/types.go
+++ b/decide/types.go
@@ -82,6 +82,9 @@
 	// Reconnecting reports whether the request was submitted before, and considers
 	// upstreams again to which it could not connect.
 	Reconnecting bool
+	// Regions are the regions to which the request is restricted; nil if it isn't. An empty
+	// list allows none.
+	Regions []string
 	// CanDetour reports whether another instance reaches the upstreams of the pool, as far
 	// as this one knows, and can be asked to serve the request.
 	CanDetour bool
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -61,6 +61,7 @@
 	table := cmd.document.Table
 	c.log.Emit(event.TableAccepted, "version", table.Version, "before", versionBefore, "routes", len(table.Routes), "credentials", table.CredentialCount(), "source", cmd.source,
 		"era", cmd.document.ReadAt.Era, "revision", cmd.document.ReadAt.Revision)
+	c.logUnknownRegions(table)
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -81,6 +81,8 @@
 	// Evacuated are the data centres to whose upstreams nothing may be sent.
 	Orders    evacuation.Orders
 	Evacuated []string
+	// Regions are the regions of the data centres.
+	Regions routing.Regions
 }
 
 // Placement is the upstream that a request is placed on.
@@ -117,6 +119,7 @@
 	tables    routing.Register
 	directory *upstream.Directory
 	scheduler *decide.Scheduler
+	regions   routing.Regions
 	orders    evacuation.Register
 	evacuated []string
 	// pending contains the requests that wait for a decision.
@@ -366,7 +369,7 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools(), Orders: c.orders.Current(), Evacuated: c.evacuated})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools(), Orders: c.orders.Current(), Evacuated: c.evacuated, Regions: c.regions})
 }
 
 // ProbeTargets returns an upstream of each pool from which this instance is cut off.
@@ -561,6 +564,9 @@
 	c.send(schedulerEventCommand{decide.LimitNoticeReceived{Notice: n}})
 }
 
+// SetRegions sets the regions of the data centres.
+func (c *Controller) SetRegions(r routing.Regions) { c.send(setRegionsCommand{r}) }
+
 // SetInstances sets the number of live instances, including this one.
 func (c *Controller) SetInstances(n int) { c.send(setInstancesCommand{n}) }
 
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -150,6 +150,9 @@
 	if f.evacuationMS > 0 {
 		settings["evacuation"] = map[string]any{"apply_ms": f.evacuationMS}
 	}
+	if f.regions != nil {
+		settings["regions"] = f.regions
+	}
 	content, err := json.Marshal(settings)
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
--- a/entry/run.go
+++ b/entry/run.go
@@ -121,6 +121,7 @@
 // assemble creates and connects the parts of the instance.
 func (i *instance) assemble(s Settings, deps Dependencies) (err error) {
 	i.controller = dispatch.New(s.DataCentre, i.log)
+	i.controller.SetRegions(s.Regions)
 	i.controller.FollowsOrders = func() bool { return i.settings.Load().Evacuation.applyTime() > 0 }
 	i.peers, err = gossip.Listen(gossip.Options{
 		Name: s.Instance, DataCentre: s.DataCentre, Listen: s.Listen.Peers, Control: s.Listen.Control, Incarnation: i.home.Incarnation,
@@ -145,7 +146,7 @@
 	i.prober = &probe.Prober{Pools: i.controller, Dial: dial}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
+		Home: i.home, DataCentre: s.DataCentre, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
@@ -295,6 +296,7 @@
 		instances := i.peers.FleetSize()
 		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(instances))
 		i.controller.SetInstances(instances)
+		i.controller.SetRegions(i.settings.Load().Regions)
 		select {
 		case <-ctx.Done():
 			return nil
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mangoloft/jsonc"
+	"mangoloft/routing"
 )
 
 // Settings are the settings of an instance, documented in docs/SETTINGS.md.
@@ -22,6 +23,8 @@
 	Stop       Stop             `json:"stop"`
 	Retries    Retries          `json:"retries"`
 	Evacuation Evacuation       `json:"evacuation"`
+	// Regions contains the region of each data centre, as far as known.
+	Regions routing.Regions `json:"regions"`
 }
 
 // Listen contains the addresses on which the instance listens.
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -22,6 +22,7 @@
   "seeds": ["10.1.0.19:8748", "10.2.0.13:8748"],
   "store": {"address": "10.200.1.7:8742", "apply_ms": 2000},
   "evacuation": {"apply_ms": 5000},
+  "regions": {"a": "north", "b": "south"},
   "limits": {"memory_mb": 120, "descriptors": 2870},
   "stop": {"grace_seconds": 8},
   "retries": {"share": 0.2, "slack": 122, "window_seconds": 10},
@@ -74,7 +75,8 @@
 		"{{node-name|json}}", `"edge-a-1"`, "{{zone|json}}", `"a"`, "{{listen.frontend|json}}", `"10.1.0.19:8740"`,
 		"{{listen.ready|json}}", `"10.1.0.19:8749"`, "{{listen.control|json}}", `"10.1.0.19:8748"`, "{{ip}}", "10.1.0.19",
 		"{{internal-ports.0}}", "7200", "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", `"10.1.0.19:8748", "10.2.0.13:8748"`,
-		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{bounds.config-apply-ms|json}}", "2000", `{{#bounds.evacuate-ms}}"evacuation": {"apply_ms": {{.|json}}},{{/bounds.evacuate-ms}}`, `"evacuation": {"apply_ms": 5000},`, "{{limits.memory-mb|json}}", "120", "{{limits.max-fds|json}}", "2870",
+		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{bounds.config-apply-ms|json}}", "2000", `{{#bounds.evacuate-ms}}"evacuation": {"apply_ms": {{.|json}}},{{/bounds.evacuate-ms}}`, `"evacuation": {"apply_ms": 5000},`,
+		`{{#zones}}"{{@}}": {{.|json}}{{,}}{{/zones}}`, `"a": "north", "b": "south"`, "{{limits.memory-mb|json}}", "120", "{{limits.max-fds|json}}", "2870",
 		"{{bounds.grace-s|json}}", "8", "{{bounds.retry-budget-ratio|json}}", "0.2", "{{bounds.retry-slack|json}}", "122",
 		"{{bounds.budget-window-s|json}}", "10",
 	).Replace(string(content))
--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,7 @@
 	EvacuationEnded     ID = 211
 	EvacuationRefused   ID = 212
 	PlacementsHeld      ID = 213
+	RegionsUnknown      ID = 214
 
 	PeerAlive    ID = 301
 	PeerSilent   ID = 302
@@ -145,6 +146,7 @@
 	EvacuationEnded:       "evacuation_ended",
 	EvacuationRefused:     "evacuation_refused",
 	PlacementsHeld:        "placements_held",
+	RegionsUnknown:        "regions_unknown",
 	RequestPlaced:         "request_placed",
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
--- a/gateway/detour.go
+++ b/gateway/detour.go
@@ -42,8 +42,9 @@
 // Members are the other instances.
 type Members interface {
 	// Detours returns the addresses of those that reach the upstreams of a pool, in the
-	// order in which to try them.
-	Detours(pool string) []netip.AddrPort
+	// order in which to try them. Only those in data centres that allows accepts are
+	// considered.
+	Detours(pool string, allows func(dataCentre string) bool) []netip.AddrPort
 }
 
 // nextDetour returns the next instance to which the request can be sent.
@@ -51,7 +52,7 @@
 	if g.Members == nil || q.fromMember || len(q.detours) >= maxDetours {
 		return netip.AddrPort{}, false
 	}
-	for _, addr := range g.Members.Detours(q.service) {
+	for _, addr := range g.Members.Detours(q.service, g.allowsBody(q)) {
 		if !slices.Contains(q.detours, addr) {
 			return addr, true
 		}
--- a/gateway/detour_test.go
+++ b/gateway/detour_test.go
@@ -21,7 +21,7 @@
 // them.
 type members []netip.AddrPort
 
-func (m members) Detours(string) []netip.AddrPort { return m }
+func (m members) Detours(string, func(string) bool) []netip.AddrPort { return m }
 
 func (g *testGateway) addr() netip.AddrPort {
 	return g.server.Listener.Addr().(*net.TCPAddr).AddrPort()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,9 @@
 
 // Options configure a Gateway.
 type Options struct {
-	Home       ident.Home
+	Home ident.Home
+	// DataCentre is the instance's data centre.
+	DataCentre string
 	Dispatcher Dispatcher
 	Protocol   Protocol
 	Engines    EngineClient
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,6 +56,8 @@
 	table    *routing.Table
 	team     string
 	service  string
+	// regions are the regions to which the request is restricted; nil if it isn't.
+	regions  []string
 	outgoing outgoingRequest
 	// fingerprint is the same for all attempts of the caller at the request.
 	fingerprint  fingerprint.Fingerprint
@@ -163,7 +165,7 @@
 	if !ok {
 		return http.StatusNotFound, verdict.Fail(verdict.NotRun, verdict.NotFound, "no route matches in version %d of the routing table", table.Version)
 	}
-	q.table, q.route = table, route
+	q.table, q.route, q.regions = table, route, routing.AllowedRegions(route, nil)
 	if q.info.ID == "" {
 		return http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the request has no id")
 	}
@@ -172,7 +174,7 @@
 		if !ok {
 			return http.StatusUnauthorized, verdict.Fail(verdict.NotRun, verdict.UnknownTeam, "the credential is unknown in version %d of the routing table", table.Version)
 		}
-		q.team = team.Name
+		q.team, q.regions = team.Name, routing.AllowedRegions(route, team)
 	}
 	q.service = route.PickService(q.serviceFraction())
 	timeout := defaultTimeout
@@ -243,7 +245,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only, Regions: q.regions,
 	}
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -216,7 +216,7 @@
 	// wake requests a flush, and ordersRequested a pull of other instances' orders.
 	wake            chan struct{}
 	ordersRequested chan struct{}
-	received chan datagramWire
+	received        chan datagramWire
 	// The atomic fields are updated by Run for other goroutines.
 	alive       atomic.Int64
 	fleetSize   atomic.Int64
--- a/gossip/reach.go
+++ b/gossip/reach.go
@@ -48,8 +48,9 @@
 
 // Detours returns the control addresses of the live members that reach the upstreams of a
 // pool, as far as known, in random order. Those of the local data centre come first, unless
-// most instances there are cut off too and would overload them.
-func (p *Peers) Detours(pool string) []netip.AddrPort {
+// most instances there are cut off too and would overload them. Only data centres that allows
+// accepts are considered; nil stands for all.
+func (p *Peers) Detours(pool string, allows func(dataCentre string) bool) []netip.AddrPort {
 	members := p.reachable.Load()
 	if members == nil {
 		return nil
@@ -60,7 +61,7 @@
 		switch {
 		case slices.Contains(m.LostPools, pool) && m.DataCentre == p.options.DataCentre:
 			localLost++
-		case slices.Contains(m.LostPools, pool):
+		case slices.Contains(m.LostPools, pool) || allows != nil && !allows(m.DataCentre):
 		case m.DataCentre == p.options.DataCentre:
 			local = append(local, m.Control)
 		default:
@@ -79,4 +80,4 @@
 
 // Reaching returns the number of live members that reach the upstreams of a pool, as far as
 // known.
-func (p *Peers) Reaching(pool string) int { return len(p.Detours(pool)) }
+func (p *Peers) Reaching(pool string) int { return len(p.Detours(pool, nil)) }
--- a/gossip/reach_test.go
+++ b/gossip/reach_test.go
@@ -48,7 +48,7 @@
 			p.reachable.Store(&members)
 			firsts := map[string]int{}
 			for range 100 {
-				addrs := p.Detours(pool)
+				addrs := p.Detours(pool, nil)
 				assert.Equal(t, len(addrs), test.want)
 				if len(addrs) > 0 {
 					firsts[dataCentres[addrs[0]]]++
--- a/routing/table.go
+++ b/routing/table.go
@@ -61,6 +61,8 @@
 	// Resumable streams can be continued by another run, that is, another
 	// execution of the generation on an engine.
 	Resumable bool
+	// Regions are the only regions in which requests may run; empty for all.
+	Regions []string
 }
 
 // Idempotent reports whether a request of the route can run more than once.
@@ -139,6 +141,8 @@
 	// Priority replaces the route's priority if HasPriority is true.
 	Priority    int
 	HasPriority bool
+	// Regions are the only regions in which the team's requests may run; empty for all.
+	Regions []string
 }
 
 // Table is one published version of the routing table. It is immutable.
