--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -67,6 +67,7 @@
 	if clamped := table.ClampedRanks(); len(clamped) > 0 {
 		c.log.Emit(event.RanksClamped, "version", table.Version, "count", len(clamped), "ranks", clamped[:min(len(clamped), maxLoggedRanks)])
 	}
+	c.logUnknownRegions(table)
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
--- a/event/event.go
+++ b/event/event.go
@@ -44,6 +44,7 @@
 	EvacuationRefused   ID = 212
 	PlacementsHeld      ID = 213
 	RanksClamped        ID = 216
+	RegionsUnknown      ID = 214
 
 	PeerAlive    ID = 301
 	PeerSilent   ID = 302
@@ -147,6 +148,7 @@
 	EvacuationRefused:     "evacuation_refused",
 	PlacementsHeld:        "placements_held",
 	RanksClamped:          "ranks_clamped",
+	RegionsUnknown:        "regions_unknown",
 	RequestPlaced:         "request_placed",
 	AttemptEnded:          "attempt_ended",
 	RunMoved:              "run_moved",
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -58,7 +58,9 @@
 	// teamEntry is the team's entry in the table; nil if credentials aren't used.
 	teamEntry *routing.Team
 	service   string
-	outgoing  outgoingRequest
+	// regions are the regions to which the request is restricted; nil if it isn't.
+	regions  []string
+	outgoing outgoingRequest
 	// fingerprint is the same for all attempts of the caller at the request.
 	fingerprint  fingerprint.Fingerprint
 	callerHeader http.Header
@@ -165,7 +167,7 @@
 	if !ok {
 		return http.StatusNotFound, verdict.Fail(verdict.NotRun, verdict.NotFound, "no route matches in version %d of the routing table", table.Version)
 	}
-	q.table, q.route = table, route
+	q.table, q.route, q.regions = table, route, routing.AllowedRegions(route, nil)
 	if q.info.ID == "" {
 		return http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the request has no id")
 	}
@@ -174,7 +176,7 @@
 		if !ok {
 			return http.StatusUnauthorized, verdict.Fail(verdict.NotRun, verdict.UnknownTeam, "the credential is unknown in version %d of the routing table", table.Version)
 		}
-		q.team, q.teamEntry = team.Name, team
+		q.team, q.teamEntry, q.regions = team.Name, team, routing.AllowedRegions(route, team)
 	}
 	q.service = route.PickService(q.serviceFraction())
 	timeout := defaultTimeout
@@ -245,7 +247,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only, Regions: q.regions,
 	}
 	r.Rank, r.Ranked = q.table.Rank(q.route, q.teamEntry, q.service)
 	if q.route.Resumable {
