--- a/decide/rank.go
+++ b/decide/rank.go
@@ -110,9 +110,13 @@
 	for _, count := range ahead[:rank] {
 		higher += count
 	}
-	total, own := p.placements.perSecond(now), p.placements.perSecond(now)
-	for i := range rank {
-		own -= p.placementsByRank[i].perSecond(now)
+	total := p.placements.perSecond(now)
+	own := total
+	if rank > 0 {
+		own = 0
+		for i := rank; i <= MaxRank; i++ {
+			own += p.placementsByRank[i].perSecond(now)
+		}
 	}
 	turns := float64(ahead.total() - higher + 1)
 	optimistic := turns - optimismDeviations*math.Sqrt(turns)
@@ -177,13 +181,34 @@
 	}
 	waited := now.Sub(w.arrivedAt).Round(time.Millisecond)
 	if w.overdue(now) {
-		explanation := fmt.Sprintf("no upstream had room in time, within %v", waited) + w.rankText(ahead)
-		return s.refuse(now, w.Request, verdict.WaitExpired, explanation), true
+		explanation := fmt.Sprintf("no upstream had room in time, within %v", waited)
+		return s.refuseRanked(now, w, verdict.WaitExpired, ahead, explanation), true
 	}
 	start := s.pool(w.Class.Pool).optimisticStart(now, w.rank, ahead)
 	if !start.After(w.latestStart) {
 		return Refuse{}, false
 	}
-	explanation := fmt.Sprintf("displaced after %v: the earliest start is %v too late", waited, start.Sub(w.latestStart).Round(time.Millisecond)) + w.rankText(ahead)
-	return s.refuse(now, w.Request, verdict.Overloaded, explanation), true
+	explanation := fmt.Sprintf("displaced after %v: the earliest start is %v too late", waited, start.Sub(w.latestStart).Round(time.Millisecond))
+	return s.refuseRanked(now, w, verdict.Overloaded, ahead, explanation), true
+}
+
+// returnShare is the share of its remaining time in which a refused request should come
+// back. Later it can hardly be in time, and its caller gives up.
+const returnShare = 1.0 / 3
+
+// refuseRanked returns the refusal of a request. In a service with different ranks, the retry
+// time is after the requests ahead will have been placed, and within returnShare of the
+// request's time. Requests that are refused together are spread over the time in which the
+// queue is served, because capacity becomes free no faster.
+func (s *Scheduler) refuseRanked(now time.Time, w *waitingRequest, reason verdict.Reason, ahead aheadByRank, explanation string) Refuse {
+	refusal := s.refuse(now, w.Request, reason, explanation+w.rankText(ahead))
+	if !w.Ranked || w.Deadline.IsZero() {
+		return refusal
+	}
+	latest := time.Duration(returnShare * float64(max(0, w.Deadline.Sub(now))))
+	untilClear := max(0, s.pool(w.Class.Pool).optimisticStart(now, w.rank, ahead).Sub(now))
+	earliest := min(minRetryDelay+untilClear, latest/2)
+	spread := min(refusal.RetryAt.Sub(now), latest-earliest)
+	refusal.RetryAt = now.Add(earliest + time.Duration(hashFraction(w.ID, 0)*float64(spread)))
+	return refusal
 }
--- a/decide/rank_test.go
+++ b/decide/rank_test.go
@@ -356,3 +356,29 @@
 	assert.Equal(t, len(explanations), 3)
 	assert.Assert(t, strings.Contains(explanations[2], "rank 2, ahead of it: "), explanations[2])
 }
+
+// TestReturnsAreSpread checks that requests which are refused together are asked back within
+// a third of their time, but not all at once.
+func TestReturnsAreSpread(t *testing.T) {
+	h := newHarness(1)
+	h.now = h.now.Add(time.Second)
+	h.report(func(int) decide.Report { return fullReport })
+	deadline := h.now.Add(6 * time.Second)
+	for range 20 {
+		h.arrive("reef", func(r *decide.Request) { r.Ranked, r.Rank, r.Deadline = true, 2, deadline })
+	}
+	h.now = h.now.Add(draftClass.WaitTarget + time.Millisecond)
+	latest := h.now.Add(deadline.Sub(h.now) / 3)
+	var first, last time.Time
+	for _, action := range h.report(func(int) decide.Report { return fullReport }) {
+		at := action.(decide.Refuse).RetryAt
+		assert.Assert(t, at.After(h.now) && !at.After(latest))
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	assert.Assert(t, last.Sub(first) > 200*time.Millisecond, "20 requests return within %v", last.Sub(first))
+}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -440,8 +440,8 @@
 	}
 	start := s.pool(r.Class.Pool).optimisticStart(now, r.Rank, ahead)
 	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
-		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v after the target", ahead.total(), start.Sub(w.deadline).Round(time.Millisecond)) + r.rankText(ahead)
-		return []Action{s.refuse(now, r, verdict.Overloaded, explanation)}
+		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v after the target", ahead.total(), start.Sub(w.deadline).Round(time.Millisecond))
+		return []Action{s.refuseRanked(now, w, verdict.Overloaded, ahead, explanation)}
 	}
 	s.setLatestStart(w)
 	s.queue.add(now, w)
@@ -616,8 +616,8 @@
 			s.cancelPlacement(w.ID)
 		case !now.Before(w.expiresAt):
 			s.dequeue(w)
-			explanation := fmt.Sprintf("no upstream had room within %v", now.Sub(w.arrivedAt).Round(time.Millisecond)) + w.rankText(waiting[w.Class.Pool])
-			actions = append(actions, s.refuse(now, w.Request, verdict.WaitExpired, explanation))
+			explanation := fmt.Sprintf("no upstream had room within %v", now.Sub(w.arrivedAt).Round(time.Millisecond))
+			actions = append(actions, s.refuseRanked(now, w, verdict.WaitExpired, waiting[w.Class.Pool], explanation))
 			continue
 		}
 		if refusal, ok := s.refuseContained(now, w.Request); ok {
--- a/decide/types.go
+++ b/decide/types.go
@@ -75,6 +75,8 @@
 	StartBy time.Time
 	// FirstTokenBy is the deadline for the first token; zero if there is none.
 	FirstTokenBy time.Time
+	// Deadline is the time at which the caller gives up; zero if it isn't known.
+	Deadline time.Time
 	// MaxOutputTokens limits the output; zero if the caller set no limit.
 	MaxOutputTokens int
 	// Excluded contains the names of the upstreams on which this request has
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -49,6 +49,9 @@
 
 func (testProtocol) UpstreamHeader(caller http.Header, attempt gateway.AttemptInfo, _ time.Time) http.Header {
 	h := http.Header{"X-Id": caller["X-Id"], "X-Instance": {attempt.Upstream}, "X-Team": {attempt.Team}, "X-Last": {attempt.LastEventID}}
+	if attempt.HasPriority {
+		h.Set("X-Priority", strconv.Itoa(attempt.Priority))
+	}
 	if attempt.ResumeFrom != (gateway.KVHandle{}) {
 		h.Set("X-From", attempt.ResumeFrom.Name)
 	}
@@ -274,6 +277,10 @@
 	}
 	plain := route("plain", routing.Unsafe, 1, false)
 	plain.Shares = []routing.Share{{Service: "plain", Weight: 1}}
+	// The service "plain" has routes of different ranks.
+	urgentPlain := plain
+	urgentPlain.Name, urgentPlain.Prefix = "urgent-plain", "/urgent-plain/"
+	plain.Priority = 2
 	long := route("long", routing.Streaming, 1, false)
 	long.Timeout = time.Minute
 	// patient returns the same route with ten times as much time.
@@ -286,7 +293,7 @@
 	return routing.New(routing.Table{
 		Version: 1, RequiresCredential: true, Limits: routing.Limits{BodyBytes: 64},
 		Routes: []routing.Route{
-			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, plain,
+			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, plain, urgentPlain,
 		},
 		Services: map[string]*routing.Service{"plain": {Name: "plain"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, KVCacheTokens: 10000, EventTokens: 1, SupportsMove: true}}},
 	}, []routing.Team{{Name: "reef"}}, map[string][]string{"reef": {key}})
@@ -374,6 +381,27 @@
 	return response, string(content), err
 }
 
+// TestRankOfRequest checks that a request's rank follows from its route where the routes of
+// the service differ, and that it reaches the upstream and the log.
+func TestRankOfRequest(t *testing.T) {
+	respondPriority := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", b.name)
+		fmt.Fprint(w, r.Header["X-Priority"])
+	}
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "plain", respondPriority), startBackend(t, "b0", respondPriority))
+	for path, want := range map[string]string{"/plain/x": "[2]", "/urgent-plain/x": "[0]", "/unsafe/x": "[]"} {
+		_, content, err := g.send(t, "POST", path, "", map[string]string{"X-Priority": "7"})
+		assert.NilError(t, err)
+		assert.Equal(t, content, want, path)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.logs.contains(`"rank":2`) {
+			return poll.Success()
+		}
+		return poll.Continue("no log line has the rank")
+	})
+}
+
 // TestPlain checks, for plain routes, the response to the caller and the number of
 // backends that run the request.
 func TestPlain(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -247,7 +247,8 @@
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
 		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
 	}
-	r.Rank, r.Ranked = q.table.Rank(q.route, q.teamEntry, q.service)
+	r.Deadline = q.deadline
+	r.Rank, r.Ranked = q.rank()
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
 	}
@@ -290,10 +291,19 @@
 // for the named upstream.
 func (q *request) attemptInfo(upstreamName string) AttemptInfo {
 	info := AttemptInfo{Deadline: q.deadline, Upstream: upstreamName, Team: q.team, LastEventID: q.info.LastEventID}
-	info.Priority, info.HasPriority = q.table.Rank(q.route, q.teamEntry, q.service)
+	info.Priority, info.HasPriority = q.rank()
 	return info
 }
 
+// rank returns the rank of the request among those of its service, and whether they differ
+// in rank.
+func (q *request) rank() (rank int, ranked bool) {
+	if q.table == nil {
+		return 0, false
+	}
+	return q.table.Rank(q.route, q.teamEntry, q.service)
+}
+
 // errorBody is the body of an error response of the gateway itself.
 type errorBody struct {
 	Error   string `json:"error"`
@@ -353,8 +363,9 @@
 		return
 	}
 	snapshot := g.Dispatcher.Snapshot()
+	rank, _ := q.rank()
 	g.Metrics.CountSend(q.service)
-	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service, "fingerprint", q.fingerprint.String(),
+	g.Log.Emit(event.RequestPlaced, "request", q.info.ID, "internal_id", q.id.String(), "route", q.route.Name, "kind", q.route.Kind.String(), "team", q.team, "service", q.service, "rank", rank, "fingerprint", q.fingerprint.String(),
 		"prompt_tokens", q.info.PromptTokens, "max_output_tokens", q.info.MaxOutputTokens, "shared_parts", prompt.List(q.info.SharedParts),
 		"upstream", placement.Name, "address", placement.Addr.String(), "born", int64(placement.Incarnation), "version", placement.Version, "resumes", q.info.Resumes, "last_event", q.info.LastEventID, "why", placement.Explanation,
 		"table_version", q.table.Version, "list_revision", snapshot.ListPosition.Revision, "waited_ms", time.Since(q.received).Milliseconds())
@@ -393,10 +404,14 @@
 		o.Reason, o.Detail = verdict.Stopping, "the instance stopped before the request ended"
 	}
 	g.Metrics.CountRequest(kind, status, o, time.Since(q.received))
+	rank, ranked := q.rank()
+	if ranked && status == http.StatusServiceUnavailable && o.Verdict == verdict.NotRun {
+		g.Metrics.CountRankRefusal(q.service, rank)
+	}
 	if q.delivered > 0 {
 		g.Metrics.ObserveStream(q.timeToFirstEvent(), q.longestPause)
 	}
-	g.Log.Emit(event.RequestClosed, "request", q.info.ID, "route", route, "kind", kind, "table_version", version, "team", q.team, "service", q.service,
+	g.Log.Emit(event.RequestClosed, "request", q.info.ID, "route", route, "kind", kind, "table_version", version, "team", q.team, "service", q.service, "rank", rank,
 		"upstream", q.upstream, "from_member", q.fromMember, "sends", q.sends, "status", status, "verdict", o.Verdict.String(), "reason", o.Reason.String(), "detail", o.Detail,
 		"events", q.delivered, "first_event_ms", q.timeToFirstEvent().Milliseconds(), "longest_pause_ms", q.longestPause.Milliseconds(),
 		"target_ms", target.Milliseconds(), "pause_target_ms", pauseTarget.Milliseconds(),
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -42,6 +42,7 @@
 	tableAge          = "mangoloft_table_confirmed_age_seconds"
 	contained         = "mangoloft_contained_parts"
 	containedRequests = "mangoloft_contained_requests"
+	rankRefusals      = "mangoloft_rank_refusals_total"
 )
 
 // Names returns the names of all metrics.
@@ -49,7 +50,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests,
+		storeEra, tableAge, contained, containedRequests, rankRefusals,
 	}
 }
 
@@ -69,6 +70,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("%s{kind=%q}", duration, kind)).Update(elapsed.Seconds())
 }
 
+// CountRankRefusal counts a refused request of a service whose requests differ in rank.
+func (m *Metrics) CountRankRefusal(service string, rank int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,rank=\"%d\"}", rankRefusals, service, rank)).Inc()
+}
+
 // ObserveStream records the time to the first event of a stream and its longest
 // pause between events.
 func (m *Metrics) ObserveStream(toFirst, maxPause time.Duration) {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -21,6 +21,7 @@
 	m.CountSend("pool")
 	m.CountFailedSend("pool", verdict.UpstreamLost)
 	m.CountMove("moved")
+	m.CountRankRefusal("s", 2)
 	zero := func() int { return 0 }
 	m.RegisterGauges(telemetry.Source{
 		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
