--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -44,6 +44,7 @@
 	containedRequests = "mangoloft_contained_requests"
 	evacuated         = "mangoloft_evacuated_data_centres"
 	evacuatedRequests = "mangoloft_evacuated_requests"
+	rankRefusals      = "mangoloft_rank_refusals_total"
 )
 
 // Names returns the names of all metrics.
@@ -52,6 +53,7 @@
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
 		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests,
+		storeEra, tableAge, contained, containedRequests, rankRefusals,
 	}
 }
 
@@ -71,6 +73,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("%s{kind=%q}", duration, kind)).Update(elapsed.Seconds())
 }
 
+// CountRankRefusal counts a refused request of a service whose requests differ in rank.
+func (m *Metrics) CountRankRefusal(service string, rank int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{service=%q,rank=\"%d\"}", rankRefusals, service, rank)).Inc()
+}
+
 // ObserveStream records the time to the first event of a stream and its longest
 // pause between events.
 func (m *Metrics) ObserveStream(toFirst, maxPause time.Duration) {
