Failing upstreams: instances share the outcomes of streams

Cause: an engine that fails at once looks empty and attracts requests. Each instance avoided it only after three failures in a row of its own, so with 130 instances nearly all of them had to lose requests first.

Change: decide/failures.go estimates the share of requests that an upstream fails, from own outcomes and those in notices of ended streams (new field "failed"; older builds ignore it). Placement weighs it, more for requests that may run only once. Upstreams that fail most requests get only probes, and are used again after three successful ones, with slow start. The word of one instance, or of another data centre, avoids no upstream.

--- a/decide/memory_forecast.go
+++ b/decide/memory_forecast.go
@@ -34,8 +34,12 @@
 	handledByPeer bool
 	// admittedElsewhere reports whether the request was sent to the upstream's coordinator.
 	admittedElsewhere bool
-	lengths           Distribution
-	sentAt            time.Time
+	// failed reports whether the upstream has failed the request.
+	failed bool
+	// moved reports whether the request began at another upstream.
+	moved   bool
+	lengths Distribution
+	sentAt  time.Time
 	// tokens is the number of generated tokens as of tokensAt.
 	tokens   int
 	tokensAt time.Time
--- a/decide/move.go
+++ b/decide/move.go
@@ -59,7 +59,7 @@
 	var freest *upstream
 	freeTokens, mostFree := map[*upstream]float64{}, math.Inf(-1)
 	for _, u := range s.withKnownLoad(now, candidates) {
-		if !u.forecastable(now) || !u.hasSlot() || u.health.trafficShare(now) == 0 {
+		if !u.forecastable(now) || !u.hasSlot() || u.trafficShare(now) == 0 {
 			continue
 		}
 		u.refresh(now, aggregate{meanTokens: 1}, poolLengths)
@@ -71,9 +71,9 @@
 		switch {
 		case free <= 0:
 		case u.DataCentre == sourceDataCentre:
-			local.consider(u, free)
+			local.consider(u, free*(1-s.excessFailures(now, u)))
 		default:
-			remote.consider(u, free)
+			remote.consider(u, free*(1-s.excessFailures(now, u)))
 		}
 	}
 	for _, best := range []*upstream{local.best, remote.best} {
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -15,6 +15,7 @@
 func (s *Scheduler) notify(n Notice) {
 	if u := s.upstreams[n.Upstream]; u != nil {
 		n.DataCentre = u.DataCentre
+		n.Remote = n.Failed && !s.isLocal(u)
 	}
 	s.outgoing = append(s.outgoing, Notify{n})
 }
@@ -41,7 +42,7 @@
 		if u := s.upstreams[n.Upstream]; u != nil {
 			if n.Tokens > 0 {
 				// The KV cache is moved with the request, so it needs no prefill.
-				f := &inFlight{Request: n.Request, upstream: u.Name, handledByPeer: true, lengths: s.lengthsOf(n.Request), sentAt: now, tokensAt: now}
+				f := &inFlight{Request: n.Request, upstream: u.Name, handledByPeer: true, moved: true, lengths: s.lengthsOf(n.Request), sentAt: now, tokensAt: now}
 				u.addRequest(f)
 				s.placed[id] = u.Name
 				s.updateTokens(now, id, n.Tokens)
@@ -59,7 +60,12 @@
 			s.cancelPlacement(id)
 			return
 		}
-		s.finish(now, id, n.Tokens, n.Completed)
+		if n.Failed && s.placed[id] != n.Upstream {
+			return // The request was sent to another upstream in the meantime.
+		}
+		if f := s.finish(now, id, n.Tokens, n.Completed); f != nil && n.Failed {
+			s.recordPeerFailure(now, f, n.Remote)
+		}
 	}
 }
 
@@ -71,6 +77,7 @@
 	f.admittedElsewhere = !handledByPeer && s.admittedBy(now, &r, u).IsValid()
 	s.estimateStart(now, u, f)
 	u.addRequest(f)
+	u.failures.placed(now)
 	s.placed[r.ID] = u.Name
 }
 
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -20,7 +20,8 @@
 	reportedCount, knownCount float64
 	// retryAt is the retry time of the latest request that was refused because all
 	// upstreams were at their limits.
-	retryAt time.Time
+	retryAt  time.Time
+	failures poolFailures
 }
 
 const (
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -153,7 +153,8 @@
 	}
 	usedShare := 1 - free/u.capacity()
 	cost += time.Duration(math.Max(0, 2*usedShare-1) * float64(memoryPressureCost))
-	cost += time.Duration((1 - u.health.trafficShare(now)) * float64(slowStartPenalty))
+	cost += time.Duration((1 - u.trafficShare(now)) * float64(slowStartPenalty))
+	cost += s.failureCost(now, &w.Request, u)
 	return cost + time.Duration(hashFraction(w.ID, u.hash)*float64(tieBreakCost))
 }
 
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -162,6 +162,7 @@
 	case Ended:
 		s.handleEnd(now, e)
 	case Failed:
+		s.recordOwnFailure(now, e)
 		s.handleFailure(now, e.Upstream, e.Reason)
 		return nil
 	case Reached:
@@ -179,6 +180,7 @@
 		}
 	case Tick:
 		s.expirePeerRequests(now)
+		s.expireFailureReports(now)
 	}
 	// The remaining events can make room for waiting requests, or let them expire.
 	return s.serveQueue(now)
@@ -303,6 +305,9 @@
 		s.recordReachable(u)
 		s.recordPoolReached(now, u)
 	}
+	if f.tokens == 0 && !f.moved {
+		s.recordSuccess(now, u, f)
+	}
 	if f.tokens == 0 && f.prefillTokens > 0 && !f.handledByPeer {
 		s.pool(u.Pool).prefill.observe(f.prefillTokens, now.Sub(f.sentAt))
 	}
@@ -326,7 +331,7 @@
 	}
 	if f.Class.Kind == config.Stream {
 		// While streams wait for room, its end matters to the other instances at once.
-		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed, Deferrable: len(s.queue.list) == 0})
+		s.notify(Notice{Kind: NoticeEnded, Request: Request{ID: e.ID}, Upstream: f.upstream, Tokens: e.Tokens, Completed: completed, Failed: f.failed, Deferrable: len(s.queue.list) == 0 && !f.failed})
 	}
 	// The error of a call may be due to the call, not to the upstream.
 	responded := completed || f.Class.Kind != config.Stream && e.Outcome.Verdict == verdict.Ran && e.Outcome.Reason == verdict.UpstreamFailed
@@ -349,6 +354,9 @@
 	if tokens > f.tokens {
 		s.lengths.ObserveProgress(f.Request, f.tokens, tokens)
 	}
+	if u := s.upstreams[f.upstream]; u != nil && completed && f.tokens == 0 && !f.moved {
+		s.recordSuccess(now, u, f)
+	}
 	if completed && tokens > 0 {
 		s.lengths.ObserveEnd(f.Request, tokens)
 	}
@@ -404,7 +412,7 @@
 // handleArrival places a new request, queues it, or refuses it if it can't be
 // placed in time.
 func (s *Scheduler) handleArrival(now time.Time, r Request) []Action {
-	s.release(now, r.ID)
+	s.releaseFailed(now, r.ID)
 	s.cancelMove(r.ID)
 	s.trackers.closed(now, r.ID, false, r.NeverSent)
 	if refusal, ok := s.refuseContained(now, r); ok {
@@ -462,7 +470,7 @@
 			live = append(live, u)
 		}
 	}
-	return s.withoutPartitioned(now, live)
+	return s.withoutPartitioned(now, s.withoutAvoided(now, &r, live))
 }
 
 // choice is the upstream chosen for a request, with the forecast of its output
@@ -506,8 +514,8 @@
 	anyForecastable := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.forecastable(now) })
 	if w.Class.Kind != config.Stream || !anyForecastable {
 		// Only streams use the KV cache, whose size must be known for a forecast.
-		u := s.leastLoaded(now, w.ID, candidates)
-		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting)
+		u := s.leastLoaded(now, &w.Request, candidates)
+		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting) + s.failureText(now, u)
 		return choice{u, lengths, explanation}, true
 	}
 	poolStats, poolLengths := s.pool(w.Class.Pool), s.lengths.PoolForecast(w.Class.Pool)
@@ -548,7 +556,7 @@
 			lowest.consider(u, s.startCost(now, w, u, free))
 			continue
 		}
-		rendezvous.consider(u, free*u.health.trafficShare(now))
+		rendezvous.consider(u, free*u.trafficShare(now)*(1-s.excessFailures(now, u)))
 	}
 	// Engines with declared memory have preference.
 	u := rendezvous.best
@@ -561,7 +569,7 @@
 	explanation := fmt.Sprintf(
 		"start cost %v, room on %d of %d sampled; %d tokens stay free of %d at the peak with a margin of %.2f deviations; %d known generations, %.1f known only from the report and %.1f placed since; output forecast %.0f tokens; waited %v",
 		lowest.cost.Round(time.Millisecond), fitCount, len(sampled), int(u.capacity()-u.peakWith(&requestForecast, margin)), int(u.capacity()), margin,
-		u.baseLoad.knownCount, u.baseLoad.reportedOnly.count, u.baseLoad.unreported.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
+		u.baseLoad.knownCount, u.baseLoad.reportedOnly.count, u.baseLoad.unreported.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond)) + s.failureText(now, u)
 	return choice{u, lengths, explanation}, true
 }
 
@@ -574,19 +582,19 @@
 // Upstreams in the local data centre have preference as long as they are not
 // busy. An upstream in slow start is skipped for the share of requests that it
 // doesn't get yet.
-func (s *Scheduler) leastLoaded(now time.Time, id ident.Request, candidates []*upstream) *upstream {
+func (s *Scheduler) leastLoaded(now time.Time, r *Request, candidates []*upstream) *upstream {
 	cost := func(u *upstream) float64 {
-		load := u.load(now)
+		load := u.load(now) + s.failureLoad(now, r, u)
 		if u.DataCentre != s.dataCentre || load >= busyShare {
 			load += busyShare
 		}
-		if hashFraction(id, ^u.hash) > u.health.trafficShare(now) {
+		if !u.failures.isAvoided() && hashFraction(r.ID, ^u.hash) > u.trafficShare(now) {
 			load += slowStartCost
 		}
 		return load
 	}
 	return slices.MinFunc(candidates, func(a, b *upstream) int {
-		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(hashFraction(id, a.hash), hashFraction(id, b.hash)))
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(hashFraction(r.ID, a.hash), hashFraction(r.ID, b.hash)))
 	})
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -79,6 +79,8 @@
 	// NeverSent reports whether no upstream has received the request yet. Another
 	// attempt then doesn't count as a retry.
 	NeverSent bool
+	// Repeatable reports whether the request can be sent again if an upstream fails it.
+	Repeatable bool
 	// Reconnecting reports whether the request was submitted before, and considers
 	// upstreams again to which it could not connect.
 	Reconnecting bool
@@ -148,8 +150,9 @@
 }
 
 // Failed reports that a request failed on an upstream. An Ended or another
-// Arrived event for the request follows.
+// Arrived event for the request follows. The ID is zero if it isn't known.
 type Failed struct {
+	ID       ident.Request
 	Upstream string
 	Reason   verdict.Reason
 }
@@ -245,6 +248,10 @@
 	Tokens     int
 	// Completed reports whether the output reached its regular end.
 	Completed bool
+	// Failed reports whether the upstream failed the request, in NoticeEnded.
+	Failed bool
+	// Remote reports whether the sender is in another data centre than the upstream, if Failed.
+	Remote bool
 	// Began is the stream that has begun on the upstream, in the first NoticeProgressed;
 	// otherwise zero.
 	Began origin.Key
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -31,6 +31,7 @@
 	// tokens squared.
 	meanSquaredError float64
 	health           health
+	failures         failureRecord
 	limit            requestLimit
 	// window limits the requests to a brittle upstream. coordinator is the control address
 	// of the instance that admits calls to it, as of claimedAt.
@@ -131,7 +132,7 @@
 	usedShares := map[string]float64{}
 	for _, name := range s.order {
 		u := s.upstreams[name]
-		if u.DataCentre != dataCentre || u.CapacityTokens == 0 || u.Leaving || u.health.trafficShare(now) == 0 {
+		if u.DataCentre != dataCentre || u.CapacityTokens == 0 || u.Leaving || u.trafficShare(now) == 0 {
 			continue
 		}
 		load := Load{Upstream: name, PendingPrefillTokens: int(u.prefillBacklog(now))}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -71,6 +71,8 @@
 	Contained []containment.Finding
 	// LostPools are the pools from which this instance is cut off.
 	LostPools []string
+	// Avoided is the number of upstreams that are avoided because they fail requests.
+	Avoided int
 }
 
 // Placement is the upstream that a request is placed on.
@@ -197,6 +199,9 @@
 			c.announcer.SendNotice(a.Notice)
 		case decide.Ejected:
 			c.logEjection(now, a)
+		case decide.UpstreamAvoided:
+			c.logAvoided(a)
+			c.publish()
 		case decide.LimitChanged:
 			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
 		case decide.Paused:
@@ -272,6 +277,15 @@
 	c.log.Emit(event.UpstreamEjected, "upstream", a.Upstream, "data_centre", a.DataCentre, "for_ms", a.Until.Sub(now).Milliseconds())
 }
 
+func (c *Controller) logAvoided(a decide.UpstreamAvoided) {
+	fields := []any{"upstream", a.Upstream, "data_centre", a.DataCentre, "failed_share", a.FailedShare, "pool_share", a.PoolShare}
+	if !a.Avoided {
+		c.log.Emit(event.UpstreamUsedAgain, append(fields, "avoided_ms", a.AvoidedFor.Milliseconds())...)
+		return
+	}
+	c.log.Emit(event.UpstreamAvoided, append(fields, "reporters", a.Reporters)...)
+}
+
 func (c *Controller) reply(id ident.Request, d decision) {
 	if reply, ok := c.pending[id]; ok {
 		reply <- d
@@ -344,7 +358,7 @@
 }
 
 func (c *Controller) publish() {
-	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools()})
+	c.snapshot.Store(&Snapshot{Document: c.tables.Current(), ListPosition: c.directory.Position(), Contained: c.scheduler.Contained(), LostPools: c.scheduler.LostPools(), Avoided: c.scheduler.Avoided()})
 }
 
 // ProbeTargets returns an upstream of each pool from which this instance is cut off.
@@ -481,8 +495,8 @@
 }
 
 // ReportFailure reports that a request failed on an upstream.
-func (c *Controller) ReportFailure(name string, r verdict.Reason) {
-	c.send(schedulerEventCommand{decide.Failed{Upstream: name, Reason: r}})
+func (c *Controller) ReportFailure(id ident.Request, name string, r verdict.Reason) {
+	c.send(schedulerEventCommand{decide.Failed{ID: id, Upstream: name, Reason: r}})
 }
 
 // HandleReport forwards an upstream's load report to the scheduler.
--- a/event/event.go
+++ b/event/event.go
@@ -73,6 +73,8 @@
 	PoolReachable         ID = 420
 	PoolBrittle           ID = 421
 	CoordinatorChanged    ID = 422
+	UpstreamAvoided       ID = 428
+	UpstreamUsedAgain     ID = 429
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -131,6 +133,8 @@
 	PoolReachable:         "pool_reachable",
 	PoolBrittle:           "pool_brittle",
 	CoordinatorChanged:    "coordinator_changed",
+	UpstreamAvoided:       "upstream_avoided",
+	UpstreamUsedAgain:     "upstream_used_again",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,7 +42,7 @@
 	// End reports that a request is finished.
 	End(id ident.Request, tokens int, o verdict.Outcome)
 	// ReportFailure reports that a request failed on an upstream.
-	ReportFailure(name string, r verdict.Reason)
+	ReportFailure(id ident.Request, name string, r verdict.Reason)
 	// HandleReport submits an upstream's load report.
 	HandleReport(name string, r decide.Report)
 	// ReportLimit submits the limit that an upstream declared in a response, or that
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -62,6 +62,12 @@
 	return q.sends < maxSends && q.admissions < maxAdmissions && (q.attempts == 0 || q.attempts < max(1, q.route.MaxAttempts))
 }
 
+// isRepeatable reports whether the request can be sent again if the next attempt fails after
+// it may have run.
+func (q *request) isRepeatable() bool {
+	return q.route.Idempotent() && q.sends+1 < maxSends && q.attempts+1 < q.route.MaxAttempts
+}
+
 // canRetryAfter reports whether a request can be sent again after an attempt that
 // ended with err.
 func (q *request) canRetryAfter(err error) bool {
@@ -188,7 +194,7 @@
 			q.unreachable = append(q.unreachable, placement.Name)
 		}
 		if q.countsAgainstUpstream(o.Reason) {
-			g.Dispatcher.ReportFailure(placement.Name, o.Reason)
+			g.Dispatcher.ReportFailure(q.id, placement.Name, o.Reason)
 		}
 		g.Metrics.CountFailedSend(q.service, o.Reason)
 		if o.Reason == verdict.UpstreamLost {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -243,7 +243,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, Repeatable: q.isRepeatable(), CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only,
 	}
 	if q.route.Resumable {
 		r.Stream = q.streamKey()
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -115,6 +115,10 @@
 	Upstream  string `json:"upstream,omitempty"`
 	Tokens    int    `json:"tokens,omitempty"`
 	Completed bool   `json:"completed,omitempty"`
+	// Failed reports that the upstream failed the request, and Remote that the sender is in
+	// another data centre than the upstream.
+	Failed bool `json:"failed,omitempty"`
+	Remote bool `json:"remote,omitempty"`
 	// Began is the key of the stream that has begun on the upstream.
 	Began string `json:"began,omitempty"`
 }
@@ -186,6 +190,7 @@
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
 		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
+		Failed: n.Failed, Remote: n.Remote,
 	}
 	if n.Began != 0 {
 		w.Began = n.Began.String()
@@ -212,7 +217,7 @@
 	if w.FirstInMS != 0 {
 		r.FirstTokenBy = now.Add(time.Duration(w.FirstInMS) * time.Millisecond)
 	}
-	n := decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}
+	n := decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed, Failed: w.Failed, Remote: w.Remote}
 	if w.Began != "" {
 		if n.Began, err = origin.ParseKey(w.Began); err != nil {
 			return decide.Notice{}, err
