Streams that stall are continued elsewhere or ended

Cause: there was no timeout between events. A stream whose upstream went silent, or sent comments, single bytes or repeated events, ended only at the request's deadline, and comments counted as delivered events.

Checks are counted instead of the time, so that a pause of the process ends no stream. Comments are forwarded, but don't count as events.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -276,6 +276,8 @@
 	plain.Shares = []routing.Share{{Service: "plain", Weight: 1}}
 	long := route("long", routing.Streaming, 1, false)
 	long.Timeout = time.Minute
+	longResumable := route("long-resumable", routing.Streaming, 2, true)
+	longResumable.Timeout = time.Minute
 	// patient returns the same route with ten times as much time.
 	patient := func(r routing.Route) routing.Route {
 		r.Name, r.Prefix = "patient-"+r.Name, "/patient-"+r.Name+"/"
@@ -286,7 +288,7 @@
 	return routing.New(routing.Table{
 		Version: 1, RequiresCredential: true, Limits: routing.Limits{BodyBytes: 64},
 		Routes: []routing.Route{
-			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, plain,
+			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, longResumable, plain,
 		},
 		Services: map[string]*routing.Service{"plain": {Name: "plain"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, KVCacheTokens: 10000, EventTokens: 1, SupportsMove: true}}},
 	}, []routing.Team{{Name: "reef"}}, map[string][]string{"reef": {key}})
--- a/gateway/sse.go
+++ b/gateway/sse.go
@@ -14,6 +14,8 @@
 	raw []byte
 	// id is the event's numeric ID, or noID.
 	id int
+	// isComment reports that it has neither an ID nor data, so that readers ignore it.
+	isComment bool
 }
 
 const (
@@ -38,10 +40,14 @@
 // next returns the next event, or io.EOF if the stream ended between two
 // events.
 func (e *eventReader) next() (sseEvent, error) {
-	event := sseEvent{id: noID}
+	event := sseEvent{id: noID, isComment: true}
 	for {
 		line, err := e.lines.ReadSlice('\n')
 		event.raw = append(event.raw, line...)
+		// The rest of a line that exceeds the buffer is read later.
+		if bytes.HasPrefix(line, []byte("data")) {
+			event.isComment = false
+		}
 		if len(event.raw) > maxEventBytes {
 			return sseEvent{}, errEventTooLong
 		}
@@ -59,7 +65,7 @@
 		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
-				event.id = id
+				event.id, event.isComment = id, false
 			}
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -234,8 +234,14 @@
 	defer group.Wait()
 	defer response.Body.Close()
 	group.Go(func() { readEvents(ctx, response.Body, results) })
+	stall := s.newStallTimer()
+	defer stall.ticker.Stop()
 	for {
 		select {
+		case <-stall.ticker.C:
+			if err := stall.check(s); err != nil {
+				return err
+			}
 		case <-ctx.Done():
 			return s.contextError(ctx)
 		case status, ok := <-s.placement.Leaving:
@@ -251,9 +257,13 @@
 			if r.err != nil {
 				return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the stream failed after event %d: %v", s.lastEventID, r.err)
 			}
+			delivered := s.delivered
 			if err := s.forward(response, r.event); err != nil {
 				return err
 			}
+			if s.delivered > delivered {
+				stall.checks = 0
+			}
 		}
 	}
 }
@@ -314,6 +324,9 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errCallerDisconnected
 	}
+	if e.isComment {
+		return nil
+	}
 	if e.id != noID {
 		s.lastEventID = e.id
 	}
