--- a/entry/run.go
+++ b/entry/run.go
@@ -165,6 +165,7 @@
 		ContainedParts:    func() int { return i.contained(containment.PromptParts) },
 		ContainedRequests: func() int { return i.contained(containment.Requests) },
 		Evacuated:         func() int { return len(i.controller.Snapshot().Evacuated) }, EvacuatedRequests: i.controller.EvacuatedRequests,
+		UpstreamsAvoided: func() int { return i.controller.Snapshot().Avoided },
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -286,6 +286,8 @@
 	plain.Priority = 2
 	long := route("long", routing.Streaming, 1, false)
 	long.Timeout = time.Minute
+	longResumable := route("long-resumable", routing.Streaming, 2, true)
+	longResumable.Timeout = time.Minute
 	// patient returns the same route with ten times as much time.
 	patient := func(r routing.Route) routing.Route {
 		r.Name, r.Prefix = "patient-"+r.Name, "/patient-"+r.Name+"/"
@@ -296,7 +298,7 @@
 	return routing.New(routing.Table{
 		Version: 1, RequiresCredential: true, Limits: routing.Limits{BodyBytes: 64},
 		Routes: []routing.Route{
-			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, plain, urgentPlain,
+			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, longResumable, plain, urgentPlain,
 		},
 		Services: map[string]*routing.Service{"plain": {Name: "plain"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, KVCacheTokens: 10000, EventTokens: 1, SupportsMove: true}}},
 	}, []routing.Team{{Name: "reef"}}, map[string][]string{"reef": {key}})
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -45,6 +45,7 @@
 	evacuated         = "mangoloft_evacuated_data_centres"
 	evacuatedRequests = "mangoloft_evacuated_requests"
 	rankRefusals      = "mangoloft_rank_refusals_total"
+	upstreamsAvoided  = "mangoloft_upstreams_avoided"
 )
 
 // Names returns the names of all metrics.
@@ -52,8 +53,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests,
-		storeEra, tableAge, contained, containedRequests, rankRefusals,
+		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided,
 	}
 }
 
@@ -108,6 +108,8 @@
 	// Evacuated returns the number of evacuated data centres, and EvacuatedRequests that of
 	// the instance's requests that still run there.
 	Evacuated, EvacuatedRequests func() int
+	// UpstreamsAvoided returns the number of upstreams that are avoided because they fail requests.
+	UpstreamsAvoided func() int
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -150,6 +152,7 @@
 	m.set.NewGauge(containedRequests, fromInt(s.ContainedRequests))
 	m.set.NewGauge(evacuated, fromInt(s.Evacuated))
 	m.set.NewGauge(evacuatedRequests, fromInt(s.EvacuatedRequests))
+	m.set.NewGauge(upstreamsAvoided, fromInt(s.UpstreamsAvoided))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
