Engines of uneven speed: estimate of each engine's speed, risk of late pauses

Cause: all engines of a service counted as equally fast. Where a third of them takes 2.4 times as long as the others, long streams beside prompts got pauses above their target there, and first events were late.

Change: decide/speed.go estimates how long work takes on each engine from the times to the first event and the paces of streams, also of those that other instances report. decide/late_pause.go adds the expected number of late streams to the start cost. Notices carry the pause target and the pace, loads the factor. If the engines of a service are equally fast within the uncertainty, placements are as before.

--- a/decide/memory_forecast.go
+++ b/decide/memory_forecast.go
@@ -39,6 +39,8 @@
 	// tokens is the number of generated tokens as of tokensAt.
 	tokens   int
 	tokensAt time.Time
+	// longestPause is the longest pause between two events that was reported.
+	longestPause time.Duration
 	// prefillTokens is the number of prompt tokens that the engine has to prefill
 	// before the first output token, including the request's own prompt. At
 	// assumedStart the request is assumed to have started even if no progress was
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -44,7 +44,7 @@
 				f := &inFlight{Request: n.Request, upstream: u.Name, handledByPeer: true, lengths: s.lengthsOf(n.Request), sentAt: now, tokensAt: now}
 				u.addRequest(f)
 				s.placed[id] = u.Name
-				s.updateTokens(now, id, n.Tokens)
+				s.updateTokens(now, id, n.Tokens, Pace{})
 				return
 			}
 			s.recordPlacement(now, u, n.Request, s.lengthsOf(n.Request), true)
@@ -53,7 +53,7 @@
 		if u := s.upstreams[n.Upstream]; u != nil {
 			s.origins.Record(now, n.Began, u.Version)
 		}
-		s.updateTokens(now, id, n.Tokens)
+		s.updateTokens(now, id, n.Tokens, n.Pace)
 	case NoticeEnded:
 		if s.queue.remove(id) {
 			s.cancelPlacement(id)
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -13,6 +13,7 @@
 	// promptTokens is the average length of a prompt.
 	promptTokens float64
 	prefill      prefillRate
+	speeds       *serviceSpeeds
 	// reportedCount and knownCount are exponentially decaying sums over the load
 	// reports: of all reported generations, and of the generations that this
 	// scheduler placed or received notices of. Their ratio yields the number of generations
@@ -33,7 +34,7 @@
 	initialPromptTokens = 100
 )
 
-func newPool() *pool { return &pool{promptTokens: initialPromptTokens} }
+func newPool() *pool { return &pool{promptTokens: initialPromptTokens, speeds: &serviceSpeeds{}} }
 
 func (p *pool) observePlacement(now time.Time, promptTokens int) {
 	p.placements.count(now)
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -39,7 +39,7 @@
 // estimateStart sets the request's prefillTokens and assumedStart.
 func (s *Scheduler) estimateStart(now time.Time, u *upstream, f *inFlight) {
 	f.prefillTokens = u.prefillBacklog(now) + float64(f.PromptTokens)
-	expected := time.Duration(f.prefillTokens / s.pool(u.Pool).prefill.tokensPerSecond() * float64(time.Second))
+	expected := time.Duration(f.prefillTokens / s.prefillRate(u) * float64(time.Second))
 	f.assumedStart = now.Add(startFactor*expected + startMargin)
 }
 
@@ -100,8 +100,7 @@
 
 // prefillBacklogged reports whether an engine's prefill backlog is full.
 func (s *Scheduler) prefillBacklogged(now time.Time, u *upstream) bool {
-	rate := s.pool(u.Pool).prefill.tokensPerSecond()
-	return u.CapacityTokens > 0 && u.prefillBacklog(now) > rate*maxPrefillBacklog.Seconds()
+	return u.CapacityTokens > 0 && u.prefillBacklog(now) > s.prefillRate(u)*maxPrefillBacklog.Seconds()
 }
 
 // remoteProbability is the probability per attempt that a stream considers an
@@ -142,12 +141,11 @@
 	return u.prefillBacklog(now) > 0 || hashFraction(w.ID, u.hash+w.attempts) > remoteProbability
 }
 
-// startCost returns the cost of placing the request on the engine, where the
-// given amount of memory would stay free: the time to the first token, plus
-// penalties expressed as times.
-func (s *Scheduler) startCost(now time.Time, w *waitingRequest, u *upstream, free float64) time.Duration {
-	rate := s.pool(u.Pool).prefill.tokensPerSecond()
-	cost := time.Duration((u.prefillBacklog(now) + float64(w.PromptTokens)) / rate * float64(time.Second))
+// startCost returns the cost of placing the request, with the expected number of
+// output tokens, on the engine, where the given amount of memory would stay free:
+// the time to the first token, plus penalties expressed as times.
+func (s *Scheduler) startCost(now time.Time, w *waitingRequest, u *upstream, free, outputTokens float64) time.Duration {
+	cost := s.startTime(now, w, u) + time.Duration(s.lateness(now, w, u, outputTokens)*float64(lateCost))
 	if u.DataCentre != s.dataCentre {
 		cost += crossDataCentreCost
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -190,7 +190,7 @@
 	for _, listed := range list {
 		u, ok := previous[listed.Name]
 		if !ok || u.Incarnation != listed.Incarnation {
-			u = newUpstream(now, listed)
+			u = s.newUpstream(now, listed)
 		}
 		u.Upstream = listed
 		s.upstreams[listed.Name] = u
@@ -227,7 +227,7 @@
 		previous.Upstream = changed
 		return
 	}
-	s.upstreams[changed.Name] = newUpstream(now, changed)
+	s.upstreams[changed.Name] = s.newUpstream(now, changed)
 	if previous != nil {
 		s.dropPeerRequests(previous)
 	}
@@ -266,10 +266,10 @@
 
 func (s *Scheduler) handleProgress(now time.Time, e Progressed) {
 	started := s.hasStarted(e.ID)
-	if s.updateTokens(now, e.ID, e.Tokens) {
+	if s.updateTokens(now, e.ID, e.Tokens, e.Pace) {
 		// The start of a stream is not deferred, because its prompt no longer delays
 		// others from then on.
-		n := Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Deferrable: started}
+		n := Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Pace: e.Pace, Deferrable: started}
 		if !started {
 			n.Began = s.recordOrigin(now, e.ID)
 		}
@@ -288,8 +288,8 @@
 }
 
 // updateTokens records the number of tokens that a request has generated so
-// far. It reports whether the number has grown.
-func (s *Scheduler) updateTokens(now time.Time, id ident.Request, tokens int) bool {
+// far, and its pace since the previous report. It reports whether the number has grown.
+func (s *Scheduler) updateTokens(now time.Time, id ident.Request, tokens int, pace Pace) bool {
 	u := s.upstreams[s.placed[id]]
 	if u == nil {
 		return false
@@ -306,6 +306,10 @@
 	if f.tokens == 0 && f.prefillTokens > 0 && !f.handledByPeer {
 		s.pool(u.Pool).prefill.observe(f.prefillTokens, now.Sub(f.sentAt))
 	}
+	if f.tokens == 0 {
+		s.observeStart(now, u, f)
+	}
+	s.observePace(u, f, tokens-f.tokens, pace)
 	s.lengths.ObserveProgress(f.Request, f.tokens, tokens)
 	f.tokens, f.tokensAt = tokens, now
 	u.stale = true
@@ -545,7 +549,7 @@
 		}
 		fitCount++
 		if u.CapacityTokens > 0 {
-			lowest.consider(u, s.startCost(now, w, u, free))
+			lowest.consider(u, s.startCost(now, w, u, free, lengths.Mean()))
 			continue
 		}
 		rendezvous.consider(u, free*u.health.trafficShare(now))
@@ -561,7 +565,7 @@
 	explanation := fmt.Sprintf(
 		"start cost %v, room on %d of %d sampled; %d tokens stay free of %d at the peak with a margin of %.2f deviations; %d known generations, %.1f known only from the report and %.1f placed since; output forecast %.0f tokens; waited %v",
 		lowest.cost.Round(time.Millisecond), fitCount, len(sampled), int(u.capacity()-u.peakWith(&requestForecast, margin)), int(u.capacity()), margin,
-		u.baseLoad.knownCount, u.baseLoad.reportedOnly.count, u.baseLoad.unreported.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond))
+		u.baseLoad.knownCount, u.baseLoad.reportedOnly.count, u.baseLoad.unreported.count, lengths.Mean(), now.Sub(w.arrivedAt).Round(time.Millisecond)) + s.speedText(now, w, u, lengths.Mean())
 	return choice{u, lengths, explanation}, true
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -71,6 +71,9 @@
 	StartBy time.Time
 	// FirstTokenBy is the deadline for the first token; zero if there is none.
 	FirstTokenBy time.Time
+	// PauseTarget is the target for the longest pause between two events of a stream;
+	// zero if it has none.
+	PauseTarget time.Duration
 	// MaxOutputTokens limits the output; zero if the caller set no limit.
 	MaxOutputTokens int
 	// Excluded contains the names of the upstreams on which this request has
@@ -107,6 +110,9 @@
 	// Preemptions is the number of preempted generations since the upstream's
 	// start.
 	Preemptions uint64
+	// Factor is how long work takes there, relative to the mean of its service; zero if
+	// not known.
+	Factor float64
 }
 
 // Event is an input to the scheduler.
@@ -135,6 +141,8 @@
 type Progressed struct {
 	ID     ident.Request
 	Tokens int
+	// Pace is the pace since the previous report.
+	Pace Pace
 }
 
 // Answered reports that the header of a placed stream has arrived.
@@ -243,6 +251,8 @@
 	// DataCentre is the upstream's data centre; empty if there is no upstream.
 	DataCentre string
 	Tokens     int
+	// Pace is the pace of the stream since the previous NoticeProgressed.
+	Pace Pace
 	// Completed reports whether the output reached its regular end.
 	Completed bool
 	// Began is the stream that has begun on the upstream, in the first NoticeProgressed;
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -24,6 +24,7 @@
 	departed   []*inFlight
 	departedAt []time.Time
 	pace       paceModel
+	speed      engineSpeed
 	// overhead is the average memory that a generation uses in addition to its
 	// tokens, because engines allocate whole blocks.
 	overhead float64
@@ -120,6 +121,9 @@
 	UsedTokens int
 	// PendingPrefillTokens is the number of prompt tokens not yet prefilled.
 	PendingPrefillTokens int
+	// Factor is how long work takes there, relative to the mean of its service; zero if
+	// not known.
+	Factor float64
 }
 
 // Loads returns the loads of engines of a data centre that declare their memory and
@@ -134,7 +138,7 @@
 		if u.DataCentre != dataCentre || u.CapacityTokens == 0 || u.Leaving || u.health.trafficShare(now) == 0 {
 			continue
 		}
-		load := Load{Upstream: name, PendingPrefillTokens: int(u.prefillBacklog(now))}
+		load := Load{Upstream: name, PendingPrefillTokens: int(u.prefillBacklog(now)), Factor: u.speed.factor()}
 		for _, f := range u.requests {
 			load.Running++
 			load.UsedTokens += int(float64(f.PromptTokens) + f.generatedAt(now, u.stepTime()))
@@ -157,6 +161,7 @@
 		return
 	}
 	u.report, u.stale = r, true
+	u.speed.reported = r.Factor
 	if u.CapacityTokens == 0 {
 		// The report of an engine with declared memory comes from another instance,
 		// so it doesn't indicate that the engine is healthy.
@@ -220,6 +225,9 @@
 	if u.report.StepTime > 0 {
 		return u.report.StepTime
 	}
+	if measured := u.speed.stepTime(); measured > 0 {
+		return measured
+	}
 	return u.StepTime
 }
 
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -197,6 +197,8 @@
 			c.announcer.SendNotice(a.Notice)
 		case decide.Ejected:
 			c.logEjection(now, a)
+		case decide.UnevenChanged:
+			c.log.Emit(event.PoolUneven, "service", a.Pool, "uneven", a.Uneven, "spread", a.Spread)
 		case decide.LimitChanged:
 			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
 		case decide.Paused:
@@ -464,9 +466,9 @@
 }
 
 // Progress reports the number of tokens that a placed request has generated so
-// far.
-func (c *Controller) Progress(id ident.Request, tokens int) {
-	c.send(schedulerEventCommand{decide.Progressed{ID: id, Tokens: tokens}})
+// far, and its pace since the previous report.
+func (c *Controller) Progress(id ident.Request, tokens int, pace decide.Pace) {
+	c.send(schedulerEventCommand{decide.Progressed{ID: id, Tokens: tokens, Pace: pace}})
 }
 
 // EndMove ends a move. If moved is true, the request has moved to its
--- a/event/event.go
+++ b/event/event.go
@@ -73,6 +73,7 @@
 	PoolReachable         ID = 420
 	PoolBrittle           ID = 421
 	CoordinatorChanged    ID = 422
+	PoolUneven            ID = 426
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -131,6 +132,7 @@
 	PoolReachable:         "pool_reachable",
 	PoolBrittle:           "pool_brittle",
 	CoordinatorChanged:    "coordinator_changed",
+	PoolUneven:            "pool_uneven",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,8 +37,9 @@
 	EndMove(id ident.Request, moved bool)
 	// Answered reports that the header of a stream has arrived.
 	Answered(id ident.Request)
-	// Progress reports the number of tokens that a request has generated so far.
-	Progress(id ident.Request, tokens int)
+	// Progress reports the number of tokens that a request has generated so far, and its pace
+	// since the previous report.
+	Progress(id ident.Request, tokens int, pace decide.Pace)
 	// End reports that a request is finished.
 	End(id ident.Request, tokens int, o verdict.Outcome)
 	// ReportFailure reports that a request failed on an upstream.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -657,11 +657,11 @@
 	r.names = append(r.names, name)
 }
 
-func (r *loadRecorder) Progress(id ident.Request, tokens int) {
+func (r *loadRecorder) Progress(id ident.Request, tokens int, pace decide.Pace) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progress++
-	r.Dispatcher.Progress(id, tokens)
+	r.Dispatcher.Progress(id, tokens, pace)
 }
 
 // TestProgressIsReportedAtTheBeginningOfEachAttempt checks that the scheduler learns that an
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -252,6 +252,9 @@
 		r.StartBy = q.received.Add(class.WaitTarget)
 		r.FirstTokenBy = q.received.Add(q.route.Target)
 	}
+	if class.Kind == config.Stream {
+		r.PauseTarget = q.route.PauseTarget
+	}
 	return r
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// progressInterval is the time between two progress updates of a stream to
-	// the scheduler.
-	progressInterval = 4 * time.Second
 	// maxBufferedEvents is the maximum number of events of a stream that are
 	// buffered while the caller reads slowly.
 	maxBufferedEvents = 16
@@ -38,8 +35,8 @@
 	headerSent bool
 	// tokensPerEvent is the number of tokens in one event.
 	tokensPerEvent int
-	// progressSentAt is the time of the last progress update to the scheduler.
-	progressSentAt time.Time
+	// pace measures the pace of the run for the progress updates to the scheduler.
+	pace paceMeter
 	// placement is the upstream that executes the run. It changes when the run
 	// moves.
 	placement dispatch.Placement
@@ -113,7 +110,7 @@
 				return nil, withPreviousError(lastErr, err)
 			}
 			// The first event of each run is reported.
-			s.placement, s.progressSentAt = placement, time.Time{}
+			s.placement, s.pace = placement, paceMeter{}
 			s.g.logPlacement(s.request, placement)
 		}
 		plain, err := s.attempt(ctx, resumeFrom)
@@ -223,7 +220,10 @@
 // readResult is an event of an upstream, or the error that ended its stream.
 type readResult struct {
 	event sseEvent
-	err   error
+	// readAt is the time at which the event was read. A slow caller delays only what
+	// follows.
+	readAt time.Time
+	err    error
 }
 
 // relayEvents forwards the events of one response to the caller until the
@@ -251,7 +251,7 @@
 			if r.err != nil {
 				return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the stream failed after event %d: %v", s.lastEventID, r.err)
 			}
-			if err := s.forward(response, r.event); err != nil {
+			if err := s.forward(response, r.event, r.readAt); err != nil {
 				return err
 			}
 		}
@@ -271,7 +271,7 @@
 	for {
 		event, err := events.next()
 		select {
-		case results <- readResult{event, err}:
+		case results <- readResult{event, time.Now(), err}:
 		case <-ctx.Done():
 			return
 		}
@@ -291,7 +291,7 @@
 
 // forward writes the next event in order to the caller. It skips repeated
 // events; a gap in the event IDs ends the attempt.
-func (s *stream) forward(response *http.Response, e sseEvent) error {
+func (s *stream) forward(response *http.Response, e sseEvent, readAt time.Time) error {
 	if e.id != noID {
 		if s.lastEventID != noID && e.id <= s.lastEventID {
 			return nil
@@ -318,11 +318,9 @@
 		s.lastEventID = e.id
 	}
 	s.needsVersion, s.version = true, s.placement.Version
-	now := time.Now()
-	s.recordEvent(now)
-	if now.Sub(s.progressSentAt) >= progressInterval {
-		s.progressSentAt = now
-		s.g.Dispatcher.Progress(s.id, s.delivered*s.tokensPerEvent)
+	s.recordEvent(time.Now())
+	if pace, due := s.pace.record(readAt, s.tokensPerEvent); due {
+		s.g.Dispatcher.Progress(s.id, s.delivered*s.tokensPerEvent, pace)
 	}
 	return nil
 }
--- a/gossip/relay.go
+++ b/gossip/relay.go
@@ -105,13 +105,28 @@
 	return max(minLoadInterval, loadSpacing*time.Duration(p.members.OtherDataCentres()))
 }
 
+// maxFactorPercent is the largest plausible factor of an engine's speed.
+const maxFactorPercent = 10_000
+
 func (p *Peers) handleLoads(now time.Time, w loadsWire) error {
 	count := len(w.Upstreams)
 	if len(w.Running) != count || len(w.UsedTokens) != count || len(w.PendingPrefill) != count {
 		return errorx.IllegalFormat.New("%d upstreams, but %d, %d and %d values", count, len(w.Running), len(w.UsedTokens), len(w.PendingPrefill))
 	}
+	if len(w.FactorPercent) != 0 && len(w.FactorPercent) != count {
+		return errorx.IllegalFormat.New("%d upstreams, but %d factors", count, len(w.FactorPercent))
+	}
+	for _, percent := range w.FactorPercent {
+		if percent < 1 || percent > maxFactorPercent {
+			return errorx.IllegalFormat.New("a factor of %d percent is out of range", percent)
+		}
+	}
 	for i, name := range w.Upstreams {
-		p.sink.HandleReport(name, decide.Report{TakenAt: now, Running: w.Running[i], UsedTokens: w.UsedTokens[i], PendingPrefillTokens: w.PendingPrefill[i]})
+		r := decide.Report{TakenAt: now, Running: w.Running[i], UsedTokens: w.UsedTokens[i], PendingPrefillTokens: w.PendingPrefill[i]}
+		if len(w.FactorPercent) > 0 {
+			r.Factor = float64(w.FactorPercent[i]) / 100
+		}
+		p.sink.HandleReport(name, r)
 	}
 	return nil
 }
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -84,6 +86,9 @@
 	Running        []int    `json:"running"`
 	UsedTokens     []int    `json:"used_tokens"`
 	PendingPrefill []int    `json:"pending_prefill"`
+	// FactorPercent is how long work takes, relative to the mean of the engine's service;
+	// omitted if it is 100 for all. Older builds omit it.
+	FactorPercent []int `json:"factor_percent,omitempty"`
 }
 
 func encodeLoads(loads []decide.Load) loadsWire {
@@ -91,6 +96,14 @@
 	for _, load := range loads {
 		w.Upstreams, w.Running = append(w.Upstreams, load.Upstream), append(w.Running, load.Running)
 		w.UsedTokens, w.PendingPrefill = append(w.UsedTokens, load.UsedTokens), append(w.PendingPrefill, load.PendingPrefillTokens)
+		percent := int(math.Round(100 * load.Factor))
+		if percent <= 0 {
+			percent = 100 // Not known.
+		}
+		w.FactorPercent = append(w.FactorPercent, percent)
+	}
+	if !slices.ContainsFunc(w.FactorPercent, func(percent int) bool { return percent != 100 }) {
+		w.FactorPercent = nil
 	}
 	return w
 }
@@ -115,6 +128,12 @@
 	Upstream  string `json:"upstream,omitempty"`
 	Tokens    int    `json:"tokens,omitempty"`
 	Completed bool   `json:"completed,omitempty"`
+	// PauseTargetMS is the target for the longest pause of a placed stream.
+	PauseTargetMS int64 `json:"pause_target_ms,omitempty"`
+	// TokenUS is the time for a token in microseconds and PauseMS the longest pause in
+	// milliseconds, since the stream's previous notice of progress; 0 if not measured.
+	TokenUS int64 `json:"token_us,omitempty"`
+	PauseMS int64 `json:"pause_ms,omitempty"`
 	// Began is the key of the stream that has begun on the upstream.
 	Began string `json:"began,omitempty"`
 }
@@ -182,10 +201,14 @@
 	}, nil
 }
 
+// maxPause is the longest plausible pause of a stream and target for it.
+const maxPause = time.Hour
+
 func encodeNotice(now time.Time, n decide.Notice) noticeWire {
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
 		PromptTokens: n.Request.PromptTokens, MaxOutput: n.Request.MaxOutputTokens, Upstream: n.Upstream, Tokens: n.Tokens, Completed: n.Completed,
+		PauseTargetMS: min(maxPause, n.Request.PauseTarget).Milliseconds(), TokenUS: min(maxPause, n.Pace.PerToken).Microseconds(), PauseMS: min(maxPause, n.Pace.LongestPause).Milliseconds(),
 	}
 	if n.Began != 0 {
 		w.Began = n.Began.String()
@@ -212,7 +235,12 @@
 	if w.FirstInMS != 0 {
 		r.FirstTokenBy = now.Add(time.Duration(w.FirstInMS) * time.Millisecond)
 	}
+	if w.PauseTargetMS < 0 || w.PauseTargetMS > maxPause.Milliseconds() || w.PauseMS < 0 || w.PauseMS > maxPause.Milliseconds() || w.TokenUS < 0 || w.TokenUS > maxPause.Microseconds() {
+		return decide.Notice{}, errorx.IllegalFormat.New("the pace of stream %q is out of range", w.ID)
+	}
+	r.PauseTarget = milliseconds(w.PauseTargetMS)
 	n := decide.Notice{Kind: w.Kind, Request: r, Upstream: w.Upstream, Tokens: w.Tokens, Completed: w.Completed}
+	n.Pace = decide.Pace{PerToken: time.Duration(w.TokenUS) * time.Microsecond, LongestPause: milliseconds(w.PauseMS)}
 	if w.Began != "" {
 		if n.Began, err = origin.ParseKey(w.Began); err != nil {
 			return decide.Notice{}, err
