--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,7 @@
 	CoordinatorChanged    ID = 422
 	UpstreamAvoided       ID = 428
 	UpstreamUsedAgain     ID = 429
+	PoolUneven            ID = 426
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -141,6 +142,7 @@
 	CoordinatorChanged:    "coordinator_changed",
 	UpstreamAvoided:       "upstream_avoided",
 	UpstreamUsedAgain:     "upstream_used_again",
+	PoolUneven:            "pool_uneven",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
