Cold upstreams: a rate for all instances; load headers with four figures

Cause: a cold upstream crashes above its rate, and nothing limited the requests of all instances to it. A Server-Load header with four figures was dropped as a whole, so placement of calls knew no load.

Change: decide/cold.go keeps two token buckets for each cold upstream, for the fleet and for the data centre, fed by the limit notices. The cold time comes from responses, entries, new incarnations and the return of a data centre (decide.ColdAssumed). It takes effect only with cold.overage in the settings and a rate in the configuration. Loads have a pace; calls go where they are expected to end first (decide/calls.go). Malformed values are logged.

--- a/decide/limit.go
+++ b/decide/limit.go
@@ -39,6 +39,10 @@
 	// Sent is the number of requests that the sender has sent since its previous
 	// notice.
 	Sent int
+	// DataCentre is that of the sender, and ColdUntil until when the upstream is cold, as it
+	// declared at ColdHeardAt; empty and zero if no cold time is known.
+	DataCentre             string
+	ColdUntil, ColdHeardAt time.Time
 }
 
 // LimitNoticeReceived contains a notice from another instance.
@@ -169,11 +173,13 @@
 	}
 	s.setLimit(now, u, n.Limited, n.PerSecond, n.HeardAt, true)
 	u.limit.take(now, n.Sent)
+	s.handleColdNotice(now, u, n)
 }
 
 // useLimit records that this instance sends a request to the upstream.
 func (s *Scheduler) useLimit(now time.Time, u *upstream) {
-	if u.limit.active {
+	isCold := s.useCold(now, u)
+	if u.limit.active || isCold {
 		u.limit.take(now, 1)
 		s.notifyLimit(u, 1)
 	}
@@ -181,9 +187,14 @@
 
 func (s *Scheduler) notifyLimit(u *upstream, sent int) {
 	l := &u.limit
-	s.outgoing = append(s.outgoing, NotifyLimit{LimitNotice{
-		Upstream: u.Name, Incarnation: u.Incarnation, Limited: l.active, PerSecond: l.perSecond, HeardAt: l.heardAt, Sent: sent,
-	}})
+	n := LimitNotice{Upstream: u.Name, Incarnation: u.Incarnation, Limited: l.active, PerSecond: l.perSecond, HeardAt: l.heardAt, Sent: sent}
+	if !u.cold.since.IsZero() && s.coldBounds.Overage > 0 {
+		n.DataCentre = s.dataCentre
+		if !u.cold.declaredAt.IsZero() {
+			n.ColdUntil, n.ColdHeardAt = u.cold.until, u.cold.declaredAt
+		}
+	}
+	s.outgoing = append(s.outgoing, NotifyLimit{n})
 }
 
 // accepting returns the candidates to which the request may be sent now: those that have
@@ -193,7 +204,7 @@
 		if s.admittedBy(now, r, u).IsValid() {
 			return false
 		}
-		return now.Before(u.pausedUntil) || !s.hasRoom(now, r, u) || !u.limit.allows(now, hashFraction(r.ID, ^u.hash))
+		return now.Before(u.pausedUntil) || !s.hasRoom(now, r, u) || !u.limit.allows(now, hashFraction(r.ID, ^u.hash)) || !s.coldAllows(now, u, hashFraction(r.ID, ^u.hash))
 	}
 	if !slices.ContainsFunc(candidates, rejects) {
 		return candidates
@@ -207,7 +218,7 @@
 func (s *Scheduler) retryAtLimits(now time.Time, p *pool, limited []*upstream) time.Time {
 	rate := 0.0
 	for _, u := range limited {
-		rate += u.limit.rate()
+		rate += s.acceptedRate(now, u)
 	}
 	interval := min(float64(s.instances)/rate, maxRetryDelay.Seconds())
 	if p.retryAt.Before(now) || p.retryAt.Sub(now) > maxRetryDelay {
@@ -216,3 +227,15 @@
 	p.retryAt = p.retryAt.Add(time.Duration(interval * float64(time.Second)))
 	return p.retryAt
 }
+
+// acceptedRate returns the rate of requests that an upstream at its limit accepts from all
+// instances.
+func (s *Scheduler) acceptedRate(now time.Time, u *upstream) float64 {
+	switch {
+	case !s.isCold(now, u):
+		return u.limit.rate()
+	case u.limit.active:
+		return min(u.limit.rate(), u.ColdPerSecond)
+	}
+	return u.ColdPerSecond
+}
--- a/decide/pushback.go
+++ b/decide/pushback.go
@@ -57,7 +57,7 @@
 			return Refuse{}, false
 		case !now.Before(u.pausedUntil):
 			limited = append(limited, u)
-			states = append(states, fmt.Sprintf("%s at its limit of %.4g/s", u.Name, u.limit.perSecond))
+			states = append(states, fmt.Sprintf("%s at its limit of %.4g/s", u.Name, s.acceptedRate(now, u))+s.coldText(now, u))
 			continue
 		case earliest.IsZero() || u.pausedUntil.Before(earliest):
 			earliest = u.pausedUntil
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -66,8 +66,12 @@
 	// fleet, instances send them to other data centres instead of a notice for
 	// each placement.
 	receivesPeerReports bool
-	// instances is the number of live instances, including this one.
-	instances int
+	// instances is the number of live instances, including this one, and instancesIn their
+	// numbers by data centre.
+	instances   int
+	instancesIn map[string]int
+	// coldBounds limit the requests to cold upstreams.
+	coldBounds ColdBounds
 	// outgoing contains the notices and ejections to return from the current
 	// step.
 	outgoing []Action
@@ -124,6 +128,13 @@
 		s.handleReport(now, e)
 	case LimitReported:
 		s.handleLimitReported(now, e)
+	case PaceReported:
+		s.handlePaceReported(e)
+		return nil
+	case ColdReported:
+		s.handleColdReported(now, e)
+	case ColdAssumed:
+		s.handleColdAssumed(now, e)
 	case PushedBack:
 		s.handlePushBack(now, e)
 		return nil
@@ -179,6 +190,7 @@
 		}
 	case Tick:
 		s.expirePeerRequests(now)
+		s.expireCold(now)
 	}
 	// The remaining events can make room for waiting requests, or let them expire.
 	return s.serveQueue(now)
@@ -197,6 +209,9 @@
 		s.order = append(s.order, listed.Name)
 	}
 	slices.Sort(s.order)
+	for _, name := range s.order {
+		s.applyListedCold(now, s.upstreams[name])
+	}
 	for name, u := range previous {
 		if s.upstreams[name] != u {
 			s.retire(now, u.Upstream)
@@ -225,9 +240,11 @@
 	}
 	if previous != nil && previous.Incarnation == changed.Incarnation {
 		previous.Upstream = changed
+		s.applyListedCold(now, previous)
 		return
 	}
 	s.upstreams[changed.Name] = newUpstream(now, changed)
+	s.applyListedCold(now, s.upstreams[changed.Name])
 	if previous != nil {
 		s.dropPeerRequests(previous)
 	}
@@ -487,6 +504,7 @@
 	if l := &c.upstream.limit; l.active {
 		c.explanation += fmt.Sprintf("; %.1f of its limit of %.4g/s available", l.tokens, l.perSecond)
 	}
+	c.explanation += s.coldText(now, c.upstream)
 	s.useLimit(now, c.upstream)
 	s.recordPlacement(now, c.upstream, w.Request, c.lengths, false)
 	s.trackers.sent(now, w.Request, containedUpstream(c.upstream))
@@ -507,7 +525,7 @@
 	if w.Class.Kind != config.Stream || !anyForecastable {
 		// Only streams use the KV cache, whose size must be known for a forecast.
 		u := s.leastLoaded(now, w.ID, candidates)
-		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting)
+		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting) + u.paceText(now)
 		return choice{u, lengths, explanation}, true
 	}
 	poolStats, poolLengths := s.pool(w.Class.Pool), s.lengths.PoolForecast(w.Class.Pool)
@@ -570,14 +588,19 @@
 // added to the load of upstreams that are busy or in other data centres.
 const busyShare = 0.7
 
-// leastLoaded returns the upstream with the fewest requests per slot.
+// leastLoaded returns the upstream with the fewest requests per slot, or with the shortest
+// expected time of a call if upstreams declare their paces.
 // Upstreams in the local data centre have preference as long as they are not
 // busy. An upstream in slow start is skipped for the share of requests that it
 // doesn't get yet.
 func (s *Scheduler) leastLoaded(now time.Time, id ident.Request, candidates []*upstream) *upstream {
+	anyPace := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.declaresPace(now) })
 	cost := func(u *upstream) float64 {
 		load := u.load(now)
-		if u.DataCentre != s.dataCentre || load >= busyShare {
+		if anyPace {
+			load = u.callTime(now)
+		}
+		if u.DataCentre != s.dataCentre || !anyPace && load >= busyShare {
 			load += busyShare
 		}
 		if hashFraction(id, ^u.hash) > u.health.trafficShare(now) {
--- a/decide/types.go
+++ b/decide/types.go
@@ -42,6 +42,12 @@
 	// load reports.
 	Slots, CapacityTokens int
 	StepTime              time.Duration
+	// ColdUntil is the end of the time in which the upstream is cold, according to the list
+	// and its start. ColdPerSecond is the rate of requests that it bears while it is cold; 0
+	// if there is no limit. ColdStart is the usual cold time.
+	ColdUntil     time.Time
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Request is a request to be placed on an upstream.
@@ -97,6 +103,9 @@
 	TakenAt time.Time
 	// Running and Waiting are the numbers of generations or calls.
 	Running, Waiting int
+	// PacePercent is how long work takes at the moment, in percent of the usual time; 0 if
+	// the upstream does not declare it.
+	PacePercent float64
 	// UsedTokens and CapacityTokens are the used and the total size of the KV
 	// cache; zero for plain services.
 	UsedTokens, CapacityTokens int
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -43,6 +43,13 @@
 	// instance.
 	pausedUntil time.Time
 
+	// declaredPace is the pace that an engine declared, and calls is the load of a plain
+	// upstream that declares its pace.
+	declaredPace declaredPace
+	calls        callLoad
+	// cold limits the requests to a cold upstream.
+	cold coldState
+
 	// base is the memory forecast without the request to be placed, as of baseAt,
 	// and baseLoad are the generations in it. stale reports whether the requests
 	// or the report have changed since.
@@ -156,6 +163,7 @@
 	if !r.TakenAt.After(u.report.TakenAt) {
 		return
 	}
+	u.calls.observe(r, r.TakenAt.Sub(u.report.TakenAt))
 	u.report, u.stale = r, true
 	if u.CapacityTokens == 0 {
 		// The report of an engine with declared memory comes from another instance,
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -61,6 +61,7 @@
 	table := cmd.document.Table
 	c.log.Emit(event.TableAccepted, "version", table.Version, "before", versionBefore, "routes", len(table.Routes), "credentials", table.CredentialCount(), "source", cmd.source,
 		"era", cmd.document.ReadAt.Era, "revision", cmd.document.ReadAt.Revision)
+	c.logMalformedServices(table)
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
@@ -88,6 +89,7 @@
 	if len(changes) > 0 {
 		c.handleChanges(now, changes)
 	}
+	c.applyColder(now, cmd.items)
 	after := c.directory.Position()
 	if after == before {
 		return
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -201,6 +201,8 @@
 			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
 		case decide.Paused:
 			c.log.Emit(event.UpstreamPaused, "upstream", a.Upstream, "for_ms", a.Until.Sub(now).Milliseconds())
+		case decide.ColdChanged:
+			c.logCold(now, a)
 		case decide.NotifyLimit:
 			c.announcer.SendLimit(a.Notice)
 		case decide.BrittleChanged:
@@ -333,6 +335,9 @@
 		Version: status.Version, Leaving: status.State == upstream.Draining, Slots: status.Slots,
 	}
 	table := c.tables.Current().Table
+	if table != nil {
+		setCold(&u, status, table.Services[status.Service])
+	}
 	if table != nil && table.Services[status.Service] != nil && table.Services[status.Service].Engine != nil {
 		engine := table.Services[status.Service].Engine
 		u.CapacityTokens, u.StepTime = engine.KVCacheTokens, assumedStep
@@ -494,6 +499,12 @@
 // declared none.
 func (c *Controller) ReportLimit(r decide.LimitReported) { c.send(schedulerEventCommand{r}) }
 
+// ReportPace forwards how long work takes at an engine, as it declared.
+func (c *Controller) ReportPace(r decide.PaceReported) { c.send(schedulerEventCommand{r}) }
+
+// ReportCold forwards for how long an upstream declared that it is cold.
+func (c *Controller) ReportCold(r decide.ColdReported) { c.send(schedulerEventCommand{r}) }
+
 // ReportPushBack forwards the time before which an upstream wants no requests.
 func (c *Controller) ReportPushBack(e decide.PushedBack) { c.send(schedulerEventCommand{e}) }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -17,6 +17,7 @@
 
 	"mangoloft/catalog"
 	"mangoloft/containment"
+	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/freshconn"
@@ -159,6 +160,7 @@
 		TableVersion: func() uint64 { return i.state().TableVersion }, ListRevision: func() uint64 { return i.state().ListPosition.Revision },
 		LinesDropped: i.log.Dropped, StoreLost: i.follower.Unavailable, Ready: i.ready, Upstreams: i.upstreams,
 		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
+		ColdUpstreams:     i.controller.ColdUpstreams,
 		ContainedParts:    func() int { return i.contained(containment.PromptParts) },
 		ContainedRequests: func() int { return i.contained(containment.Requests) },
 	}
@@ -283,7 +285,7 @@
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
 
 // updateRetryBudget adapts the instance's shares of the fleet-wide retry budget and of
-// the upstreams' limits to the number of instances.
+// the upstreams' limits to the number of instances, and passes on the bounds for cold upstreams.
 func (i *instance) updateRetryBudget(ctx context.Context) error {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
@@ -292,6 +294,8 @@
 		instances := i.peers.FleetSize()
 		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(instances))
 		i.controller.SetInstances(instances)
+		i.controller.SetDataCentres(i.peers.DataCentres())
+		i.controller.SetColdBounds(decide.ColdBounds(i.settings.Load().Cold))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -21,6 +21,7 @@
 	Limits     Limits           `json:"limits"`
 	Stop       Stop             `json:"stop"`
 	Retries    Retries          `json:"retries"`
+	Cold       Cold             `json:"cold"`
 }
 
 // Listen contains the addresses on which the instance listens.
@@ -76,6 +77,16 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// Cold limits the requests to a cold upstream in any second. If Overage is 0, cold upstreams
+// are treated like others.
+type Cold struct {
+	// Overage is the allowed number of requests as a multiple of the rate that the upstream
+	// bears, 1 or more.
+	Overage float64 `json:"overage"`
+	// Slack is the number of requests that are allowed in addition.
+	Slack float64 `json:"slack"`
+}
+
 // Load reads and validates the settings file at path. The error is a
 // jsonc.Faults with every fault, or the error of reading the file.
 func Load(path string) (Settings, error) {
@@ -107,6 +118,8 @@
 	check(s.Limits.Descriptors > 0, "limits.descriptors", s.Limits.Descriptors, "a number above 0")
 	check(s.Retries.Share >= 0, "retries.share", s.Retries.Share, "a share, 0 or more")
 	check(s.Retries.Slack >= 0, "retries.slack", s.Retries.Slack, "a number, 0 or more")
+	check(s.Cold.Overage == 0 || s.Cold.Overage >= 1, "cold.overage", s.Cold.Overage, "a factor, 1 or more; or 0")
+	check(s.Cold.Slack >= 0, "cold.slack", s.Cold.Slack, "a number, 0 or more")
 	if faults := doc.Faults(); len(faults) > 0 {
 		return Settings{}, faults
 	}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -24,6 +24,7 @@
   "limits": {"memory_mb": 120, "descriptors": 2870},
   "stop": {"grace_seconds": 8},
   "retries": {"share": 0.2, "slack": 122, "window_seconds": 10},
+  "cold": {"overage": 1.5, "slack": 5},
 }`
 
 func TestParse(t *testing.T) {
@@ -47,6 +48,8 @@
 		"negative time to apply a change": {`"apply_ms": 2000`, `"apply_ms": -1`, []string{"store.apply_ms"}},
 		"negative share":                  {`"share": 0.2`, `"share": -1`, []string{"retries.share"}},
 		"string instead of a number":      {`"memory_mb": 120`, `"memory_mb": "much"`, []string{"limits.memory_mb"}},
+		"overage below 1":                 {`"overage": 1.5`, `"overage": 0.5`, []string{"cold.overage"}},
+		"negative slack":                  {`"slack": 5`, `"slack": -5`, []string{"cold.slack"}},
 		"two faults":                      {`"instance": "edge-a-1",`, `"instance": "", "odd": 1,`, []string{"instance", "odd"}},
 		"malformed JSON":                  {`"stop"`, ``, []string{"settings.jsonc:"}},
 	}
@@ -75,6 +78,7 @@
 		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{bounds.config-apply-ms|json}}", "2000", "{{limits.memory-mb|json}}", "120", "{{limits.max-fds|json}}", "2870",
 		"{{bounds.grace-s|json}}", "8", "{{bounds.retry-budget-ratio|json}}", "0.2", "{{bounds.retry-slack|json}}", "122",
 		"{{bounds.budget-window-s|json}}", "10",
+		`{{#bounds.cold-overage}}"cold": {"overage": {{.|json}}, "slack": {{bounds.cold-slack|json}}},{{/bounds.cold-overage}}`, `"cold": {"overage": 1.5, "slack": 5},`,
 	).Replace(string(content))
 	assert.Assert(t, !strings.Contains(filled, "{{"), filled)
 	got, err := parse("settings.jsonc", []byte(filled))
--- a/event/event.go
+++ b/event/event.go
@@ -73,6 +73,9 @@
 	PoolReachable         ID = 420
 	PoolBrittle           ID = 421
 	CoordinatorChanged    ID = 422
+	UpstreamCold          ID = 423
+	UpstreamWarm          ID = 424
+	ColdValueRefused      ID = 425
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -131,6 +134,9 @@
 	PoolReachable:         "pool_reachable",
 	PoolBrittle:           "pool_brittle",
 	CoordinatorChanged:    "coordinator_changed",
+	UpstreamCold:          "upstream_cold",
+	UpstreamWarm:          "upstream_warm",
+	ColdValueRefused:      "cold_value_refused",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,10 @@
 	ReportFailure(name string, r verdict.Reason)
 	// HandleReport submits an upstream's load report.
 	HandleReport(name string, r decide.Report)
+	// ReportPace submits how long work takes at an engine, as it declared in a response.
+	ReportPace(r decide.PaceReported)
+	// ReportCold submits for how long an upstream declared in a response that it is cold.
+	ReportCold(r decide.ColdReported)
 	// ReportLimit submits the limit that an upstream declared in a response, or that
 	// it declared none.
 	ReportLimit(r decide.LimitReported)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -127,13 +127,25 @@
 	if responseInfo.Misdirected {
 		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
 	}
-	if responseInfo.Load != nil && !responseInfo.Misdirected && !q.usesEngine() {
-		g.Dispatcher.HandleReport(placement.Name, decide.Report{TakenAt: time.Now(), Running: responseInfo.Load.Running, Waiting: responseInfo.Load.Waiting})
+	if load := responseInfo.Load; load != nil && !responseInfo.Misdirected {
+		g.reportLoad(q, placement, *load)
 	}
 	g.reportDeclarations(q, placement, responseInfo)
 	return checkResponse(response, responseInfo, q.info.ID)
 }
 
+// reportLoad reports to the dispatcher the load that an upstream declares; of an engine only
+// its pace.
+func (g *Gateway) reportLoad(q *request, placement dispatch.Placement, load Load) {
+	now := time.Now()
+	switch {
+	case !q.usesEngine():
+		g.Dispatcher.HandleReport(placement.Name, decide.Report{TakenAt: now, Running: load.Running, Waiting: load.Waiting, PacePercent: load.PacePercent})
+	case load.PacePercent > 0:
+		g.Dispatcher.ReportPace(decide.PaceReported{Upstream: placement.Name, Incarnation: placement.Incarnation, Percent: load.PacePercent, At: now})
+	}
+}
+
 // reportDeclarations reports to the dispatcher what the upstream declares in a response:
 // its limit or that it has none, that it is leaving, and for how long it wants no
 // requests. A response with another ID may
@@ -151,6 +163,9 @@
 	if info.MaxRejections > 0 || placement.Brittle {
 		g.Dispatcher.ReportBrittle(decide.BrittleReported{Upstream: placement.Name, Incarnation: placement.Incarnation, MaxRejections: info.MaxRejections, Rejected: info.NotRun})
 	}
+	if !info.ColdUntil.IsZero() {
+		g.Dispatcher.ReportCold(decide.ColdReported{Upstream: placement.Name, Incarnation: placement.Incarnation, Until: info.ColdUntil})
+	}
 	if info.Leaving {
 		g.Dispatcher.ReportLeaving(placement.Name, int64(placement.Incarnation), time.Time{}, upstream.FromAnswer)
 	}
--- a/gateway/protocol.go
+++ b/gateway/protocol.go
@@ -71,7 +71,12 @@
 }
 
 // Load is an upstream's load as reported in a response.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// PacePercent is how long work takes at the moment, in percent of the usual time; 0 if
+	// the upstream does not declare it.
+	PacePercent float64
+}
 
 // ResponseInfo contains the values of the status and headers of an upstream's
 // response.
@@ -99,6 +104,9 @@
 	// MaxRejections is the number of requests that the upstream can reject in a second for
 	// want of room before it fails, as it declares; 0 if it declares none.
 	MaxRejections int
+	// ColdUntil is the time until which the upstream declares to be cold; zero if it declares
+	// none.
+	ColdUntil time.Time
 	// Leaving reports whether the upstream declares that it is leaving.
 	Leaving bool
 	// Malformed describes the headers that could not be decoded and were ignored; nil
--- a/gossip/data_centres.go
+++ b/gossip/data_centres.go
@@ -73,6 +73,16 @@
 	return max(total, t.Count()+1)
 }
 
+// DataCentreSizes returns the number of live instances of each known data centre, including
+// this one. Like FleetSize it counts those of a data centre that can't be reached.
+func (t *MemberTable) DataCentreSizes() map[string]int {
+	sizes := map[string]int{t.dataCentre: t.LocalCount()}
+	for name, d := range t.dataCentres {
+		sizes[name] = d.count
+	}
+	return sizes
+}
+
 // OtherDataCentres returns the number of other data centres.
 func (t *MemberTable) OtherDataCentres() int { return len(t.dataCentres) }
 
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -56,6 +56,8 @@
 	limitNoticeShare = 0.02
 	// maxLimitAge is the maximum time since an upstream declared its limit in a notice.
 	maxLimitAge = 24 * time.Hour
+	// maxColdTime is the maximum plausible time for which an upstream is still cold.
+	maxColdTime = time.Hour
 	// maxBrittleAge is the maximum time since an upstream declared that it is brittle, and
 	// maxClaims the maximum number of upstreams, in a notice.
 	maxBrittleAge = time.Minute
@@ -209,6 +211,7 @@
 	// The atomic fields are updated by Run for other goroutines.
 	alive       atomic.Int64
 	fleetSize   atomic.Int64
+	dataCentres atomic.Pointer[map[string]int]
 	readers     atomic.Int64
 	listCurrent atomic.Bool
 	isReader    atomic.Bool
@@ -278,6 +281,7 @@
 		traffic: newTrafficCounters(), pulls: newPullTracker(),
 	}
 	p.fleetSize.Store(1)
+	p.dataCentres.Store(&map[string]int{})
 	return p
 }
 
@@ -296,6 +300,10 @@
 // it includes those that this instance doesn't know individually.
 func (p *Peers) FleetSize() int { return int(p.fleetSize.Load()) }
 
+// DataCentres returns the number of live instances of each data centre, including this one.
+// The result must not be changed.
+func (p *Peers) DataCentres() map[string]int { return *p.dataCentres.Load() }
+
 // StoreReaders returns the number of instances that read the store, in all data
 // centres.
 func (p *Peers) StoreReaders() int { return int(p.readers.Load()) }
@@ -508,6 +516,8 @@
 	p.publishReachable()
 	p.alive.Store(int64(p.members.Count()))
 	p.fleetSize.Store(int64(p.members.FleetSize()))
+	counts := p.members.DataCentreSizes()
+	p.dataCentres.Store(&counts)
 	p.readers.Store(int64(p.members.ReaderCount()))
 	reads := p.options.State().ReadsStore
 	p.listCurrent.Store(p.members.ListCurrent(now, reads))
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -140,20 +140,43 @@
 	// HeardAgoMS is the time in milliseconds since the upstream declared it.
 	HeardAgoMS int64 `json:"heard_ago_ms"`
 	Sent       int   `json:"sent,omitempty"`
+	// DataCentre is that of the instance that sent the requests, for cold upstreams.
+	DataCentre string `json:"data_centre,omitempty"`
+	// ColdKnown reports whether the upstream has declared until when it is cold, ColdInMS is
+	// the time in milliseconds until then, and ColdAgoMS the time since it declared it.
+	ColdInMS  int64 `json:"cold_in_ms,omitempty"`
+	ColdAgoMS int64 `json:"cold_ago_ms,omitempty"`
+	ColdKnown bool  `json:"cold_known,omitempty"`
 }
 
 func encodeLimit(now time.Time, n decide.LimitNotice) limitWire {
-	return limitWire{n.Upstream, uint64(n.Incarnation), n.Limited, n.PerSecond, now.Sub(n.HeardAt).Milliseconds(), n.Sent}
+	w := limitWire{
+		ID: n.Upstream, StartUnixMS: uint64(n.Incarnation), Limited: n.Limited, PerSecond: n.PerSecond, Sent: n.Sent, DataCentre: n.DataCentre,
+		// An upstream that is only cold has declared no limit. Older builds refuse a notice
+		// without a time.
+		HeardAgoMS: min(now.Sub(n.HeardAt), maxLimitAge).Milliseconds(),
+	}
+	if !n.ColdHeardAt.IsZero() {
+		w.ColdKnown, w.ColdInMS, w.ColdAgoMS = true, max(0, n.ColdUntil.Sub(now)).Milliseconds(), max(0, now.Sub(n.ColdHeardAt)).Milliseconds()
+	}
+	return w
 }
 
 func decodeLimit(now time.Time, w limitWire) (decide.LimitNotice, error) {
 	if w.PerSecond < 0 || w.Sent < 0 || w.HeardAgoMS < 0 || w.HeardAgoMS > maxLimitAge.Milliseconds() {
 		return decide.LimitNotice{}, errorx.IllegalFormat.New("a value in the limit of %q is out of range", w.ID)
 	}
-	return decide.LimitNotice{
+	if w.ColdInMS < 0 || w.ColdInMS > maxColdTime.Milliseconds() || w.ColdAgoMS < 0 || w.ColdAgoMS > maxLimitAge.Milliseconds() {
+		return decide.LimitNotice{}, errorx.IllegalFormat.New("the cold time of %q is out of range", w.ID)
+	}
+	n := decide.LimitNotice{
 		Upstream: w.ID, Incarnation: ident.Incarnation(w.StartUnixMS), Limited: w.Limited, PerSecond: w.PerSecond,
-		HeardAt: now.Add(-milliseconds(w.HeardAgoMS)), Sent: w.Sent,
-	}, nil
+		HeardAt: now.Add(-milliseconds(w.HeardAgoMS)), Sent: w.Sent, DataCentre: w.DataCentre,
+	}
+	if w.ColdKnown {
+		n.ColdUntil, n.ColdHeardAt = now.Add(milliseconds(w.ColdInMS)), now.Add(-milliseconds(w.ColdAgoMS))
+	}
+	return n, nil
 }
 
 // brittleWire tells that the upstreams of a pool are brittle, and which of them the sender
--- a/routing/table.go
+++ b/routing/table.go
@@ -120,6 +120,13 @@
 	HealthPath string
 	// MaxConnections is the maximum number of connections to one upstream.
 	MaxConnections int
+	// ColdPerSecond is the rate of requests that an upstream bears while it is cold; 0 if there
+	// is no limit. ColdStart is the time for which an upstream is cold after its start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
+	// Malformed describes the values that could not be decoded and were ignored; nil if there
+	// are none.
+	Malformed error
 	// Engine is nil for services without model engines.
 	Engine *Engine
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -23,7 +23,7 @@
 	m.CountMove("moved")
 	zero := func() int { return 0 }
 	m.RegisterGauges(telemetry.Source{
-		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
+		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, ColdUpstreams: func() int { return 5 }, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
 		LinesDropped: func() uint64 { return 0 }, StoreLost: func() bool { return true }, Ready: func() bool { return false },
 		Datagrams: func() map[string]gossip.Traffic {
 			return map[string]gossip.Traffic{"notices": {Sent: 1, SentBytes: 20, Received: 3, ReceivedBytes: 60}}
@@ -37,6 +37,7 @@
 		`mangoloft_requests_total{kind="unsafe",status="503",verdict="not_run",reason="overloaded"} 1`,
 		`mangoloft_refusals_total{reason="overloaded"} 1`,
 		`mangoloft_sends_total{service="pool"} 1`,
+		`mangoloft_cold_upstreams 5`,
 		`mangoloft_failed_sends_total{service="pool",reason="upstream_lost"} 1`,
 		`mangoloft_run_moves_total{outcome="moved"} 1`,
 		`mangoloft_first_event_seconds_count 1`,
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -58,6 +58,9 @@
 	// ColdRemaining is the remaining time in which the upstream is slow after its
 	// start, as of the entry's publication.
 	ColdRemaining time.Duration
+	// Malformed describes the values that could not be decoded and were ignored; nil if there
+	// are none.
+	Malformed error
 }
 
 // Item is the state of one entry of the list as of a revision.
@@ -111,6 +114,9 @@
 	// GraceEndsAt is the end of the Lapsed or Draining state of an upstream that
 	// disappeared from the list.
 	GraceEndsAt time.Time
+	// SeenAt is the time at which the incarnation was listed first, and ColdUntil the end of
+	// its cold time according to its entries; zero if it was never cold.
+	SeenAt, ColdUntil time.Time
 	// LeavesAt is the time at which a draining upstream is expected to exit; zero
 	// if unknown.
 	LeavesAt time.Time
@@ -171,6 +177,8 @@
 	// lastListFailure is the time of the latest failure to read the list.
 	lastListFailure time.Time
 	position        history.Position
+	// colder are the upstreams to be returned by TakeColder.
+	colder []Status
 }
 
 // NewDirectory returns an empty directory.
@@ -295,7 +303,8 @@
 		if u != nil {
 			before = u.State
 		}
-		created := &Status{Entry: e, State: stateOf(e), Position: at, Since: now, raw: item.Raw, announcedLeaving: e.Draining}
+		created := &Status{Entry: e, State: stateOf(e), Position: at, Since: now, SeenAt: now, raw: item.Raw, announcedLeaving: e.Draining}
+		created.extendCold(now)
 		d.statuses[e.ID] = created
 		return Change{Status: *created, Before: before, New: true, Source: FromList}, true
 	}
@@ -311,12 +320,38 @@
 	moved := u.Addr != e.Addr || u.Service != e.Service
 	u.Entry, u.Position, u.raw, u.GraceEndsAt = e, at, item.Raw, time.Time{}
 	u.announcedLeaving = u.announcedLeaving || e.Draining
+	if u.extendCold(now) && state == u.State {
+		d.colder = append(d.colder, *u)
+	}
 	if state == u.State && !moved {
 		return Change{}, false
 	}
 	return u.setState(now, state, FromList), true
 }
 
+// coldTolerance is the difference of two ends of a cold time that is not reported: entries are
+// read at different times after their publication.
+const coldTolerance = 250 * time.Millisecond
+
+// extendCold applies the cold time in the entry. It reports whether the upstream is cold
+// noticeably longer than was known.
+func (u *Status) extendCold(now time.Time) bool {
+	until := now.Add(u.ColdRemaining)
+	if u.ColdRemaining == 0 || until.Sub(u.ColdUntil) <= coldTolerance {
+		return false
+	}
+	u.ColdUntil = until
+	return true
+}
+
+// TakeColder returns the upstreams that are cold longer than was known according to their
+// entries, without a change of their state, since the previous call.
+func (d *Directory) TakeColder() []Status {
+	colder := d.colder
+	d.colder = nil
+	return colder
+}
+
 // isNewIncarnation reports whether e is the entry of another incarnation than
 // previous.
 func isNewIncarnation(previous, e Entry) bool {
