Calls: shrunk paces and a random part; cold servers of real instances

Cause: in a fleet of 130 an upstream's report is over a second old, and one report from a slow period decided for seconds. Instances with similar reports chose the same upstream.

Change: paces are shrunk towards the mean of the pool, and the expected time has a random part. The stand-in servers can be cold and crash above their rate.

--- a/decide/calls.go
+++ b/decide/calls.go
@@ -44,31 +44,29 @@
 	// means. Both change many times a second.
 	reportMemory = 150 * time.Millisecond
 	// meanMemory is the time constant of these means. It covers several slow periods, which
-	// take some hundred milliseconds.
-	meanMemory = 3 * time.Second
+	// take some hundred milliseconds, and in a large fleet several reports.
+	meanMemory = 10 * time.Second
+	// paceShrinkage is the number of reports of one upstream that count as much as the mean of
+	// all. A single report may be from a slow period.
+	paceShrinkage = 3
+	// callSpread is the largest random addition to the expected time of a call, as a multiple of
+	// the usual time, so that instances with similar reports don't all choose the same upstream.
+	callSpread = 0.5
 )
 
-// callLoad is the load of a plain upstream that declares its pace.
-type callLoad struct {
-	// meanPace is the recent mean pace in percent, and meanRequests that of the number of
-	// requests; both are valid if meanPace is not 0.
-	meanPace, meanRequests float64
-}
+// callLoad contains the sums over the recent reports of a plain upstream that declares its
+// pace, weighted by age.
+type callLoad struct{ reports, pace, requests float64 }
 
-// observe updates the means with a report that follows the previous one after elapsed.
-func (c *callLoad) observe(r Report, elapsed time.Duration) {
+// add adds a report that follows the previous one after elapsed.
+func (c *callLoad) add(r Report, elapsed time.Duration) {
 	if r.PacePercent == 0 {
 		return
 	}
-	requests := float64(r.Running + r.Waiting)
-	if c.meanPace == 0 {
-		// The first pace may be that of a slow period.
-		c.meanPace, c.meanRequests = (r.PacePercent+usualPace)/2, requests
-		return
-	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/meanMemory.Seconds())
-	c.meanPace += weight * (r.PacePercent - c.meanPace)
-	c.meanRequests += weight * (requests - c.meanRequests)
+	weight := math.Exp(-elapsed.Seconds() / meanMemory.Seconds())
+	c.reports = c.reports*weight + 1
+	c.pace = c.pace*weight + r.PacePercent
+	c.requests = c.requests*weight + float64(r.Running+r.Waiting)
 }
 
 // declaresPace reports whether the upstream declared a pace in a recent report.
@@ -76,14 +74,38 @@
 	return u.report.PacePercent > 0 && now.Sub(u.report.TakenAt) < meanMemory
 }
 
-// callTime returns the expected time of a call at the upstream, as a multiple of the usual
-// time of a call: the requests in front of it per slot, and itself, at the current pace.
-func (u *upstream) callTime(now time.Time) float64 {
-	requests, pace := 0.0, float64(usualPace)
-	if u.declaresPace(now) {
-		recency := math.Exp(-now.Sub(u.report.TakenAt).Seconds() / reportMemory.Seconds())
-		requests = recency*float64(u.report.Running+u.report.Waiting) + (1-recency)*u.calls.meanRequests
-		pace = recency*u.report.PacePercent + (1-recency)*u.calls.meanPace
+// callEstimate estimates the time of calls at the upstreams of a pool.
+type callEstimate struct {
+	now time.Time
+	// pace and requests are the means of all upstreams.
+	pace, requests float64
+}
+
+// estimateCalls returns the estimate for the upstreams. It reports whether any of them
+// declares its pace.
+func estimateCalls(now time.Time, upstreams []*upstream) (callEstimate, bool) {
+	var all callLoad
+	for _, u := range upstreams {
+		if u.declaresPace(now) {
+			all.reports, all.pace, all.requests = all.reports+u.calls.reports, all.pace+u.calls.pace, all.requests+u.calls.requests
+		}
+	}
+	if all.reports == 0 {
+		return callEstimate{}, false
+	}
+	return callEstimate{now: now, pace: all.pace / all.reports, requests: all.requests / all.reports}, true
+}
+
+// timeAt returns the expected time of a call at the upstream, as a multiple of the usual time
+// of a call: the requests in front of it per slot, and itself, at the current pace. What the
+// upstream last reported approaches the means by its age.
+func (e callEstimate) timeAt(u *upstream) float64 {
+	requests, pace := e.requests, e.pace
+	if u.declaresPace(e.now) {
+		pace = (u.calls.pace + paceShrinkage*e.pace) / (u.calls.reports + paceShrinkage)
+		recency := math.Exp(-e.now.Sub(u.report.TakenAt).Seconds() / reportMemory.Seconds())
+		requests += recency * (float64(u.report.Running+u.report.Waiting) - requests)
+		pace += recency * (u.report.PacePercent - pace)
 	}
 	sent := 0
 	for _, f := range u.requests {
@@ -96,9 +118,10 @@
 }
 
 // paceText explains the expected time of a call if the upstream declares its pace.
-func (u *upstream) paceText(now time.Time) string {
-	if !u.declaresPace(now) {
+func (u *upstream) paceText(now time.Time, candidates []*upstream) string {
+	e, ok := estimateCalls(now, candidates)
+	if !ok {
 		return ""
 	}
-	return fmt.Sprintf("; a call takes %.2f times as long as usual, at a pace of %.0f%% %v ago", u.callTime(now), u.report.PacePercent, now.Sub(u.report.TakenAt).Round(time.Millisecond))
+	return fmt.Sprintf("; a call takes %.2f times as long as usual, at a pace of %.0f%% %v ago", e.timeAt(u), u.report.PacePercent, now.Sub(u.report.TakenAt).Round(time.Millisecond))
 }
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -525,7 +525,7 @@
 	if w.Class.Kind != config.Stream || !anyForecastable {
 		// Only streams use the KV cache, whose size must be known for a forecast.
 		u := s.leastLoaded(now, w.ID, candidates)
-		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting) + u.paceText(now)
+		explanation := fmt.Sprintf("fewest requests: %d known, %d running and %d waiting in the latest report", len(u.requests), u.report.Running, u.report.Waiting) + u.paceText(now, candidates)
 		return choice{u, lengths, explanation}, true
 	}
 	poolStats, poolLengths := s.pool(w.Class.Pool), s.lengths.PoolForecast(w.Class.Pool)
@@ -594,11 +594,11 @@
 // busy. An upstream in slow start is skipped for the share of requests that it
 // doesn't get yet.
 func (s *Scheduler) leastLoaded(now time.Time, id ident.Request, candidates []*upstream) *upstream {
-	anyPace := slices.ContainsFunc(candidates, func(u *upstream) bool { return u.declaresPace(now) })
+	estimate, anyPace := estimateCalls(now, candidates)
 	cost := func(u *upstream) float64 {
 		load := u.load(now)
 		if anyPace {
-			load = u.callTime(now)
+			load = estimate.timeAt(u) + callSpread*hashFraction(id, u.hash+1)
 		}
 		if u.DataCentre != s.dataCentre || !anyPace && load >= busyShare {
 			load += busyShare
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -163,7 +163,7 @@
 	if !r.TakenAt.After(u.report.TakenAt) {
 		return
 	}
-	u.calls.observe(r, r.TakenAt.Sub(u.report.TakenAt))
+	u.calls.add(r, r.TakenAt.Sub(u.report.TakenAt))
 	u.report, u.stale = r, true
 	if u.CapacityTokens == 0 {
 		// The report of an engine with declared memory comes from another instance,
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -116,6 +116,7 @@
 		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": f.proxy.Addr()},
 		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
 		"retries": map[string]any{"share": 0.2, "slack": 100, "window_seconds": 10},
+		"cold":    map[string]any{"overage": 1.5, "slack": 5},
 	})
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
