--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -68,6 +68,7 @@
 		c.log.Emit(event.RanksClamped, "version", table.Version, "count", len(clamped), "ranks", clamped[:min(len(clamped), maxLoggedRanks)])
 	}
 	c.logUnknownRegions(table)
+	c.logMalformedServices(table)
 	c.updateScheduler(now)
 	c.publish()
 	c.announcer.TableChanged()
@@ -95,6 +96,7 @@
 	if len(changes) > 0 {
 		c.handleChanges(now, changes)
 	}
+	c.applyColder(now, cmd.items)
 	after := c.directory.Position()
 	if after == before {
 		return
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -69,6 +69,8 @@
 	for _, dataCentre := range before {
 		if !slices.Contains(after, dataCentre) {
 			log(event.EvacuationEnded, dataCentre)
+			// Its upstreams may have become cold without a start.
+			c.schedule(now, decide.ColdAssumed{DataCentre: dataCentre})
 		}
 	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -82,6 +82,9 @@
 	UpstreamAvoided       ID = 428
 	UpstreamUsedAgain     ID = 429
 	PoolUneven            ID = 426
+	UpstreamCold          ID = 423
+	UpstreamWarm          ID = 424
+	ColdValueRefused      ID = 425
 
 	RequestEnded        ID = 501
 	StreamResumed       ID = 502
@@ -143,6 +146,9 @@
 	UpstreamAvoided:       "upstream_avoided",
 	UpstreamUsedAgain:     "upstream_used_again",
 	PoolUneven:            "pool_uneven",
+	UpstreamCold:          "upstream_cold",
+	UpstreamWarm:          "upstream_warm",
+	ColdValueRefused:      "cold_value_refused",
 	RequestDetoured:       "request_detoured",
 	TableAccepted:         "table_accepted",
 	TableRefused:          "table_refused",
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -46,6 +46,7 @@
 	evacuatedRequests = "mangoloft_evacuated_requests"
 	rankRefusals      = "mangoloft_rank_refusals_total"
 	upstreamsAvoided  = "mangoloft_upstreams_avoided"
+	coldUpstreams     = "mangoloft_cold_upstreams"
 )
 
 // Names returns the names of all metrics.
@@ -53,7 +54,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided,
+		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided, coldUpstreams,
 	}
 }
 
@@ -110,6 +111,8 @@
 	Evacuated, EvacuatedRequests func() int
 	// UpstreamsAvoided returns the number of upstreams that are avoided because they fail requests.
 	UpstreamsAvoided func() int
+	// ColdUpstreams returns the number of cold upstreams.
+	ColdUpstreams func() int
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -153,6 +156,7 @@
 	m.set.NewGauge(evacuated, fromInt(s.Evacuated))
 	m.set.NewGauge(evacuatedRequests, fromInt(s.EvacuatedRequests))
 	m.set.NewGauge(upstreamsAvoided, fromInt(s.UpstreamsAvoided))
+	m.set.NewGauge(coldUpstreams, fromInt(s.ColdUpstreams))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
