Evacuation: grace periods after a restore end under load, tests of restores and losses

The control goroutine ticks only after half a second without commands, so the grace period of orders that a restored store has lost did not end while requests arrived all the time. It is now checked before each command.

--- a/catalog/follower_test.go
+++ b/catalog/follower_test.go
@@ -440,3 +440,100 @@
 		})
 	}
 }
+
+// TestFollowOrders guards against orders that are lost, applied twice or read with calls that
+// deployments without evacuations don't make.
+func TestFollowOrders(t *testing.T) {
+	gone := catalog.ErrHistoryGone.New("gone")
+	tests := map[string]struct {
+		responses []response
+		// ignored is true if the deployment has no evacuations.
+		ignored bool
+		calls   []string
+		orders  []evacuation.Orders
+	}{
+		"not followed": {
+			[]response{{raw: "1", revision: 5}}, true, []string{"table", "watch"}, nil,
+		},
+		"read and changed": {
+			[]response{
+				{raw: "1", revision: 5, orders: []evacuation.Key{{DataCentre: "b", Revision: 4}}},
+				{revision: 9, orders: []evacuation.Key{{DataCentre: "c", Revision: 7}, {DataCentre: "b", Revision: 8, Deleted: true}}},
+			},
+			false,
+			[]string{"published", "watch published", "watch published"},
+			[]evacuation.Orders{at(5, "b", 4), at(7, "b", 4, "c", 7), at(8, "c", 7)},
+		},
+		"changes that the read included": {
+			[]response{
+				{raw: "1", revision: 5, orders: []evacuation.Key{{DataCentre: "b", Revision: 8}}},
+				{revision: 9, orders: []evacuation.Key{{DataCentre: "b", Revision: 6}, {DataCentre: "b", Revision: 7, Deleted: true}, {DataCentre: "b", Revision: 8}}},
+			},
+			false,
+			[]string{"published", "watch published", "watch published"},
+			[]evacuation.Orders{at(5, "b", 8), at(6, "b", 8), at(7, "b", 8), at(8, "b", 8)},
+		},
+		"history gone": {
+			[]response{
+				{raw: "1", revision: 5, orders: []evacuation.Key{{DataCentre: "b", Revision: 4}}},
+				{err: gone},
+				{raw: "1", revision: 40},
+			},
+			false,
+			[]string{"published", "watch published", "published", "watch published"},
+			[]evacuation.Orders{at(5, "b", 4), at(40)},
+		},
+		"no table yet": {
+			[]response{{revision: 5, orders: []evacuation.Key{{DataCentre: "b", Revision: 4}}}, {raw: "1", revision: 6}},
+			false,
+			[]string{"published", "watch published", "watch published"},
+			[]evacuation.Orders{at(5, "b", 4)},
+		},
+		"malformed names": {
+			[]response{{raw: "1", revision: 5, malformed: []string{"x"}, orders: []evacuation.Key{{DataCentre: "b", Revision: 4}}}},
+			false,
+			[]string{"published", "watch published"},
+			[]evacuation.Orders{at(5, "b", 4)},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st, si := &store{responses: test.responses}, &sink{}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group sync.WaitGroup
+				log := event.NewLog(&bytes.Buffer{}, "i", time.Now)
+				defer func() { cancel(); group.Wait(); log.Close(time.Now()) }()
+				f := &catalog.Follower{
+					Store: st, Sink: si, Decoder: digitDecoder{}, Log: log, IsReader: func() bool { return true }, HasTable: func() bool { return false }, ApplyTime: applyTime,
+					EvacuationTime: func() time.Duration {
+						if test.ignored {
+							return 0
+						}
+						return 5 * time.Second
+					},
+				}
+				group.Go(func() { _ = f.FollowTable(ctx) })
+				// Each change is followed by a pause of 100 ms, and the last watch times out after
+				// 1.4 s.
+				time.Sleep(time.Second)
+				st.mu.Lock()
+				assert.DeepEqual(t, st.calls, test.calls)
+				st.mu.Unlock()
+				si.mu.Lock()
+				assert.DeepEqual(t, si.orders, test.orders)
+				si.mu.Unlock()
+			})
+		})
+	}
+}
+
+// at returns orders at a revision, with pairs of a data centre and the revision of its key.
+func at(revision uint64, pairs ...any) evacuation.Orders {
+	o := evacuation.Orders{At: history.Position{Revision: revision}}
+	for i := 0; i < len(pairs); i += 2 {
+		o = o.With(evacuation.Key{DataCentre: pairs[i].(string), Revision: uint64(pairs[i+1].(int))})
+	}
+	o.At.Revision = revision
+	return o
+}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -181,6 +181,7 @@
 			return nil
 		case cmd := <-c.commands:
 			c.checkPause(time.Now())
+			c.tickOrders(time.Now())
 			cmd.apply(c, time.Now())
 		case <-timer.C:
 			c.checkPause(time.Now())
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// tickOrders ends the grace periods of orders after a restore of the store.
+// tickOrders ends the grace periods of orders after a restore of the store. It is called before
+// each command too, because there are no ticks while commands arrive all the time.
 func (c *Controller) tickOrders(now time.Time) {
 	if c.orders.Tick(now) {
 		c.applyEvacuations(now, "end of the grace period after a restore")
--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -191,3 +191,64 @@
 	response.Body.Close()
 	return response.StatusCode, response.Header
 }
+
+// TestEvacuationAcrossStoreRestore guards against orders that a restored store has lost, and against
+// lifted orders that it contains again. The operator writes again what was lost.
+func TestEvacuationAcrossStoreRestore(t *testing.T) {
+	// rewriteAfter is the time after which the operator has written again what was lost.
+	const rewriteAfter = time.Second
+	for _, instances := range []int{1, 3} {
+		start := func(t *testing.T) (*fleet, []*standin.Server) {
+			f, servers := startEvacuable(t, fleetOptions{instances: instances, dataCentres: 1}, 2)
+			// While data centre a is evacuated, these serve.
+			for n := range 2 {
+				f.addServerIn(t, fmt.Sprintf("x%d", n), "b")
+			}
+			time.Sleep(settle)
+			return f, servers["a"]
+		}
+		t.Run(fmt.Sprintf("lost order, %d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			f, servers := start(t)
+			saved := f.store.Copy()
+			f.evacuate("a")
+			f.checkEvacuated(t, servers, time.Now(), evacuationGoal, evacuationGoal)
+			from := time.Now()
+			f.restore(saved)
+			f.sendFor(t, rewriteAfter)
+			f.evacuate("a")
+			f.checkEvacuated(t, servers, from, 0, 2*evacuationTime)
+			f.endEvacuation("a")
+			f.checkUsed(t, servers, evacuationGoal)
+		})
+		t.Run(fmt.Sprintf("lost order that is not written again, %d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			f, servers := start(t)
+			saved := f.store.Copy()
+			f.evacuate("a")
+			time.Sleep(evacuationGoal)
+			f.restore(saved)
+			from := time.Now()
+			f.checkEvacuated(t, servers, from, 0, evacuationTime)
+			f.sendFor(t, 3*time.Second-time.Since(from))
+			f.checkUsed(t, servers, evacuationGoal)
+		})
+		t.Run(fmt.Sprintf("lifted order, %d instances", instances), func(t *testing.T) {
+			t.Parallel()
+			f, servers := start(t)
+			f.evacuate("a")
+			time.Sleep(settle)
+			saved := f.store.Copy()
+			f.endEvacuation("a")
+			time.Sleep(evacuationGoal)
+			f.restore(saved)
+			for range 4 {
+				f.checkUsed(t, servers, rewriteAfter/4)
+			}
+			f.endEvacuation("a")
+			for range 10 {
+				f.checkUsed(t, servers, evacuationTime/5)
+			}
+		})
+	}
+}
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -29,6 +29,17 @@
 type simulatedFleet struct {
 	nodes  []*simulatedNode
 	byAddr map[netip.AddrPort]*simulatedNode
+
+	mu sync.Mutex
+	// lose reports whether the next datagram is lost; nil if none is.
+	lose func() bool
+}
+
+// loses reports whether a datagram is lost.
+func (f *simulatedFleet) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lose != nil && f.lose()
 }
 
 // simulatedNode is an instance of a simulatedFleet. It is its own network connection
@@ -76,7 +87,7 @@
 	n.sent.Add(1)
 	n.sentBytes.Add(int64(len(b)))
 	receiver := n.fleet.byAddr[to]
-	if receiver == nil || receiver.down.Load() || n.down.Load() {
+	if receiver == nil || receiver.down.Load() || n.down.Load() || n.fleet.loses() {
 		return len(b), nil
 	}
 	if receiver.dataCentre != n.dataCentre {
@@ -167,7 +178,7 @@
 func (n *simulatedNode) state() State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return State{TableVersion: 1, ListPosition: history.Position{Revision: n.revision}, Contained: n.contained}
+	return State{TableVersion: 1, ListPosition: history.Position{Revision: n.revision}, Contained: n.contained, Orders: n.orders.Current()}
 }
 
 // runFleet starts a fleet with the same number of instances in each data centre and
