--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -236,6 +236,9 @@
 	// that only readers continue to read the store, and the first table reaches
 	// the other instances through their peers.
 	noTable := false
+	// followedOrders reports whether the latest read included the orders. The settings can
+	// change.
+	followedOrders := f.followsOrders()
 	var retryUntil time.Time
 	for ctx.Err() == nil {
 		if !f.IsReader() && (f.HasTable() || noTable) && time.Now().After(retryUntil) {
@@ -243,8 +246,8 @@
 			pause.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		if position.Era < f.Era() {
-			position = history.Position{}
+		if followed := f.followsOrders(); position.Era < f.Era() || followed != followedOrders {
+			position, followedOrders = history.Position{}, followed
 		}
 		startedAt := time.Now()
 		published, at, err := f.readTable(f.tableCall.start(ctx), position)
--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -36,6 +36,9 @@
 func (cmd updateOrdersCommand) apply(c *Controller, now time.Time) {
 	before := c.orders.Current()
 	c.orders.Update(now, cmd.orders)
+	if cmd.source != fromStore {
+		c.orders.Announce()
+	}
 	c.applyEvacuations(now, cmd.source)
 	after := c.orders.Current()
 	if after.At == before.At {
--- a/evacuation/register.go
+++ b/evacuation/register.go
@@ -72,7 +72,7 @@
 // Register keeps the newest orders. It must be used by one goroutine at a time.
 type Register struct {
 	current Orders
-	// wasUsed reports whether any order was ever known.
+	// wasUsed reports whether any order was ever known here or, as Announce tells, to others.
 	wasUsed bool
 	// retained contains the data centres that stay evacuated though the restored store has no
 	// order, and suspended those that stay lifted though it has one, until the given times.
@@ -172,6 +172,10 @@
 	return slices.Compact(active)
 }
 
+// Announce makes Current return orders even if none was ever known here. It is called when
+// another instance has sent orders, which may be older ones.
+func (r *Register) Announce() { r.wasUsed = true }
+
 // Current returns the newest orders, for other instances; zero if no order was ever known,
 // so that instances that have none say nothing.
 func (r *Register) Current() Orders {
