--- a/decide/rank.go
+++ b/decide/rank.go
@@ -104,7 +104,9 @@
 // placements continue at the current rates. It returns the zero time if the rate is
 // unknown or the request may start immediately. Requests of its own rank take turns with
 // it for the capacity that higher ranks leave, so they are divided by the rate at which
-// requests of this and lower ranks are placed.
+// requests of this and lower ranks are placed. The first two of a rank may always wait,
+// whatever is ahead: a steady load of higher ranks keeps the queue so long that all of the
+// rank would be refused on arrival, although some rise in time.
 func (p *pool) optimisticStart(now time.Time, rank int, ahead aheadByRank) time.Time {
 	higher := 0
 	for _, count := range ahead[:rank] {
@@ -118,15 +120,20 @@
 			own += p.placementsByRank[i].perSecond(now)
 		}
 	}
-	turns := float64(ahead.total() - higher + 1)
-	optimistic := turns - optimismDeviations*math.Sqrt(turns)
-	if total <= 0 || optimistic <= 0 {
+	turns := optimisticTurns(ahead.total() - higher + 1)
+	if total <= 0 || turns == 0 {
 		return time.Time{}
 	}
-	seconds := float64(higher)/total + optimistic/max(own, total/maxSlowdown)
+	seconds := float64(higher)/total + turns/max(own, total/maxSlowdown)
 	return now.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// optimisticTurns returns an optimistic estimate of a number of placements, which vary by its
+// square root.
+func optimisticTurns(n int) float64 {
+	return max(0, float64(n)-optimismDeviations*math.Sqrt(float64(n)))
+}
+
 // maxSlowdown bounds how slowly a rank is assumed to be served: by the ratio of the rate
 // of all placements to that of its own. If few of the rank were placed lately, little is
 // known of its rate.
@@ -145,10 +152,19 @@
 // these are placed, lower ranks can't take the room that is becoming free.
 type holds map[*upstream]int
 
+// newHolds returns nil if no request of the sorted queue has a lower rank than another, so
+// that nothing need be held.
+func newHolds(sorted []*waitingRequest) holds {
+	if len(sorted) == 0 || sorted[0].rank == sorted[len(sorted)-1].rank {
+		return nil
+	}
+	return holds{}
+}
+
 // hold holds the candidates of a request that found no room. A request that can't start in
 // time any more holds nothing.
 func (h holds) hold(now time.Time, w *waitingRequest, candidates []*upstream) {
-	if w.overdue(now) {
+	if h == nil || w.overdue(now) {
 		return
 	}
 	for _, u := range candidates {
--- a/decide/rank_order_test.go
+++ b/decide/rank_order_test.go
@@ -49,8 +49,8 @@
 	})
 }
 
-// TestOrderOfRanks checks the order of requests of different ranks, and that no request
-// rises above another of its rank, team and latest start that arrived before it.
+// TestOrderOfRanks checks the order of requests of different ranks: by the risen rank, then
+// those that can be in time.
 func TestOrderOfRanks(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	rapid.Check(t, func(t *rapid.T) {
--- a/decide/rank_test.go
+++ b/decide/rank_test.go
@@ -357,6 +357,32 @@
 	assert.Assert(t, strings.Contains(explanations[2], "rank 2, ahead of it: "), explanations[2])
 }
 
+// TestDisplacedRequestIsRefused checks that a waiting request is refused as soon as so many of
+// higher rank come before it that it can't be in time, and not only when its time is over.
+func TestDisplacedRequestIsRefused(t *testing.T) {
+	h := newHarness(1)
+	h.now = h.now.Add(time.Second)
+	h.report(func(int) decide.Report { return fullReport })
+	var ids []ident.Request
+	for i := range 4 {
+		id, actions := h.arrive(fmt.Sprint("low", i), func(r *decide.Request) { r.Ranked, r.Rank = true, 2 })
+		assert.Equal(t, describe(actions), "")
+		ids = append(ids, id)
+	}
+	for i := range 60 { // Some 50 requests were placed per second before.
+		h.arrive(fmt.Sprint("team", i), func(r *decide.Request) { r.Ranked, r.StartBy = true, h.now.Add(2*time.Second) })
+	}
+	h.now = h.now.Add(20 * time.Millisecond)
+	actions := h.step(decide.Tick{})
+	assert.Equal(t, len(actions), 2, "the first two of a rank may wait until they have risen")
+	for i, action := range actions {
+		refusal := action.(decide.Refuse)
+		assert.Equal(t, refusal.ID, ids[2+i])
+		assert.Equal(t, refusal.Reason, verdict.Overloaded)
+		assert.Assert(t, strings.Contains(refusal.Explanation, "displaced after") && strings.Contains(refusal.Explanation, "60 of rank 0, 2 of rank 2"), refusal.Explanation)
+	}
+}
+
 // TestReturnsAreSpread checks that requests which are refused together are asked back within
 // a third of their time, but not all at once.
 func TestReturnsAreSpread(t *testing.T) {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -600,8 +600,8 @@
 // reservations instead, at most maxReservations times, and are then dropped.
 func (s *Scheduler) serveQueue(now time.Time) []Action {
 	var actions []Action
-	overtaken, held, waiting := map[lane]int{}, holds{}, map[string]aheadByRank{}
 	s.queue.sort(now)
+	overtaken, held, waiting := map[lane]int{}, newHolds(s.queue.list), map[string]aheadByRank{}
 	for _, w := range slices.Clone(s.queue.list) {
 		lane := lane{w.Class.Pool, w.Only, w.rank}
 		switch {
--- a/routing/rank.go
+++ b/routing/rank.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"fmt"
-	"slices"
-)
+import "fmt"
 
 // MaxRank is the least urgent rank; 0 is the most urgent.
 const MaxRank = 9
@@ -32,38 +29,60 @@
 // published value.
 func (t *Table) ClampedRanks() []string { return t.clampedRanks }
 
-// findRankedServices records the services whose requests can differ in rank.
+// span is a range of ranks. Its zero value contains none.
+type span struct {
+	lowest, highest int
+	used            bool
+}
+
+// include extends the span to another one.
+func (s *span) include(o span) {
+	switch {
+	case !o.used:
+	case !s.used:
+		*s = o
+	default:
+		s.lowest, s.highest = min(s.lowest, o.lowest), max(s.highest, o.highest)
+	}
+}
+
+// findRankedServices records the services whose requests can differ in rank. Tables have
+// many teams, so their ranks are not collected for each route.
 func (t *Table) findRankedServices(teams []Team, keys map[string][]string) {
-	var teamRanks []int
+	var teamRanks span
 	anyWithoutRank := false
 	for _, team := range teams {
 		switch {
 		case len(keys[team.Name]) == 0: // It can't send requests.
 		case team.HasPriority:
-			teamRanks = append(teamRanks, team.Priority)
+			teamRanks.include(span{team.Priority, team.Priority, true})
 		default:
 			anyWithoutRank = true
 		}
 	}
-	ranks := map[string][]int{}
+	services := map[string]*span{}
 	for _, r := range t.Routes {
-		var routeRanks []int
+		var ranks span
 		needsTeam := t.RequiresCredential && !r.Public
 		if !needsTeam || anyWithoutRank {
-			routeRanks = append(routeRanks, r.Priority)
+			ranks.include(span{r.Priority, r.Priority, true})
 		}
 		if needsTeam {
-			routeRanks = append(routeRanks, teamRanks...)
+			ranks.include(teamRanks)
 		}
 		for _, share := range r.Shares {
-			if share.Weight > 0 {
-				ranks[share.Service] = append(ranks[share.Service], routeRanks...)
+			if share.Weight <= 0 {
+				continue
+			}
+			if services[share.Service] == nil {
+				services[share.Service] = &span{}
 			}
+			services[share.Service].include(ranks)
 		}
 	}
 	t.rankedServices = map[string]bool{}
-	for service, list := range ranks {
-		t.rankedServices[service] = len(list) > 0 && slices.Min(list) != slices.Max(list)
+	for service, ranks := range services {
+		t.rankedServices[service] = ranks.lowest != ranks.highest
 	}
 }
 
