Uneven engines: long streams wait for fast engines, short ones use slow engines

Cause: under heavy load long streams went to slow engines because these were the only ones with room at that moment, often for less than a second, and because streams of few tokens had filled the fast engines.

Change: a stream that would probably be late waits for a quarter of the time until its latest start, and delays no others. For a stream of few tokens the time to the first event counts as if all engines were equally fast. The cost of a late stream is 4 s.

--- a/decide/late_pause.go
+++ b/decide/late_pause.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 	// lateCost is the cost of a stream that becomes late, by a pause above its target or a
 	// late first event. It exceeds all other costs together but that of an engine in slow
 	// start. Engines with a high risk are still used if no others have room.
-	lateCost = 2 * time.Second
+	lateCost = 4 * time.Second
 	// minPauseSamples is the number of measurements of an engine from which its pauses are
 	// recorded.
 	minPauseSamples = 2
@@ -20,6 +21,17 @@
 	// maxTokensPerPrompt limits the number of tokens whose pauses are attributed to one
 	// prompt, for services with little traffic.
 	maxTokensPerPrompt = 200
+	// A stream whose risk of a late pause is at least deferRisk waits for another engine for
+	// deferShare of the time until its latest start. A prompt that occupies a fast engine is
+	// usually prefilled within that time.
+	deferRisk, deferShare = 0.3, 0.25
+	// longOutput is the number of tokens of a stream that is long enough to be placed by its
+	// risk of a late pause, if there are any such pauses.
+	longOutput = 500
+	// slowDeviations is the number of standard deviations by which the slow engines of a
+	// service are slower than its mean. The mean is mostly that of fast engines, which get
+	// most streams.
+	slowDeviations = 2
 	// startMarginShare is the share of the expected time to the first event by which the
 	// event may be later, measured on busy engines.
 	startMarginShare = 0.25
@@ -146,11 +158,45 @@
 	return late + u.speed.latePauseRisk(w.PauseTarget, outputTokens)
 }
 
+// defers reports whether the request waits rather than to be placed on the engine, because it
+// would probably become late there and another engine may soon have room.
+func (s *Scheduler) defers(now time.Time, w *waitingRequest, u *upstream, candidates []*upstream, outputTokens float64) bool {
+	until := w.arrivedAt.Add(time.Duration(deferShare * float64(w.latestStart.Sub(w.arrivedAt))))
+	risk := u.speed.latePauseRisk(w.PauseTarget, outputTokens)
+	if risk < deferRisk || !now.Before(until) {
+		return false
+	}
+	if !slices.ContainsFunc(candidates, func(other *upstream) bool {
+		return s.isLocal(other) && other.speed.latePauseRisk(w.PauseTarget, outputTokens) < risk/2
+	}) {
+		return false
+	}
+	w.deferredUntil = until
+	return true
+}
+
 // startTime returns the expected time to the first token of the request on the engine.
 func (s *Scheduler) startTime(now time.Time, w *waitingRequest, u *upstream) time.Duration {
 	return time.Duration((u.prefillBacklog(now) + float64(w.PromptTokens)) / s.prefillRate(u) * float64(time.Second))
 }
 
+// weighedStart returns the expected time to the first token of the request on the engine, as it
+// counts in the start cost. For a stream of few tokens the speed of the engine doesn't count, so
+// that these streams also go to slow engines and leave room on the fast ones for streams that
+// would be late on the slow ones.
+func (s *Scheduler) weighedStart(now time.Time, w *waitingRequest, u *upstream, outputTokens float64) time.Duration {
+	start := s.startTime(now, w, u)
+	if !u.speed.isUneven() || w.PauseTarget <= 0 {
+		return start
+	}
+	p := u.speed.service
+	perToken := p.pauses.perToken(time.Duration(float64(w.PauseTarget) / math.Exp(slowDeviations*math.Sqrt(p.spreadVariance()))))
+	if perToken*outputTokens >= deferRisk || perToken*longOutput < deferRisk {
+		return start
+	}
+	return time.Duration(float64(start) / u.speed.factor())
+}
+
 // speedText explains the speed of an engine in a service whose engines are not equally
 // fast; empty in others.
 func (s *Scheduler) speedText(now time.Time, w *waitingRequest, u *upstream, outputTokens float64) string {
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -145,7 +145,7 @@
 // output tokens, on the engine, where the given amount of memory would stay free:
 // the time to the first token, plus penalties expressed as times.
 func (s *Scheduler) startCost(now time.Time, w *waitingRequest, u *upstream, free, outputTokens float64) time.Duration {
-	cost := s.startTime(now, w, u) + time.Duration(s.lateness(now, w, u, outputTokens)*float64(lateCost))
+	cost := s.weighedStart(now, w, u, outputTokens) + time.Duration(s.lateness(now, w, u, outputTokens)*float64(lateCost))
 	if u.DataCentre != s.dataCentre {
 		cost += crossDataCentreCost
 	}
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -35,6 +35,9 @@
 	// latestStart is the estimated latest time at which the request can be placed
 	// and still meet its deadlines.
 	latestStart time.Time
+	// deferredUntil is the time until which the request waits for a faster upstream, although
+	// another one has room. It delays no others meanwhile.
+	deferredUntil time.Time
 	// attempts is the number of searches for an upstream.
 	attempts uint64
 	// round is the request's position among the requests of its team.
@@ -125,9 +128,9 @@
 }
 
 // inTime reports whether other is a request of the same pool that can still
-// start in time.
+// start in time, and is not deferred.
 func (q *queue) inTime(now time.Time, other, w *waitingRequest) bool {
-	return other.Class.Pool == w.Class.Pool && !now.After(other.latestStart)
+	return other.Class.Pool == w.Class.Pool && !now.After(other.latestStart) && !now.Before(other.deferredUntil)
 }
 
 // precedes reports whether other is served before w if both are of the same
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -559,7 +559,7 @@
 	if lowest.best != nil {
 		u = lowest.best
 	}
-	if u == nil {
+	if u == nil || s.defers(now, w, u, candidates, lengths.Mean()) {
 		return choice{}, false
 	}
 	explanation := fmt.Sprintf(
@@ -636,7 +636,7 @@
 		if ok && action != nil {
 			actions = append(actions, action)
 		}
-		if !ok {
+		if !ok && !now.Before(w.deferredUntil) {
 			overtaken[lane]++
 			if urgent(now, w) {
 				overtaken[lane] = maxOvertaken
