--- a/decide/late_pause.go
+++ b/decide/late_pause.go
@@ -101,6 +101,19 @@
 	return risk
 }
 
+// minCalm is the least weight of a destination of moves. Any engine is better than an
+// interrupted run.
+const minCalm = 0.02
+
+// calm returns the weight of the engine as a destination of a running stream: the probability
+// that it causes no pause above the stream's target. It is 1 for a stream that is late already.
+func (e *engineSpeed) calm(f *inFlight) float64 {
+	if f.longestPause > f.PauseTarget {
+		return 1
+	}
+	return max(minCalm, 1-e.latePauseRisk(f.PauseTarget, f.lengths.Mean()))
+}
+
 // tokensPerPrompt returns the mean number of tokens that a stream generates between two
 // prompts that its engine gets. The pauses in these are attributed to one prompt.
 func (s *Scheduler) tokensPerPrompt(now time.Time, u *upstream) float64 {
--- a/decide/move.go
+++ b/decide/move.go
@@ -32,6 +32,8 @@
 	}
 	s.useLimit(now, u)
 	copied := *f
+	// The time to the first event is no measurement of the destination.
+	copied.prefillTokens = 0
 	u.addRequest(&copied)
 	s.moves[e.ID] = u.Name
 	// The copy of the KV cache occupies memory on the destination as soon as it
@@ -71,9 +73,9 @@
 		switch {
 		case free <= 0:
 		case u.DataCentre == sourceDataCentre:
-			local.consider(u, free)
+			local.consider(u, free*u.speed.calm(f))
 		default:
-			remote.consider(u, free)
+			remote.consider(u, free*u.speed.calm(f))
 		}
 	}
 	for _, best := range []*upstream{local.best, remote.best} {
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -22,6 +22,8 @@
 	Uneven bool
 	// Spread is the standard deviation of the logarithm of the engines' speeds.
 	Spread float64
+	// Total is the number of pools that are uneven now.
+	Total int
 }
 
 func (UnevenChanged) decideAction() {}
@@ -237,5 +239,11 @@
 		return
 	}
 	p.uneven = !p.uneven
-	s.outgoing = append(s.outgoing, UnevenChanged{u.Pool, p.uneven, math.Sqrt(variance)})
+	total := 0
+	for _, other := range s.pools {
+		if other.speeds != nil && other.speeds.uneven {
+			total++
+		}
+	}
+	s.outgoing = append(s.outgoing, UnevenChanged{u.Pool, p.uneven, math.Sqrt(variance), total})
 }
--- a/decide/uneven_test.go
+++ b/decide/uneven_test.go
@@ -87,6 +87,7 @@
 	factors   []float64
 
 	longStarts, shortStarts, longPauses, shortPauses []time.Duration
+	ended                                            []*fakeStream
 	refused, placed, lateStarts                      int
 	placements                                       []string
 }
@@ -260,6 +261,7 @@
 		starts, pauses = &u.longStarts, &u.longPauses
 	}
 	*starts, *pauses = append(*starts, f.first.Sub(f.sentAt)), append(*pauses, f.pause)
+	u.ended = append(u.ended, f)
 	if f.first.After(f.request.FirstTokenBy) {
 		u.lateStarts++
 	}
@@ -403,6 +405,7 @@
 		u := d.run()
 		sum.longStarts, sum.shortStarts = append(sum.longStarts, u.longStarts...), append(sum.shortStarts, u.shortStarts...)
 		sum.longPauses, sum.shortPauses = append(sum.longPauses, u.longPauses...), append(sum.shortPauses, u.shortPauses...)
+		sum.ended = append(sum.ended, u.ended...)
 		sum.placed, sum.refused, sum.lateStarts = sum.placed+u.placed, sum.refused+u.refused, sum.lateStarts+u.lateStarts
 	}
 	return sum
@@ -458,3 +461,105 @@
 		})
 	}
 }
+
+// TestSpeedIsLearnedFromFewStreams guards against estimates that need many streams, while engines
+// are replaced all the time, and against a slow period that makes an engine count as slow.
+func TestSpeedIsLearnedFromFewStreams(t *testing.T) {
+	s := decide.New("a")
+	var list []decide.Upstream
+	for i := range 12 {
+		list = append(list, newEngine(fmt.Sprint("e", i), 1_000_000))
+	}
+	now, sequence := epoch, uint64(0)
+	stream := func(upstream string, perToken float64) {
+		sequence++
+		now = now.Add(20 * time.Millisecond)
+		r := requestOf(1, int(sequence), 2000)
+		s.Step(now, decide.NoticeReceived{Notice: decide.Notice{Kind: decide.NoticePlaced, Request: r, Upstream: upstream}})
+		id := decide.Request{ID: r.ID}
+		s.Step(now, decide.NoticeReceived{Notice: decide.Notice{Kind: decide.NoticeProgressed, Request: id, Upstream: upstream, Tokens: 4}})
+		pace := decide.Pace{PerToken: time.Duration(perToken * float64(10*time.Millisecond)), LongestPause: 100 * time.Millisecond}
+		s.Step(now, decide.NoticeReceived{Notice: decide.Notice{Kind: decide.NoticeProgressed, Request: id, Upstream: upstream, Tokens: 100, Pace: pace}})
+		s.Step(now, decide.NoticeReceived{Notice: decide.Notice{Kind: decide.NoticeEnded, Request: id, Upstream: upstream, Tokens: 100}})
+	}
+	s.Step(now, decide.UpstreamsChanged{Upstreams: list})
+	for range 6 {
+		for i := range 12 {
+			stream(fmt.Sprint("e", i), []float64{0.7, 0.7, 1.7}[i%3])
+		}
+	}
+	assert.Assert(t, s.Uneven("drafting"))
+	for _, name := range []string{"fast", "slow"} {
+		list = append(list, newEngine(name, 1_000_000))
+	}
+	s.Step(now, decide.UpstreamsChanged{Upstreams: list})
+	assert.Equal(t, s.Factor("fast"), 1.0, "nothing is known of a new engine")
+	stream("fast", 0.7)
+	stream("slow", 1.7)
+	assert.Assert(t, s.Factor("slow") > 1.2*s.Factor("fast"), "after one stream: %.2f and %.2f", s.Factor("slow"), s.Factor("fast"))
+	for range 2 {
+		stream("fast", 0.7)
+		stream("slow", 1.7)
+	}
+	assert.Assert(t, s.Factor("slow") > 1.6*s.Factor("fast"), "after three streams: %.2f and %.2f", s.Factor("slow"), s.Factor("fast"))
+	for range 4 {
+		stream("fast", 0.7)
+	}
+	known := s.Factor("fast")
+	for range 3 {
+		stream("fast", 0.7*2.5)
+	}
+	assert.Assert(t, s.Factor("fast") < 1.2*known, "three streams in a slow period: %.2f, %.2f before", s.Factor("fast"), known)
+}
+
+// starts returns the times to the first event of streams with long or short prompts, and pauses
+// their longest pauses.
+func (u *uneven) starts(long bool) []time.Duration {
+	return u.measure(long, func(f *fakeStream) time.Duration { return f.first.Sub(f.sentAt) })
+}
+
+func (u *uneven) pauses(long bool) []time.Duration {
+	return u.measure(long, func(f *fakeStream) time.Duration { return f.pause })
+}
+
+// longPrompt is the number of tokens from which a prompt counts as long in the tests.
+const longPrompt = 2000
+
+func (u *uneven) measure(long bool, value func(*fakeStream) time.Duration) []time.Duration {
+	var values []time.Duration
+	for _, f := range u.ended {
+		if (f.request.PromptTokens >= longPrompt) == long {
+			values = append(values, value(f))
+		}
+	}
+	return values
+}
+
+// TestLongPromptsBesideShortOnes guards against short prompts that wait for long ones on the
+// same engine, and measures both kinds with and without learned speeds.
+func TestLongPromptsBesideShortOnes(t *testing.T) {
+	mixed := func(r *rand.Rand) int {
+		if r.IntN(4) == 0 {
+			return 4000 + r.IntN(2000)
+		}
+		return 150 + r.IntN(350)
+	}
+	for name, factors := range map[string][]float64{"equal engines": {1}, "uneven engines": {0.7, 0.7, 1.7}} {
+		t.Run(name, func(t *testing.T) {
+			day := unevenDay{instances: 18, engines: 16, factors: factors, longPerSecond: 0.4, shortPerSecond: 1, shortPrompt: mixed, duration: 20 * time.Second, pauseTarget: unevenPauseTarget}
+			u := day.runs(2)
+			day.countAsEqual = true
+			before := day.runs(2)
+			for kind, r := range map[string]*uneven{"speeds ignored": before, "speeds learned": u} {
+				t.Logf("%s: short prompts: first event %v and %v, pause %v and %v; long prompts: first event %v and %v, pause %v and %v; late pauses of long streams %.3f", kind,
+					quantile(r.starts(false), 0.5), quantile(r.starts(false), 0.95), quantile(r.pauses(false), 0.5), quantile(r.pauses(false), 0.95),
+					quantile(r.starts(true), 0.5), quantile(r.starts(true), 0.95), quantile(r.pauses(true), 0.5), quantile(r.pauses(true), 0.95),
+					shareAbove(r.longPauses, unevenPauseTarget))
+			}
+			assert.Equal(t, u.refused, 0)
+			assert.Assert(t, quantile(u.starts(false), 0.95) < 1500*time.Millisecond, "short prompts must meet the target of their first event")
+			assert.Assert(t, quantile(u.starts(true), 0.95) < 1500*time.Millisecond, "long prompts must meet the shortest target of a first event")
+			assert.Assert(t, shareAbove(u.longPauses, unevenPauseTarget) < 0.05)
+		})
+	}
+}
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -97,6 +97,8 @@
 	commands  chan command
 	stopped   chan struct{}
 	snapshot  atomic.Pointer[Snapshot]
+	// unevenServices is the number of services whose engines differ in speed.
+	unevenServices atomic.Int64
 
 	// The fields below are used by the control goroutine only.
 	tables    routing.Register
@@ -145,6 +147,9 @@
 // Snapshot returns the latest published state.
 func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
 
+// UnevenServices returns the number of services whose engines differ in speed.
+func (c *Controller) UnevenServices() int { return int(c.unevenServices.Load()) }
+
 // Backlog returns the number of queued commands.
 func (c *Controller) Backlog() int { return len(c.commands) }
 
@@ -198,6 +203,7 @@
 		case decide.Ejected:
 			c.logEjection(now, a)
 		case decide.UnevenChanged:
+			c.unevenServices.Store(int64(a.Total))
 			c.log.Emit(event.PoolUneven, "service", a.Pool, "uneven", a.Uneven, "spread", a.Spread)
 		case decide.LimitChanged:
 			c.log.Emit(event.UpstreamLimited, "upstream", a.Upstream, "limited", a.Limited, "per_second", a.PerSecond, "before", a.Before, "from_peer", a.FromPeer)
--- a/entry/run.go
+++ b/entry/run.go
@@ -161,6 +161,7 @@
 		StoreCalls: i.follower.Calls, Datagrams: i.peers.Traffic, StoreEra: i.follower.Era, TableConfirmedAt: i.follower.TableConfirmedAt,
 		ContainedParts:    func() int { return i.contained(containment.PromptParts) },
 		ContainedRequests: func() int { return i.contained(containment.Requests) },
+		UnevenServices:    i.controller.UnevenServices,
 	}
 }
 
--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -23,14 +23,17 @@
 	// events is the number of events since the latest update.
 	events       int
 	longestPause time.Duration
+	// restart reports that the run continues on another engine.
+	restart bool
 }
 
 // record records an event, and reports whether an update is due. It returns the pace since
 // the previous update, which is zero for the first event of a run.
 func (m *paceMeter) record(readAt time.Time, tokensPerEvent int) (decide.Pace, bool) {
 	if m.lastAt.IsZero() {
+		due := !m.restart
 		*m = paceMeter{lastAt: readAt, reportedAt: readAt, dueAt: readAt.Add(firstPaceInterval)}
-		return decide.Pace{}, true
+		return decide.Pace{}, due
 	}
 	m.events++
 	m.longestPause = max(m.longestPause, readAt.Sub(m.lastAt))
@@ -45,3 +48,9 @@
 	*m = paceMeter{lastAt: readAt, reportedAt: readAt, dueAt: readAt.Add(progressInterval)}
 	return pace, true
 }
+
+// restarted returns the meter of a run that continues on another engine. The next event is the
+// first that counts, and no update is due for it.
+func (m *paceMeter) restarted() paceMeter {
+	return paceMeter{restart: m.restart || !m.lastAt.IsZero()}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,6 +123,8 @@
 		}
 		// If the run was moved, it continues on the destination.
 		if handle, moved := s.finishMove(); moved {
+			// The pause of the move is not the destination's.
+			s.pace = s.pace.restarted()
 			resumeFrom = handle
 			continue
 		}
@@ -130,6 +132,7 @@
 		// stopped it, from the same copy.
 		if resumeFrom != (KVHandle{}) && verdict.OutcomeOf(err).Verdict == verdict.NotRun && s.fallback.Name != "" {
 			s.placement, s.fallback = s.fallback, dispatch.Placement{}
+			s.pace = s.pace.restarted()
 			continue
 		}
 		resumeFrom = KVHandle{}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -42,6 +42,7 @@
 	tableAge          = "mangoloft_table_confirmed_age_seconds"
 	contained         = "mangoloft_contained_parts"
 	containedRequests = "mangoloft_contained_requests"
+	unevenServices    = "mangoloft_uneven_services"
 )
 
 // Names returns the names of all metrics.
@@ -49,7 +50,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests,
+		storeEra, tableAge, contained, containedRequests, unevenServices,
 	}
 }
 
@@ -94,8 +95,10 @@
 // Source contains functions that return the current values of an instance's gauges.
 type Source struct {
 	OpenRequests, PeersAlive, FleetSize, ControlBacklog, ContainedParts, ContainedRequests func() int
-	TableVersion, ListRevision                                                             func() uint64
-	LinesDropped, StoreCalls, StoreEra                                                     func() uint64
+	// UnevenServices is the number of services whose engines differ in speed.
+	UnevenServices                     func() int
+	TableVersion, ListRevision         func() uint64
+	LinesDropped, StoreCalls, StoreEra func() uint64
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -136,6 +139,7 @@
 	}
 	m.set.NewGauge(contained, fromInt(s.ContainedParts))
 	m.set.NewGauge(containedRequests, fromInt(s.ContainedRequests))
+	m.set.NewGauge(unevenServices, fromInt(s.UnevenServices))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -23,7 +23,7 @@
 	m.CountMove("moved")
 	zero := func() int { return 0 }
 	m.RegisterGauges(telemetry.Source{
-		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
+		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, UnevenServices: zero, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
 		LinesDropped: func() uint64 { return 0 }, StoreLost: func() bool { return true }, Ready: func() bool { return false },
 		Datagrams: func() map[string]gossip.Traffic {
 			return map[string]gossip.Traffic{"notices": {Sent: 1, SentBytes: 20, Received: 3, ReceivedBytes: 60}}
