--- a/decide/rank.go
+++ b/decide/rank.go
@@ -164,7 +164,7 @@
 // hold holds the candidates of a request that found no room. A request that can't start in
 // time any more holds nothing.
 func (h holds) hold(now time.Time, w *waitingRequest, candidates []*upstream) {
-	if h == nil || w.overdue(now) {
+	if h == nil || w.overdue(now) || now.Before(w.deferredUntil) {
 		return
 	}
 	for _, u := range candidates {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -597,7 +597,7 @@
 	if lowest.best != nil {
 		u = lowest.best
 	}
-	if u == nil {
+	if u == nil || s.defers(now, w, u, candidates, lengths.Mean()) {
 		return choice{}, false
 	}
 	explanation := fmt.Sprintf(
@@ -686,9 +686,12 @@
 			if ok {
 				continue
 			}
-			overtaken[lane]++
-			if urgent(now, w) {
-				overtaken[lane] = maxOvertaken
+			// A deferred request waits though there is room.
+			if !now.Before(w.deferredUntil) {
+				overtaken[lane]++
+				if urgent(now, w) {
+					overtaken[lane] = maxOvertaken
+				}
 			}
 		}
 		ahead := waiting[w.Class.Pool]
--- a/entry/run.go
+++ b/entry/run.go
@@ -168,6 +168,7 @@
 		ContainedRequests: func() int { return i.contained(containment.Requests) },
 		Evacuated:         func() int { return len(i.controller.Snapshot().Evacuated) }, EvacuatedRequests: i.controller.EvacuatedRequests,
 		UpstreamsAvoided: func() int { return i.controller.Snapshot().Avoided },
+		UnevenServices:   i.controller.UnevenServices,
 	}
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -47,6 +47,7 @@
 	rankRefusals      = "mangoloft_rank_refusals_total"
 	upstreamsAvoided  = "mangoloft_upstreams_avoided"
 	coldUpstreams     = "mangoloft_cold_upstreams"
+	unevenServices    = "mangoloft_uneven_services"
 )
 
 // Names returns the names of all metrics.
@@ -54,7 +55,7 @@
 	return []string{
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
-		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided, coldUpstreams,
+		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided, coldUpstreams, unevenServices,
 	}
 }
 
@@ -113,6 +114,8 @@
 	UpstreamsAvoided func() int
 	// ColdUpstreams returns the number of cold upstreams.
 	ColdUpstreams func() int
+	// UnevenServices returns the number of services whose engines differ in speed.
+	UnevenServices func() int
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -157,6 +160,7 @@
 	m.set.NewGauge(evacuatedRequests, fromInt(s.EvacuatedRequests))
 	m.set.NewGauge(upstreamsAvoided, fromInt(s.UpstreamsAvoided))
 	m.set.NewGauge(coldUpstreams, fromInt(s.ColdUpstreams))
+	m.set.NewGauge(unevenServices, fromInt(s.UnevenServices))
 	m.set.NewGauge(backlog, fromInt(s.ControlBacklog))
 	m.set.NewGauge(tableVersion, fromUint(s.TableVersion))
 	m.set.NewGauge(listRevision, fromUint(s.ListRevision))
