--- a/decide/queue.go
+++ b/decide/queue.go
@@ -47,7 +47,7 @@
 }
 
 func newWaitingRequest(now time.Time, r Request) *waitingRequest {
-	w := &waitingRequest{Request: r, arrivedAt: now, deadline: r.StartBy}
+	w := &waitingRequest{Request: r, arrivedAt: now, deadline: r.StartBy, rank: r.Rank}
 	if r.StartBy.IsZero() {
 		w.deadline = now.Add(defaultWait)
 	}
