Planned stop: requests that were just accepted are answered

Cause: at the end of a planned stop the server was closed with all connections, including those whose request was being read or had just been accepted. (http.Server.Shutdown is no remedy: it drops requests that it has just read.)

Change: the listener accepts what the kernel has already accepted and is closed; then the instance waits until all connections are closed, 0.2 s beyond the deadline at most. Requests that arrive so late that the stop might cut them off are refused as not run (0.5 s, or twice the target).

--- a/entry/run.go
+++ b/entry/run.go
@@ -39,6 +39,10 @@
 	// stopMargin is the time before the end of the grace period at which the
 	// process exits by itself.
 	stopMargin = 400 * time.Millisecond
+	// shutdownTime is the time after the end of the planned stop in which requests that were
+	// just accepted are answered. It is shorter than stopMargin.
+	shutdownTime         = 200 * time.Millisecond
+	shutdownPollInterval = 5 * time.Millisecond
 	// idleBeforeClose is the minimum idle time of a connection that a planned
 	// stop closes.
 	idleBeforeClose = 300 * time.Millisecond
@@ -252,7 +256,15 @@
 	for _, actor := range actors {
 		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
 	}
-	group.Add(func() error { return ignoreServerClosed(i.callerServer.server.Serve(i.callerServer.listener)) }, func(error) {
+	group.Add(func() error {
+		err := ignoreServerClosed(i.callerServer.server.Serve(i.callerServer.listener))
+		if i.stopping.Load() && errors.Is(err, net.ErrClosed) {
+			// The planned stop has closed the listener, and waits for the last requests.
+			<-actorCtx.Done()
+			return nil
+		}
+		return err
+	}, func(error) {
 		i.gateway.Abort()
 		i.callerServer.server.Close()
 	})
@@ -349,6 +361,7 @@
 	startedAt := time.Now()
 	deadline := startedAt.Add(seconds(i.settings.Load().Stop.GraceSeconds) - stopMargin)
 	i.stopping.Store(true)
+	i.gateway.StopAt(deadline)
 	i.gateway.Drain()
 	i.peers.Stop()
 	i.log.Emit(event.InstanceStopping, "open", i.gateway.OpenRequests(), "until", deadline.UTC().Format(time.RFC3339Nano))
@@ -358,11 +371,25 @@
 	for time.Now().Before(deadline) {
 		i.callerServer.idle.closeIdle(time.Now().Add(-idleBeforeClose))
 		if i.gateway.OpenRequests() == 0 && i.callerServer.idle.count() == 0 {
-			return nil
+			break
 		}
 		if !pause.Sleep(actorCtx, stopPollInterval) {
 			return nil
 		}
 	}
-	return nil
+	return i.shutDown(actorCtx, deadline.Add(shutdownTime))
+}
+
+// shutDown accepts no more connections, and waits until those that were accepted are closed,
+// until the deadline at most. http.Server.Shutdown would not answer the requests that it has
+// just read.
+func (i *instance) shutDown(ctx context.Context, deadline time.Time) error {
+	err := i.callerServer.listener.Close()
+	for i.callerServer.idle.openCount() > 0 && time.Now().Before(deadline) {
+		if !pause.Sleep(ctx, shutdownPollInterval) {
+			break
+		}
+		i.callerServer.idle.closeIdle(time.Now().Add(-idleBeforeClose))
+	}
+	return err
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -30,6 +30,8 @@
 	mu sync.Mutex
 	// since contains the time from which each idle connection has been idle.
 	since map[net.Conn]time.Time
+	// open is the number of connections, whether they are idle or not.
+	open int
 }
 
 // track is the ConnState hook of http.Server.
@@ -37,6 +39,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	}
+	switch state {
 	case http.StateIdle, http.StateNew:
 		c.since[conn] = time.Now()
 	case http.StateActive, http.StateClosed, http.StateHijacked:
@@ -71,7 +79,7 @@
 }
 
 func listenCallers(addr netip.AddrPort, handler http.Handler, limit func() time.Duration) (*callerServer, error) {
-	listener, err := net.Listen("tcp4", addr.String())
+	listener, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +88,7 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track,
 		ErrorLog: discardLog(),
 	}
-	return &callerServer{server, listener, idle, limit}, nil
+	return &callerServer{server, &drainingListener{TCPListener: listener}, idle, limit}, nil
 }
 
 // closeIdle closes connections that exceed the idle limit, until ctx ends.
@@ -101,6 +109,13 @@
 	}
 }
 
+// openCount returns the number of connections, whether they are idle or not.
+func (c *idleConns) openCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
 // count returns the number of idle connections.
 func (c *idleConns) count() int {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,6 +100,8 @@
 	// bodyBytes is the total size of the buffered bodies.
 	bodyBytes atomic.Int64
 	draining  atomic.Bool
+	// stopsAt is the time at which the planned stop ends; nil if there is none.
+	stopsAt atomic.Pointer[time.Time]
 	// aborting reports whether Abort has been called.
 	aborting atomic.Bool
 
@@ -145,6 +147,16 @@
 // except new streams that can't be resumed.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// StopAt sets the time at which the planned stop ends, and cuts off the requests that are still
+// in progress. New ones that might be among them are refused.
+func (g *Gateway) StopAt(t time.Time) { g.stopsAt.Store(&t) }
+
+// isStopping reports whether the planned stop might end before a request that arrives now.
+func (g *Gateway) isStopping(q *request) bool {
+	stopsAt := g.stopsAt.Load()
+	return stopsAt != nil && time.Until(*stopsAt) < max(minBeforeStop, targetsBeforeStop*q.route.Target)
+}
+
 // Abort records that the instance closes the connections of its callers, because its
 // planned stop ends or a part of it has failed. Requests that are cut off from then on
 // are logged as cut off by the instance, not by their callers.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -32,6 +32,10 @@
 	// defaultRetryAfter is the Retry-After time of a refusal without a better
 	// estimate, for example by an instance that has just started.
 	defaultRetryAfter = 500 * time.Millisecond
+	// A request is accepted only if the planned stop does not end within minBeforeStop and
+	// targetsBeforeStop times the target of its route. Most requests end in that time.
+	minBeforeStop     = 500 * time.Millisecond
+	targetsBeforeStop = 2
 	// maxSends is the maximum number of times that one request is sent, including
 	// sends that provably had no effect.
 	maxSends = 4
@@ -127,6 +131,10 @@
 		g.writeRefusal(w, q, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Overloaded, received.Add(defaultRetryAfter), "no attempt is left"))
 		return
 	}
+	if g.isStopping(q) {
+		g.writeRefusal(w, q, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Stopping, received, "the instance is about to stop and might cut off the request"))
+		return
+	}
 	if g.draining.Load() && q.route.Kind == routing.Streaming && !q.route.Idempotent() {
 		// The end of the grace period would cut off the stream.
 		g.writeRefusal(w, q, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Stopping, received, "the instance is stopping and might cut off the stream"))
