Failed notices: seed of the datagram fuzz test

Cause: the new fields of notices were in no seed of FuzzDatagram.

Measured: the seeds pass (go test ./gossip -run FuzzDatagram). The fuzzing itself was not run to an end beside the load of this machine.

--- a/gossip/wire_fuzz_test.go
+++ b/gossip/wire_fuzz_test.go
@@ -84,6 +84,7 @@
 		{Kind: decide.NoticePlaced, ID: request.String(), Pool: "pool", PromptTokens: -1 << 62, MaxOutput: -1, Upstream: "e1", Tokens: -5},
 		{Kind: decide.NoticeWaiting, ID: request.String(), Pool: "pool", StartInMS: 1 << 62, WaitMS: -1 << 62, FirstInMS: 1 << 62},
 		{Kind: 200, ID: request.String()},
+		{Kind: decide.NoticeEnded, ID: request.String(), Upstream: "e1", Tokens: -1 << 62, Failed: true, Remote: true},
 	} {
 		content, err := json.Marshal(datagramWire{
 			From: netip.MustParseAddrPort("10.0.0.1:7200"), Name: "b", Notices: []noticeWire{n},
