--- a/decide/cold.go
+++ b/decide/cold.go
@@ -373,10 +373,16 @@
 	}
 }
 
+// coldTransit is the maximum time for which a notice is under way, as far as it matters for the
+// age of a declaration.
+const coldTransit = 500 * time.Millisecond
+
 // handleColdNotice applies the part of a notice of another instance that concerns the cold
 // time.
 func (s *Scheduler) handleColdNotice(now time.Time, u *upstream, n LimitNotice) {
-	if !n.ColdHeardAt.IsZero() {
+	// The time at which the upstream declared it is known to within the transit of notices.
+	// Instances repeat what they know, and each repetition would otherwise count as newer.
+	if !n.ColdHeardAt.IsZero() && n.ColdHeardAt.Sub(u.cold.declaredAt) > coldTransit {
 		s.declareCold(now, u, n.ColdUntil, n.ColdHeardAt, ColdFromPeer)
 	}
 	if n.DataCentre == "" || !s.isCold(now, u) {
--- a/decide/failures.go
+++ b/decide/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -510,6 +511,9 @@
 
 // expireFailureReports forgets what other instances reported too long ago.
 func (s *Scheduler) expireFailureReports(now time.Time) {
+	for _, u := range s.upstreams {
+		maps.DeleteFunc(u.failures.reports, func(_ ident.Incarnation, r failureReports) bool { return now.Sub(r.latestAt) > evidenceTime })
+	}
 	for _, p := range s.pools {
 		for instance, r := range p.failures.reporters {
 			for name, at := range r.failedAt {
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -53,6 +53,13 @@
 	return errors.Join(err, drainErr)
 }
 
+// pending returns the number of accepted connections that Accept has not returned yet.
+func (l *drainingListener) pending() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.accepted)
+}
+
 // acceptAll accepts all connections that the kernel has made, without waiting for others.
 func (l *drainingListener) acceptAll() (fds []int, err error) {
 	raw, err := l.SyscallConn()
--- a/entry/run.go
+++ b/entry/run.go
@@ -395,7 +395,12 @@
 // just read.
 func (i *instance) shutDown(ctx context.Context, deadline time.Time) error {
 	err := i.callerServer.listener.Close()
-	for i.callerServer.idle.openCount() > 0 && time.Now().Before(deadline) {
+	// Between Accept and its registration by the server, a connection counts nowhere, so none
+	// may be seen twice in a row.
+	for unseen := 0; unseen < 2 && time.Now().Before(deadline); unseen++ {
+		if i.callerServer.idle.openCount()+i.callerServer.listener.pending() > 0 {
+			unseen = -1
+		}
 		if !pause.Sleep(ctx, shutdownPollInterval) {
 			break
 		}
--- a/entry/server.go
+++ b/entry/server.go
@@ -72,7 +72,7 @@
 // callerServer is the HTTP server for callers.
 type callerServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *drainingListener
 	idle     *idleConns
 	// limit returns the maximum idle time of a connection, or 0 for the default.
 	limit func() time.Duration
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -209,7 +209,12 @@
 			q.unreachable = append(q.unreachable, placement.Name)
 		}
 		if q.countsAgainstUpstream(o.Reason) {
-			g.Dispatcher.ReportFailure(q.id, placement.Name, o.Reason)
+			reason := o.Reason
+			if err == nil && q.usesEngine() {
+				// A call's server error may be due to the call.
+				reason = verdict.UpstreamFailed
+			}
+			g.Dispatcher.ReportFailure(q.id, placement.Name, reason)
 		}
 		g.Metrics.CountFailedSend(q.service, o.Reason)
 		if o.Reason == verdict.UpstreamLost {
--- a/gateway/stall.go
+++ b/gateway/stall.go
@@ -12,10 +12,6 @@
 	minAbandon     = 2 * time.Second
 	abandonTargets = 4
 	abandonPauses  = 8
-	// restartShare is the share of that gap after which a stream that can be continued is
-	// continued at another upstream, so that the caller still gets its next event. Upstreams
-	// may be silent for 1.2 s and then go on.
-	restartShare = 0.75
 	// stallChecks is the number of checks without an event after which a stream has stalled.
 	// Checks are counted instead of the time, because after a pause of the process events may
 	// wait to be read.
@@ -38,9 +34,6 @@
 // newStallTimer returns the timer of an attempt.
 func (s *stream) newStallTimer() *stallTimer {
 	gap := s.abandonGap()
-	if s.route.Resumable && s.hasAttemptsLeft() {
-		gap = time.Duration(restartShare * float64(gap))
-	}
 	return &stallTimer{ticker: time.NewTicker(gap / stallChecks), gap: gap}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -145,7 +145,7 @@
 // canRestartAfter reports whether, after an attempt that ended with err, another
 // run can start the stream again or continue it.
 func (s *stream) canRestartAfter(err error) bool {
-	if verdict.OutcomeOf(err).Verdict == verdict.NotRun && s.delivered == 0 {
+	if verdict.OutcomeOf(err).Verdict == verdict.NotRun && s.delivered == 0 && !s.mayHaveRun {
 		return true
 	}
 	return s.route.Resumable
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -192,14 +192,12 @@
 	if w.PerSecond < 0 || w.Sent < 0 || w.HeardAgoMS < 0 || w.HeardAgoMS > maxLimitAge.Milliseconds() {
 		return decide.LimitNotice{}, errorx.IllegalFormat.New("a value in the limit of %q is out of range", w.ID)
 	}
-	if w.ColdInMS < 0 || w.ColdInMS > maxColdTime.Milliseconds() || w.ColdAgoMS < 0 || w.ColdAgoMS > maxLimitAge.Milliseconds() {
-		return decide.LimitNotice{}, errorx.IllegalFormat.New("the cold time of %q is out of range", w.ID)
-	}
 	n := decide.LimitNotice{
 		Upstream: w.ID, Incarnation: ident.Incarnation(w.StartUnixMS), Limited: w.Limited, PerSecond: w.PerSecond,
 		HeardAt: now.Add(-milliseconds(w.HeardAgoMS)), Sent: w.Sent, DataCentre: w.DataCentre,
 	}
-	if w.ColdKnown {
+	// A cold time that is not plausible must not discard the number of sent requests.
+	if w.ColdKnown && w.ColdInMS >= 0 && w.ColdInMS <= maxColdTime.Milliseconds() && w.ColdAgoMS >= 0 && w.ColdAgoMS <= maxLimitAge.Milliseconds() {
 		n.ColdUntil, n.ColdHeardAt = now.Add(milliseconds(w.ColdInMS)), now.Add(-milliseconds(w.ColdAgoMS))
 	}
 	return n, nil
@@ -234,6 +232,9 @@
 // maxPause is the longest plausible pause of a stream and target for it.
 const maxPause = time.Hour
 
+// maxTokens is the maximum plausible number of tokens of a prompt or an output.
+const maxTokens = 1 << 24
+
 func encodeNotice(now time.Time, n decide.Notice) noticeWire {
 	w := noticeWire{
 		Kind: n.Kind, ID: n.Request.ID.String(), Team: n.Request.Team, Class: n.Request.Class.Name, Pool: n.Request.Class.Pool,
@@ -269,6 +270,9 @@
 	if w.FirstInMS != 0 {
 		r.FirstTokenBy = now.Add(time.Duration(w.FirstInMS) * time.Millisecond)
 	}
+	if w.Tokens < 0 || w.Tokens > maxTokens || w.PromptTokens < 0 || w.PromptTokens > maxTokens {
+		return decide.Notice{}, errorx.IllegalFormat.New("the size of stream %q is out of range", w.ID)
+	}
 	if w.PauseTargetMS < 0 || w.PauseTargetMS > maxPause.Milliseconds() || w.PauseMS < 0 || w.PauseMS > maxPause.Milliseconds() || w.TokenUS < 0 || w.TokenUS > maxPause.Microseconds() {
 		return decide.Notice{}, errorx.IllegalFormat.New("the pace of stream %q is out of range", w.ID)
 	}
