--- a/decide/cold.go
+++ b/decide/cold.go
@@ -132,6 +132,9 @@
 	// declaredAt is the time of the latest declaration in a response, assumedAt that of the
 	// latest assumption, and listedUntil the end according to the list.
 	declaredAt, assumedAt, listedUntil time.Time
+	// declaredHere reports whether this instance got the response. Only such a declaration is
+	// told to others: with each repetition it would become later by the transit time.
+	declaredHere bool
 	// all is the bucket of the whole fleet, and local that of the local data centre.
 	all, local coldBucket
 	// othersUse is the number of recent requests of other data centres as of othersAt, and
@@ -350,7 +353,7 @@
 		// The response may be from before the data centre's return.
 		return s.extendCold(now, u, until, source)
 	}
-	c.declaredAt = heardAt
+	c.declaredAt, c.declaredHere = heardAt, source == ColdFromAnswer
 	return s.setCold(now, u, until, source)
 }
 
@@ -373,16 +376,10 @@
 	}
 }
 
-// coldTransit is the maximum time for which a notice is under way, as far as it matters for the
-// age of a declaration.
-const coldTransit = 500 * time.Millisecond
-
 // handleColdNotice applies the part of a notice of another instance that concerns the cold
 // time.
 func (s *Scheduler) handleColdNotice(now time.Time, u *upstream, n LimitNotice) {
-	// The time at which the upstream declared it is known to within the transit of notices.
-	// Instances repeat what they know, and each repetition would otherwise count as newer.
-	if !n.ColdHeardAt.IsZero() && n.ColdHeardAt.Sub(u.cold.declaredAt) > coldTransit {
+	if !n.ColdHeardAt.IsZero() {
 		s.declareCold(now, u, n.ColdUntil, n.ColdHeardAt, ColdFromPeer)
 	}
 	if n.DataCentre == "" || !s.isCold(now, u) {
--- a/decide/limit.go
+++ b/decide/limit.go
@@ -190,7 +190,7 @@
 	n := LimitNotice{Upstream: u.Name, Incarnation: u.Incarnation, Limited: l.active, PerSecond: l.perSecond, HeardAt: l.heardAt, Sent: sent}
 	if !u.cold.since.IsZero() && s.coldBounds.Overage > 0 {
 		n.DataCentre = s.dataCentre
-		if !u.cold.declaredAt.IsZero() {
+		if u.cold.declaredHere {
 			n.ColdUntil, n.ColdHeardAt = u.cold.until, u.cold.declaredAt
 		}
 	}
