Cold engines without notices of use; obstacles in refusals; deferred streams

Engines need no such notices, because placements are told anyway: a data centre sends a cold engine at most 0.8 of its rate, by the placements that it knows (TestColdEngineIsNotOverrun).

A refused stream names the obstacles at the engines of its last attempt. From the review of ranks and speeds: a deferred stream is not refused as displaced, holds up no others and is not deferred if the queue is full; a risen request no longer blocks higher ranks; a retry time can't overflow. decide tests of ranks, cold times and speeds pass.

--- a/decide/cold.go
+++ b/decide/cold.go
@@ -250,14 +250,44 @@
 
 // coldAllows reports whether a request with a fraction in (0, 1) may be sent to the upstream.
 func (s *Scheduler) coldAllows(now time.Time, u *upstream, fraction float64) bool {
-	if !s.isCold(now, u) {
+	switch {
+	case !s.isCold(now, u):
 		return true
+	case u.CapacityTokens > 0:
+		return float64(u.sentSince(now.Add(-time.Second))) < s.coldEngineRate(u)
 	}
 	r, c := s.refillCold(now, u), &u.cold
 	patience := math.Pow(fraction, 1.0/coldPatience)
 	return c.all.tokens >= 1+patience*r.spread && c.local.tokens >= 1+patience*r.localSpread
 }
 
+// coldEngineRate returns the number of requests in a second up to which a cold engine gets more
+// from this data centre. Notices of placements tell the instances of a data centre, and of that of
+// the engine, of each request there, so engines need no notices of use, which go to the whole
+// fleet.
+func (s *Scheduler) coldEngineRate(u *upstream) float64 {
+	if s.isLocal(u) {
+		return coldEngineShare * u.ColdPerSecond
+	}
+	return coldEngineShare * u.ColdPerSecond * s.localShare()
+}
+
+// coldEngineShare leaves room for requests whose notices are under way.
+const coldEngineShare = 0.8
+
+// sentSince returns the number of known requests that were sent to the upstream after a time.
+func (u *upstream) sentSince(t time.Time) int {
+	count := 0
+	for _, list := range [][]*inFlight{u.requests, u.departed} {
+		for _, f := range list {
+			if f.sentAt.After(t) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (s *Scheduler) refillCold(now time.Time, u *upstream) coldRates {
 	u.cold.observeOthers(now, s.hearsAll(now, &u.cold, coldMeasuring), 0)
 	r := s.coldRates(now, u)
@@ -283,7 +313,7 @@
 // useCold records that this instance sends a request to the upstream, and tells the others.
 // It reports whether the upstream is cold.
 func (s *Scheduler) useCold(now time.Time, u *upstream) bool {
-	if !s.isCold(now, u) {
+	if !s.isCold(now, u) || u.CapacityTokens > 0 {
 		return false
 	}
 	s.takeCold(now, u, s.dataCentre, 1)
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -423,3 +423,33 @@
 		}
 	}
 }
+
+// TestColdEngineIsNotOverrun guards against a burst of short streams on an engine that has just
+// started: it gets at most its rate from a data centre, without a notice of use for each.
+func TestColdEngineIsNotOverrun(t *testing.T) {
+	s, now := decide.New("a"), epoch
+	s.SetColdBounds(coldBounds)
+	s.Step(now, decide.UpstreamsChanged{Upstreams: []decide.Upstream{{
+		Name: "e", Pool: "llm", DataCentre: "a", Incarnation: 1, Slots: 1000, CapacityTokens: 1_000_000, StepTime: time.Millisecond,
+		ColdPerSecond: 25, ColdStart: time.Minute, ColdUntil: now.Add(time.Minute),
+	}}})
+	sent := 0
+	handle := func(actions []decide.Action) {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case decide.Place:
+				sent++
+				s.Step(now, decide.Progressed{ID: a.ID, Tokens: 1})
+			case decide.NotifyLimit:
+				t.Fatal("a notice of use was sent")
+			}
+		}
+	}
+	for n := range 2000 {
+		now = now.Add(time.Millisecond)
+		id := ident.Request{Home: ident.Home{Incarnation: 1}, Sequence: uint64(n + 1)}
+		handle(s.Step(now, decide.Arrived{Request: decide.Request{ID: id, Class: config.Class{Name: "short", Pool: "llm", Kind: config.Stream}, PromptTokens: 1, MaxOutputTokens: 1}}))
+		handle(s.Step(now, decide.Tick{}))
+	}
+	assert.Assert(t, sent >= 30 && sent <= 2*25, "%d requests in 2 s", sent)
+}
--- a/decide/queue.go
+++ b/decide/queue.go
@@ -38,6 +38,8 @@
 	deferredUntil time.Time
 	// attempts is the number of searches for an upstream.
 	attempts uint64
+	// obstacles are those of the latest search.
+	obstacles obstacleCounts
 	// round is the request's position among the requests of its team and rank, and rank
 	// the one by which it is ordered.
 	round, rank int
@@ -99,6 +101,7 @@
 	for _, other := range q.list {
 		switch {
 		case other.Class.Pool != w.Class.Pool || other.rank > w.Rank:
+		case now.Before(other.deferredUntil):
 		case other.rank < w.Rank:
 			count[other.rank]++
 		case q.inTime(now, other, w) && (other.round < sameTeam || other.round == sameTeam && !other.deadline.After(w.deadline)):
--- a/decide/rank.go
+++ b/decide/rank.go
@@ -217,7 +217,7 @@
 // request's time. Requests that are refused together are spread over the time in which the
 // queue is served, because capacity becomes free no faster.
 func (s *Scheduler) refuseRanked(now time.Time, w *waitingRequest, reason verdict.Reason, ahead aheadByRank, explanation string) Refuse {
-	refusal := s.refuse(now, w.Request, reason, explanation+w.rankText(ahead))
+	refusal := s.refuse(now, w.Request, reason, explanation+w.rankText(ahead)+w.obstacles.String())
 	if !w.Ranked || w.Deadline.IsZero() {
 		return refusal
 	}
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -564,6 +564,7 @@
 	hasLocal := slices.ContainsFunc(candidates, s.isLocal)
 	rendezvous, lowest := weightedRendezvous{id: w.ID}, lowestCost{}
 	fitCount := 0
+	w.obstacles, w.deferredUntil = obstacleCounts{}, time.Time{}
 	sampled := s.sample(candidates, w.ID, w.attempts)
 	w.attempts++
 	for _, u := range sampled {
@@ -582,7 +583,8 @@
 			// engines with more free memory have preference.
 			free = 1
 		}
-		if free < 0 || !u.hasSlot() || !u.meetsPace(w.Request) || s.prefillBacklogged(now, u) || hasLocal && s.skipsRemote(now, w, u) {
+		if obstacle := s.obstacleAt(now, w, u, free, hasLocal); obstacle != noObstacle {
+			w.obstacles[obstacle]++
 			continue
 		}
 		fitCount++
@@ -597,7 +599,7 @@
 	if lowest.best != nil {
 		u = lowest.best
 	}
-	if u == nil || s.defers(now, w, u, candidates, lengths.Mean()) {
+	if u == nil || len(s.queue.list) < maxQueue && s.defers(now, w, u, candidates, lengths.Mean()) {
 		return choice{}, false
 	}
 	explanation := fmt.Sprintf(
@@ -651,7 +653,7 @@
 	s.queue.sort(now)
 	overtaken, held, waiting := map[lane]int{}, newHolds(s.queue.list), map[string]aheadByRank{}
 	for _, w := range slices.Clone(s.queue.list) {
-		lane := lane{w.Class.Pool, w.Only, w.rank}
+		lane := lane{w.Class.Pool, w.Only, w.Rank}
 		switch {
 		case w.handledByPeer && now.Before(w.reservedUntil):
 			continue
@@ -694,6 +696,10 @@
 				}
 			}
 		}
+		if now.Before(w.deferredUntil) {
+			// It delays no others and could be placed now.
+			continue
+		}
 		ahead := waiting[w.Class.Pool]
 		if refusal, ok := s.refuseDisplaced(now, w, ahead); ok {
 			s.dequeue(w)
@@ -775,7 +781,7 @@
 func (s *Scheduler) refuse(now time.Time, r Request, reason verdict.Reason, explanation string) Refuse {
 	delay := minRetryDelay
 	if rate := s.pool(r.Class.Pool).placements.perSecond(now); rate > 0 {
-		delay += time.Duration(float64(len(s.queue.list)) / rate * float64(time.Second))
+		delay += time.Duration(min(maxRetryDelay.Seconds(), float64(len(s.queue.list))/rate) * float64(time.Second))
 	}
 	jitter := 0.75 + hashFraction(r.ID, 0)/2
 	delay = time.Duration(float64(min(delay, maxRetryDelay)) * jitter)
