--- a/caller/request.go
+++ b/caller/request.go
@@ -190,7 +190,7 @@
 		return http.StatusConflict
 	case verdict.Overloaded, verdict.WaitExpired:
 		return http.StatusTooManyRequests
-	case verdict.NotConfigured, verdict.NoUpstream, verdict.Stopping, verdict.UpstreamRefused, verdict.UpstreamLeaving, verdict.UpstreamUnreachable, verdict.PromptContained, verdict.RequestContained, verdict.CutOff:
+	case verdict.NotConfigured, verdict.NoUpstream, verdict.Stopping, verdict.UpstreamRefused, verdict.UpstreamLeaving, verdict.UpstreamUnreachable, verdict.PromptContained, verdict.RequestContained, verdict.CutOff, verdict.Evacuated:
 		return http.StatusServiceUnavailable
 	case verdict.GenerationLost:
 		return http.StatusGone
--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -88,12 +88,14 @@
 	return s.Table(ctx)
 }
 
-func (s *fakeStore) Published(context.Context) (catalog.Published, history.Position, error) {
-	panic("orders are not followed")
+func (s *fakeStore) Published(ctx context.Context) (p catalog.Published, at history.Position, err error) {
+	p.Table, at, err = s.Table(ctx)
+	return p, at, err
 }
 
-func (s *fakeStore) WatchPublished(context.Context, history.Position, time.Time) (catalog.Published, history.Position, error) {
-	panic("orders are not followed")
+func (s *fakeStore) WatchPublished(ctx context.Context, after history.Position, deadline time.Time) (p catalog.Published, at history.Position, err error) {
+	p.Table, at, err = s.WatchTable(ctx, after, deadline)
+	return p, at, err
 }
 
 func (s *fakeStore) WatchList(ctx context.Context, after history.Position, deadline time.Time) ([]upstream.Item, history.Position, error) {
