--- a/entry/run.go
+++ b/entry/run.go
@@ -151,7 +151,7 @@
 	i.prober = &probe.Prober{Pools: i.controller, Dial: dial}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, DataCentre: s.DataCentre, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, Log: i.log, Metrics: i.metrics,
+		Home: i.home, DataCentre: s.DataCentre, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, IgnoresRanks: func() bool { return !i.settings.Load().Ranks.Enabled }, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -23,6 +23,7 @@
 	Stop       Stop             `json:"stop"`
 	Retries    Retries          `json:"retries"`
 	Evacuation Evacuation       `json:"evacuation"`
+	Ranks      Ranks            `json:"ranks"`
 	// Regions contains the region of each data centre, as far as known.
 	Regions routing.Regions `json:"regions"`
 	Cold    Cold            `json:"cold"`
@@ -71,6 +72,12 @@
 	return time.Duration(e.ApplyMS * float64(time.Millisecond))
 }
 
+// Ranks controls the effect of the ranks of routes and teams.
+type Ranks struct {
+	// Enabled makes requests of higher rank get capacity first.
+	Enabled bool `json:"enabled"`
+}
+
 // Limits are the resource limits of the machine.
 type Limits struct {
 	MemoryMB    float64 `json:"memory_mb"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// Members are the instances that can serve requests if this one is cut off; nil if
 	// there are none.
 	Members Members
+	// IgnoresRanks reports whether the ranks of routes and teams have no effect; nil stands for no.
+	IgnoresRanks func() bool
 	// Dial opens connections to upstreams; nil for the network of the operating system.
 	Dial    freshconn.Dial
 	Log     *event.Log
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,7 +61,9 @@
 	team     string
 	// teamEntry is the team's entry in the table; nil if credentials aren't used.
 	teamEntry *routing.Team
-	service   string
+	// ignoresRanks reports whether all requests have the same rank.
+	ignoresRanks bool
+	service      string
 	// regions are the regions to which the request is restricted; nil if it isn't.
 	regions  []string
 	outgoing outgoingRequest
@@ -176,6 +178,7 @@
 		return http.StatusNotFound, verdict.Fail(verdict.NotRun, verdict.NotFound, "no route matches in version %d of the routing table", table.Version)
 	}
 	q.table, q.route, q.regions = table, route, routing.AllowedRegions(route, nil)
+	q.ignoresRanks = g.IgnoresRanks != nil && g.IgnoresRanks()
 	if q.info.ID == "" {
 		return http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the request has no id")
 	}
@@ -311,7 +314,7 @@
 // rank returns the rank of the request among those of its service, and whether they differ
 // in rank.
 func (q *request) rank() (rank int, ranked bool) {
-	if q.table == nil {
+	if q.table == nil || q.ignoresRanks {
 		return 0, false
 	}
 	return q.table.Rank(q.route, q.teamEntry, q.service)
