--- a/decide/speed.go
+++ b/decide/speed.go
@@ -51,8 +51,11 @@
 	// a variance of logarithms.
 	spreadPriorSamples, noisePriorSamples, initialNoise = 10, 10, 0.1
 	// The engines of a service count as uneven from a variance of unevenSpread, a
-	// standard deviation of 17%, until one of evenSpread, 12%.
-	unevenSpread, evenSpread = 0.03, 0.015
+	// standard deviation of 30%, until one of evenSpread, 20%. Changes of load alone gave
+	// equal engines a deviation of 17%.
+	unevenSpread, evenSpread = 0.09, 0.04
+	// minSpread bounds the variance by which measurements of an engine are weighted.
+	minSpread = 0.015
 	// minPseudoSamples and maxPseudoSamples bound the weight of the service's mean in the
 	// speed of an engine.
 	minPseudoSamples, maxPseudoSamples = 0.5, 10
@@ -102,7 +105,7 @@
 // measurements.
 func (p *serviceSpeeds) pseudoSamples() float64 {
 	noise := p.noise.mean(initialNoise, noisePriorSamples)
-	return max(minPseudoSamples, min(maxPseudoSamples, noise/max(evenSpread, p.spreadVariance())))
+	return max(minPseudoSamples, min(maxPseudoSamples, noise/max(minSpread, p.spreadVariance())))
 }
 
 // speedSample is one measurement: the logarithm of a time in seconds.
