Long streams move away from prompts; prompts avoid running streams

What is open when all instances die is lost, so slow drafts are lost more often.

Change: the start cost of an engine contains the delay that the prompt causes to the streams that run there. After their first events streams look for an engine of the own data centre where prompts delay them less, and move there while they run. An engine gets prompts until it has 0.8 s to prefill (0.4 s before). A move that is given up still hears that the source leaves: its subscription was replaced by that of the destination.

--- a/decide/move.go
+++ b/decide/move.go
@@ -9,8 +9,8 @@
 	"mangoloft/verdict"
 )
 
-// startMove chooses a destination for a running request. When an upstream
-// leaves, all its requests are moved at the same time, so each counts as load
+// startMove chooses a destination for a running request. An optional move needs one where
+// prompts delay the request less. When an upstream leaves, all its requests are moved at the same time, so each counts as load
 // on its destination as soon as the destination is chosen.
 func (s *Scheduler) startMove(now time.Time, e MoveRequested) []Action {
 	s.cancelMove(e.ID)
@@ -26,7 +26,14 @@
 	// Even a run that has not begun may begin while it is copied.
 	r.NeedsVersion, r.Version = true, source.Version
 	r.Excluded = append([]string{source.Name}, e.Excluded...)
-	u, free := s.destination(now, f, s.accepting(now, &r, s.candidates(now, r)))
+	candidates := s.accepting(now, &r, s.candidates(now, r))
+	if e.Optional {
+		candidates = s.calmer(now, f, source, candidates)
+	}
+	u, free := s.destination(now, f, candidates)
+	if e.Optional && (u == nil || free <= 0) {
+		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "prompts delay the running request nowhere less"}}
+	}
 	if u == nil {
 		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "no upstream can take the running request" + r.versionText()}}
 	}
@@ -86,6 +93,9 @@
 	return freest, mostFree
 }
 
+// IsMoving reports whether the request is being moved.
+func (s *Scheduler) IsMoving(id ident.Request) bool { _, ok := s.moves[id]; return ok }
+
 // endMove releases the request from its source if it has moved, and otherwise
 // cancels the move.
 func (s *Scheduler) endMove(now time.Time, e MoveEnded) {
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -77,6 +77,7 @@
 	f.admittedElsewhere = !handledByPeer && s.admittedBy(now, &r, u).IsValid()
 	s.estimateStart(now, u, f)
 	u.addRequest(f)
+	u.prompts.add(now, float64(r.PromptTokens))
 	u.failures.placed(now)
 	s.placed[r.ID] = u.Name
 }
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -71,12 +71,15 @@
 	r.lastAt = now
 }
 
-func (r *rate) count(now time.Time) {
+func (r *rate) count(now time.Time) { r.add(now, 1) }
+
+// add counts an event with a weight.
+func (r *rate) add(now time.Time, weight float64) {
 	if r.firstAt.IsZero() {
 		r.firstAt, r.lastAt = now, now
 	}
 	r.decay(now)
-	r.weight++
+	r.weight += weight
 }
 
 // perSecond returns the number of events per second; zero if there were none.
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -96,7 +96,7 @@
 // gets no more prompts. Further streams wait in the queue instead, where they
 // can be placed on the first engine that becomes available, and are refused
 // immediately if they would start too late.
-const maxPrefillBacklog = 400 * time.Millisecond
+const maxPrefillBacklog = 800 * time.Millisecond
 
 // prefillBacklogged reports whether an engine's prefill backlog is full.
 func (s *Scheduler) prefillBacklogged(now time.Time, u *upstream) bool {
@@ -153,6 +153,7 @@
 	cost += time.Duration(math.Max(0, 2*usedShare-1) * float64(memoryPressureCost))
 	cost += time.Duration((1 - u.trafficShare(now)) * float64(slowStartPenalty))
 	cost += s.failureCost(now, &w.Request, u)
+	cost += s.interference(now, u, w.PromptTokens)
 	return cost + time.Duration(hashFraction(w.ID, u.hash)*float64(tieBreakCost))
 }
 
--- a/decide/types.go
+++ b/decide/types.go
@@ -187,10 +187,12 @@
 type NoticeReceived struct{ Notice Notice }
 
 // MoveRequested requests another upstream, the destination, for a running
-// request whose upstream leaves. The request counts as load on both upstreams
-// until MoveEnded.
+// request. The request counts as load on both upstreams until MoveEnded.
 type MoveRequested struct {
 	ID ident.Request
+	// Optional reports whether the request can stay where it is. It then moves only if
+	// prompts delay it less elsewhere. Otherwise its upstream leaves.
+	Optional bool
 	// Excluded contains the names of the upstreams that can't receive the
 	// request.
 	Excluded []string
--- a/decide/upstream.go
+++ b/decide/upstream.go
@@ -34,6 +34,8 @@
 	health           health
 	failures         failureRecord
 	limit            requestLimit
+	// prompts is the rate of prompt tokens that the engine gets.
+	prompts rate
 	// window limits the requests to a brittle upstream. coordinator is the control address
 	// of the instance that admits calls to it, as of claimedAt.
 	window      window
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -28,6 +28,19 @@
 
 func (cmd schedulerEventCommand) apply(c *Controller, now time.Time) { c.schedule(now, cmd.event) }
 
+type moveEndedCommand struct{ event decide.MoveEnded }
+
+func (cmd moveEndedCommand) apply(c *Controller, now time.Time) {
+	if r := c.runs[cmd.event.ID]; r != nil && r.source != nil {
+		if cmd.event.Moved {
+			r.source = nil
+		} else {
+			c.runs[cmd.event.ID] = r.origin()
+		}
+	}
+	c.schedule(now, cmd.event)
+}
+
 type endCommand struct{ event decide.Ended }
 
 func (cmd endCommand) apply(c *Controller, now time.Time) {
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -138,6 +138,8 @@
 	upstream string
 	// leaving receives the status of the upstream when it leaves.
 	leaving chan upstream.Status
+	// source is the run that is being moved to the upstream; nil if there is none.
+	source *run
 }
 
 // decision is the scheduler's decision on a request. Its leaving channel is
@@ -363,17 +365,24 @@
 // notifyRuns notifies the requests placed on an upstream that it leaves.
 func (c *Controller) notifyRuns(status upstream.Status) {
 	for _, r := range c.runs {
-		if r.upstream != status.ID {
-			continue
-		}
-		select {
-		case r.leaving <- status:
-		default:
-			// The request has been notified before.
+		for ; r != nil; r = r.source {
+			r.notify(status)
 		}
 	}
 }
 
+// notify notifies the request if it runs on the upstream.
+func (r *run) notify(status upstream.Status) {
+	if r.upstream != status.ID {
+		return
+	}
+	select {
+	case r.leaving <- status:
+	default:
+		// The request has been notified before.
+	}
+}
+
 // updateScheduler sends all current upstreams to the scheduler. It is called for a new
 // routing table, which can change the properties of every upstream.
 func (c *Controller) updateScheduler(now time.Time) {
@@ -482,8 +491,17 @@
 // StartMove requests another upstream for a placed request and waits for the
 // decision. EndMove or End must be called for each move.
 func (c *Controller) StartMove(ctx context.Context, id ident.Request, excluded []string) (Placement, error) {
-	cmd := &placeCommand{event: decide.MoveRequested{ID: id, Excluded: excluded}, id: id, reply: make(chan decision, 1)}
-	return c.await(ctx, cmd)
+	return c.move(ctx, decide.MoveRequested{ID: id, Excluded: excluded})
+}
+
+// StartOptionalMove is like StartMove for a request that can stay where it is. It returns an
+// error if another upstream is no better.
+func (c *Controller) StartOptionalMove(ctx context.Context, id ident.Request) (Placement, error) {
+	return c.move(ctx, decide.MoveRequested{ID: id, Optional: true})
+}
+
+func (c *Controller) move(ctx context.Context, e decide.MoveRequested) (Placement, error) {
+	return c.await(ctx, &placeCommand{event: e, id: e.ID, reply: make(chan decision, 1)})
 }
 
 func (c *Controller) await(ctx context.Context, cmd *placeCommand) (Placement, error) {
@@ -512,6 +530,9 @@
 // leaves. An upstream that is already leaving is reported immediately.
 func (c *Controller) subscribe(place decide.Place) <-chan upstream.Status {
 	r := &run{upstream: place.Upstream.Name, leaving: make(chan upstream.Status, 1)}
+	if c.scheduler.IsMoving(place.ID) {
+		r.source = c.runs[place.ID].origin()
+	}
 	c.runs[place.ID] = r
 	if status, ok := c.directory.Find(r.upstream); ok && status.State >= upstream.Draining {
 		r.leaving <- status
@@ -519,6 +540,14 @@
 	return r.leaving
 }
 
+// origin returns the run where the request is executed, also while it is being moved.
+func (r *run) origin() *run {
+	for r != nil && r.source != nil {
+		r = r.source
+	}
+	return r
+}
+
 // Answered reports that the header of a placed stream has arrived.
 func (c *Controller) Answered(id ident.Request) {
 	c.send(schedulerEventCommand{decide.Answered{ID: id}})
@@ -533,7 +562,7 @@
 // EndMove ends a move. If moved is true, the request has moved to its
 // destination; otherwise it remains on its source.
 func (c *Controller) EndMove(id ident.Request, moved bool) {
-	c.send(schedulerEventCommand{decide.MoveEnded{ID: id, Moved: moved}})
+	c.send(moveEndedCommand{decide.MoveEnded{ID: id, Moved: moved}})
 }
 
 // End reports that a request is finished.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// StartMove waits for another upstream for a placed request. The excluded
 	// upstreams are not chosen.
 	StartMove(ctx context.Context, id ident.Request, excluded []string) (dispatch.Placement, error)
+	// StartOptionalMove is like StartMove for a request that can stay where it is.
+	StartOptionalMove(ctx context.Context, id ident.Request) (dispatch.Placement, error)
 	// EndMove ends a move and reports whether the request has moved.
 	EndMove(id ident.Request, moved bool)
 	// Answered reports that the header of a stream has arrived.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -49,11 +49,17 @@
 	cancel    context.CancelFunc
 	group     sync.WaitGroup
 	startedAt time.Time
+	// optional moves can be given up. ended is closed after an optional move has been.
+	optional bool
+	ended    chan struct{}
 
 	mu sync.Mutex
 	// destination and handle belong to the latest complete copy.
 	destination dispatch.Placement
 	handle      KVHandle
+	// leavesAt is the time at which the source of an optional move leaves; zero if it
+	// doesn't.
+	leavesAt time.Time
 	// stopSent reports whether the final copy, which stops the run, was
 	// requested.
 	stopSent      bool
@@ -63,14 +69,17 @@
 // startMove starts to move the run off a leaving engine, unless a move is in
 // progress or the run can't or need not be moved.
 func (s *stream) startMove(ctx context.Context, status upstream.Status) {
-	if s.move != nil || status.State == upstream.Removed {
+	if s.move != nil && s.move.optional {
+		s.leaving = &status
+		s.move.mu.Lock()
+		s.move.leavesAt = leaveTime(status)
+		s.move.mu.Unlock()
 		return
 	}
-	service := s.table.Services[s.service]
-	if service == nil || service.Engine == nil || !service.Engine.SupportsMove {
+	if s.move != nil || status.State == upstream.Removed || !s.canMove() {
 		return
 	}
-	if s.finishesBefore(status.LeavesAt) {
+	if s.finishesBefore(leaveTime(status)) {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -79,6 +88,20 @@
 	m.group.Go(func() { m.run(ctx, status.LeavesAt) })
 }
 
+// canMove reports whether the service's engines can copy a run's KV cache.
+func (s *stream) canMove() bool {
+	service := s.table.Services[s.service]
+	return service != nil && service.Engine != nil && service.Engine.SupportsMove
+}
+
+// leaveTime returns the time at which the upstream leaves, or an estimate if it isn't known.
+func leaveTime(status upstream.Status) time.Time {
+	if status.LeavesAt.IsZero() {
+		return time.Now().Add(defaultLeaveDelay)
+	}
+	return status.LeavesAt
+}
+
 // finishesBefore reports whether the run is expected to finish before its engine
 // leaves. Moving such a run would only delay the copies of longer runs, which
 // share the link. Only resumable streams count, because they can still continue
@@ -87,9 +110,6 @@
 	if !s.route.Resumable || s.delivered == 0 || s.info.MaxOutputTokens == 0 {
 		return false
 	}
-	if leavesAt.IsZero() {
-		leavesAt = time.Now().Add(defaultLeaveDelay)
-	}
 	remaining := s.info.MaxOutputTokens - s.delivered*s.tokensPerEvent
 	return time.Duration(remaining)*loadedTokenTime < time.Until(leavesAt)-finalCopyMargin
 }
@@ -125,6 +145,7 @@
 		return KVHandle{}, false
 	}
 	m.waitForCopy()
+	s.leaving = nil
 	s.move = nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"mangoloft/dispatch"
 	"mangoloft/event"
+	"mangoloft/upstream"
 	"mangoloft/verdict"
 )
 
@@ -43,6 +44,8 @@
 	// move is the move of the run to another engine; nil if none is in
 	// progress.
 	move *mover
+	// leaving is set if the upstream began to leave during an optional move.
+	leaving *upstream.Status
 	// fallback is the engine on which the run was stopped for the last move. It
 	// keeps the run's KV cache, so the run can continue there if the destination
 	// refuses it.
@@ -251,6 +254,8 @@
 			if ok {
 				s.startMove(ctx, status)
 			}
+		case <-s.optionalMoveEnded():
+			s.endOptionalMove(ctx)
 		case r := <-results:
 			// After a request to stop the run, the close of the connection does not
 			// prove that the stream is complete.
@@ -261,9 +266,13 @@
 				return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the stream failed after event %d: %v", s.lastEventID, r.err)
 			}
 			delivered := s.delivered
-			if err := s.forward(response, r.event, r.readAt); err != nil {
+			due, err := s.forward(response, r.event, r.readAt)
+			if err != nil {
 				return err
 			}
+			if due {
+				s.startOptionalMove(ctx)
+			}
 			if s.delivered > delivered {
 				stall.checks = 0
 			}
@@ -302,15 +311,15 @@
 	return errCallerDisconnected
 }
 
-// forward writes the next event in order to the caller. It skips repeated
-// events; a gap in the event IDs ends the attempt.
-func (s *stream) forward(response *http.Response, e sseEvent, readAt time.Time) error {
+// forward writes the next event in order to the caller, and reports whether the scheduler was
+// told of the run's progress. It skips repeated events; a gap in the event IDs ends the attempt.
+func (s *stream) forward(response *http.Response, e sseEvent, readAt time.Time) (reported bool, err error) {
 	if e.id != noID {
 		if s.lastEventID != noID && e.id <= s.lastEventID {
-			return nil
+			return false, nil
 		}
 		if s.lastEventID != noID && e.id != s.lastEventID+1 {
-			return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "event %d came after event %d", e.id, s.lastEventID)
+			return false, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "event %d came after event %d", e.id, s.lastEventID)
 		}
 	}
 	if !s.headerSent {
@@ -322,23 +331,24 @@
 		s.headerSent = true
 	}
 	if _, err := s.w.Write(e.raw); err != nil {
-		return errCallerDisconnected
+		return false, errCallerDisconnected
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return errCallerDisconnected
+		return false, errCallerDisconnected
 	}
 	if e.isComment {
-		return nil
+		return false, nil
 	}
 	if e.id != noID {
 		s.lastEventID = e.id
 	}
 	s.needsVersion, s.version = true, s.placement.Version
 	s.recordEvent(time.Now())
-	if pace, due := s.pace.record(readAt, s.tokensPerEvent); due {
+	pace, due := s.pace.record(readAt, s.tokensPerEvent)
+	if due {
 		s.g.Dispatcher.Progress(s.id, s.delivered*s.tokensPerEvent, pace)
 	}
-	return nil
+	return due, nil
 }
 
 // logMove logs and counts the outcome of a move.
