Repeats stay within the budget of the fleet

Cause: LimitRetries was called each second and filled the token bucket to at least half of its capacity, so the slack came again every second instead of once a window; one bucket served all services; moved runs, which arrive at a second server, weren't counted; a detour of a repeat wasn't counted, and one of a new request earned its share twice.

Change: a budget for each service. Further attempts: a token bucket whose capacity and refill over a window add up to the instance's part of the slack; new instances start empty and don't use the slack for 3 s; the size of the fleet is the largest of the last minute. Moves: the instances hear of them, so all share 0.7 of the slack of a service of engines, optional moves at most 0.4 of that. Settings of retries are checked for absurd values. Metrics: mangoloft_retry_budget, _capacity, mangoloft_moves_left, mangoloft_repeats_total. Engines are filled to 0.75 by optional moves, and get prompts up to 0.4 s again: with 0.8 s three tests of placement failed.

entry.TestRepeatsStayWithinTheBudgetOfTheFleet (three real instances) fails on: 296 repeats in 10 s, 178 are allowed; now 126 or 127, and as many requests are served (66 and 67 of 469 where nine of ten are rejected). decide.TestRepeatsStayWithinTheBudget fails if the bucket is filled as before.

--- a/decide/interference.go
+++ b/decide/interference.go
@@ -15,6 +15,9 @@
 	// minCalmerGain is the expected time by which a stream must end sooner to be moved. A
 	// move uses the links of both engines, and the stream pauses at its end.
 	minCalmerGain = 250 * time.Millisecond
+	// maxGathered is the share of an engine's memory up to which streams move there. If the
+	// engine leaves, they all have to be moved in a second or two.
+	maxGathered = 0.75
 	// homeGain is the time that a stream's return to this data centre is worth, where a
 	// partition between data centres doesn't interrupt it.
 	homeGain = 1 * time.Second
@@ -91,7 +94,7 @@
 	var requestForecast forecast
 	requestForecast.addRequest(float64(f.PromptTokens), f.generatedAt(now, u.stepTime()), f.lengths)
 	u.refresh(now, aggregate{meanTokens: 1}, s.lengths.PoolForecast(f.Class.Pool))
-	return u.peakWith(&requestForecast, patientMargin) < u.capacity()
+	return u.peakWith(&requestForecast, patientMargin) < maxGathered*u.capacity()
 }
 
 // remaining returns the expected number of tokens that a generation still produces.
--- a/decide/move.go
+++ b/decide/move.go
@@ -37,6 +37,13 @@
 	if u == nil {
 		return []Action{Refuse{ID: e.ID, Reason: verdict.NoUpstream, Explanation: "no upstream can take the running request" + r.versionText()}}
 	}
+	kind := movedRun
+	if e.Optional {
+		kind = optionalMove
+	}
+	if !s.retries.tryMove(now, f.Class.Pool, kind, s.audience()) {
+		return []Action{Refuse{ID: e.ID, Reason: verdict.Overloaded, Explanation: "the retry budget is exhausted"}}
+	}
 	s.useLimit(now, u)
 	copied := *f
 	// The time to the first event is no measurement of the destination.
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -37,10 +37,14 @@
 		}
 	case NoticePlaced:
 		s.queue.remove(id)
-		// A moved request is placed a second time.
+		// A moved request is placed a second time, and once more when the move ends.
+		moved := s.placed[id] != n.Upstream
 		s.cancelPlacement(id)
 		if u := s.upstreams[n.Upstream]; u != nil {
 			if n.Tokens > 0 {
+				if moved {
+					s.retries.countMove(now, u.Pool)
+				}
 				// The KV cache is moved with the request, so it needs no prefill.
 				f := &inFlight{Request: n.Request, upstream: u.Name, handledByPeer: true, moved: true, lengths: s.lengthsOf(n.Request), sentAt: now, tokensAt: now}
 				u.addRequest(f)
--- a/decide/prefill.go
+++ b/decide/prefill.go
@@ -96,7 +96,7 @@
 // gets no more prompts. Further streams wait in the queue instead, where they
 // can be placed on the first engine that becomes available, and are refused
 // immediately if they would start too late.
-const maxPrefillBacklog = 800 * time.Millisecond
+const maxPrefillBacklog = 400 * time.Millisecond
 
 // prefillBacklogged reports whether an engine's prefill backlog is full.
 func (s *Scheduler) prefillBacklogged(now time.Time, u *upstream) bool {
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -49,7 +49,7 @@
 	partitions map[string]*partition
 	// reaches contains the pools in which upstreams could not be reached recently.
 	reaches map[string]*reach
-	retries retryBudget
+	retries retryBudgets
 	// evacuated contains the evacuated data centres.
 	evacuated []string
 	// regions contains the regions of the data centres.
@@ -89,21 +89,16 @@
 func NewWithLengths(dataCentre string, lengths LengthForecaster) *Scheduler {
 	return &Scheduler{
 		dataCentre: dataCentre, lengths: lengths, upstreams: map[string]*upstream{}, pools: map[string]*pool{},
-		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, reaches: map[string]*reach{}, retries: newRetryBudget(), brittle: map[string]*brittlePool{},
+		placed: map[ident.Request]string{}, moves: map[ident.Request]string{}, partitions: map[string]*partition{}, reaches: map[string]*reach{}, retries: newRetryBudgets(), brittle: map[string]*brittlePool{},
 		trackers: newTrackers(), origins: origin.New(), retired: map[poolVersion]time.Time{},
 		instances: 1,
 	}
 }
 
-// LimitRetries replaces the retry budget: each first attempt adds share to it,
-// up to capacity. The new budget is at least half full.
-func (s *Scheduler) LimitRetries(share, capacity float64) {
-	s.retries = retryBudget{available: min(max(s.retries.available, capacity/2), capacity), share: share, capacity: capacity}
-}
-
 // SetInstances sets the number of live instances, including this one.
-func (s *Scheduler) SetInstances(n int) {
+func (s *Scheduler) SetInstances(now time.Time, n int) {
 	s.instances = max(1, n)
+	s.retries.fleet.observe(now, n)
 	s.trackers.setInstances(n)
 }
 
@@ -448,21 +443,15 @@
 	if refusal, ok := s.refuseContained(now, r); ok {
 		return []Action{refusal}
 	}
+	if !s.countAttempt(now, r) {
+		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is exhausted")}
+	}
 	if refusal, ok := s.refuseCutOff(now, r); ok {
 		return []Action{refusal}
 	}
 	if refusal, ok := s.refuseClosed(now, r); ok {
 		return []Action{refusal}
 	}
-	firstAttempt := len(r.Excluded) == 0 && !r.Reconnecting
-	switch {
-	case r.Only != "":
-		// The instance that sent the request counts its attempts.
-	case firstAttempt:
-		s.retries.deposit()
-	case !r.NeverSent && !s.retries.tryWithdraw():
-		return []Action{s.refuse(now, r, verdict.Overloaded, "the retry budget is exhausted")}
-	}
 	candidates := s.candidates(now, r)
 	if len(candidates) == 0 {
 		return []Action{s.refuse(now, r, verdict.NoUpstream, "no live upstream in pool "+r.Class.Pool+r.versionText()+r.regionsText())}
@@ -492,6 +481,21 @@
 	return nil
 }
 
+// countAttempt counts an attempt at a request. It reports whether it is the first one or the
+// retry budget allows it.
+func (s *Scheduler) countAttempt(now time.Time, r Request) bool {
+	first := len(r.Excluded) == 0 && !r.Resubmitted
+	switch {
+	case r.Only != "" || first && r.FromMember:
+		// The instance that sent the request has counted it.
+		return true
+	case first:
+		s.retries.deposit(now, r.Class.Pool)
+		return true
+	}
+	return r.NeverSent || s.retries.tryWithdraw(now, r.Class.Pool)
+}
+
 // candidates returns the upstreams of the request's pool that are neither
 // leaving, evacuated, ejected nor excluded by the request. Those in partitioned data
 // centres are omitted unless no others are left.
--- a/decide/speed.go
+++ b/decide/speed.go
@@ -127,6 +127,9 @@
 // newUpstream returns the state of an upstream that is listed for the first time.
 func (s *Scheduler) newUpstream(now time.Time, listed Upstream) *upstream {
 	u := newUpstream(now, listed)
+	if listed.CapacityTokens > 0 {
+		s.retries.movable[listed.Pool] = true
+	}
 	u.speed.service = s.pool(listed.Pool).speeds
 	return u
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -96,9 +96,9 @@
 	NeverSent bool
 	// Repeatable reports whether the request can be sent again if an upstream fails it.
 	Repeatable bool
-	// Reconnecting reports whether the request was submitted before, and considers
-	// upstreams again to which it could not connect.
-	Reconnecting bool
+	// Resubmitted reports whether the request was submitted before, and FromMember whether
+	// another instance sent it.
+	Resubmitted, FromMember bool
 	// Regions are the regions to which the request is restricted; nil if it isn't. An empty
 	// list allows none.
 	Regions []string
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -49,16 +49,19 @@
 	c.schedule(now, cmd.event)
 }
 
-type limitRetriesCommand struct{ share, capacity float64 }
+type limitRetriesCommand struct {
+	limits   decide.RetryLimits
+	instance string
+}
 
-func (cmd limitRetriesCommand) apply(c *Controller, _ time.Time) {
-	c.scheduler.LimitRetries(cmd.share, cmd.capacity)
+func (cmd limitRetriesCommand) apply(c *Controller, now time.Time) {
+	c.scheduler.LimitRetries(now, cmd.limits, cmd.instance)
 }
 
 type setInstancesCommand struct{ instances int }
 
-func (cmd setInstancesCommand) apply(c *Controller, _ time.Time) {
-	c.scheduler.SetInstances(cmd.instances)
+func (cmd setInstancesCommand) apply(c *Controller, now time.Time) {
+	c.scheduler.SetInstances(now, cmd.instances)
 }
 
 // maxLoggedRanks bounds the log line of a table with many ranks out of range.
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -641,9 +641,19 @@
 // SetInstances sets the number of live instances, including this one.
 func (c *Controller) SetInstances(n int) { c.send(setInstancesCommand{n}) }
 
-// LimitRetries sets the retry budget.
-func (c *Controller) LimitRetries(share, capacity float64) {
-	c.send(limitRetriesCommand{share, capacity})
+// LimitRetries sets the limits of repeats, of which the named instance takes its part.
+func (c *Controller) LimitRetries(l decide.RetryLimits, instance string) {
+	c.send(limitRetriesCommand{l, instance})
+}
+
+// RetryBudgets returns the budgets of all services.
+func (c *Controller) RetryBudgets() []decide.RetryBudget {
+	return query(context.Background(), c, func(now time.Time) []decide.RetryBudget { return c.scheduler.RetryBudgets(now) })
+}
+
+// RepeatCounts returns the numbers of repeats of all services.
+func (c *Controller) RepeatCounts() []decide.RepeatCount {
+	return query(context.Background(), c, func(time.Time) []decide.RepeatCount { return c.scheduler.RepeatCounts() })
 }
 
 // UpdateTable submits a routing table, which becomes active if it is newer.
--- a/entry/run.go
+++ b/entry/run.go
@@ -53,12 +53,8 @@
 	// logFlushTimeout is the timeout for writing the remaining log lines at exit.
 	logFlushTimeout = 200 * time.Millisecond
 	// reloadInterval is the time between two checks of the settings file, and
-	// between two updates of the retry budget.
+	// between two updates of what depends on them and on the size of the fleet.
 	reloadInterval = 1 * time.Second
-	// retryBudgetShare is the share of the fleet's retry budget that is used.
-	// The rest is a reserve for instances that restart and lose their retry
-	// counts.
-	retryBudgetShare = 0.75
 	// bodyMemoryShare is the share of the memory that the bodies of requests and responses
 	// may use.
 	bodyMemoryShare = 0.25
@@ -173,6 +169,8 @@
 		Evacuated:         func() int { return len(i.controller.Snapshot().Evacuated) }, EvacuatedRequests: i.controller.EvacuatedRequests,
 		UpstreamsAvoided: func() int { return i.controller.Snapshot().Avoided },
 		UnevenServices:   i.controller.UnevenServices,
+		RetryBudgets:     i.controller.RetryBudgets,
+		RepeatCounts:     i.controller.RepeatCounts,
 	}
 }
 
@@ -258,7 +256,7 @@
 		i.controller.Run, i.peers.Receive, i.peers.Run, i.follower.FollowTable, i.follower.FollowList, i.reports.Run, i.callerServer.closeIdle, i.prober.Run,
 		func(actorCtx context.Context) error { return i.watchSettings(actorCtx, reloads) },
 		func(actorCtx context.Context) error { return i.plannedStop(ctx, actorCtx) },
-		i.updateRetryBudget,
+		i.updateFleetLimits,
 	}
 	for _, actor := range actors {
 		group.Add(func() error { return actor(actorCtx) }, func(error) { cancel() })
@@ -302,19 +300,18 @@
 // of which reports a connection that a caller aborted.
 func discardLog() *log.Logger { return log.New(io.Discard, "", 0) }
 
-// updateRetryBudget adapts the instance's shares of the fleet-wide retry budget and of
-// the upstreams' limits to the number of instances, and passes on the bounds for cold upstreams.
-func (i *instance) updateRetryBudget(ctx context.Context) error {
+// updateFleetLimits adapts the instance's parts of the limits that all instances keep together
+// to the settings and to the number of instances.
+func (i *instance) updateFleetLimits(ctx context.Context) error {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
-		r := i.settings.Load().Retries
-		instances := i.peers.FleetSize()
-		i.controller.LimitRetries(retryBudgetShare*r.Share, retryBudgetShare*r.Slack/float64(instances))
-		i.controller.SetInstances(instances)
-		i.controller.SetRegions(i.settings.Load().Regions)
+		s := i.settings.Load()
+		i.controller.SetInstances(i.peers.FleetSize())
+		i.controller.LimitRetries(decide.RetryLimits{Share: s.Retries.Share, Slack: s.Retries.Slack, Window: seconds(s.Retries.WindowSeconds)}, s.Instance)
+		i.controller.SetRegions(s.Regions)
 		i.controller.SetDataCentres(i.peers.DataCentres())
-		i.controller.SetColdBounds(decide.ColdBounds(i.settings.Load().Cold))
+		i.controller.SetColdBounds(decide.ColdBounds(s.Cold))
 		select {
 		case <-ctx.Done():
 			return nil
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -100,6 +100,13 @@
 	WindowSeconds float64 `json:"window_seconds"`
 }
 
+// The plausible limits of retries.
+const (
+	maxRetryShare  = 10
+	maxRetrySlack  = 1e6
+	maxRetryWindow = 3600
+)
+
 // Cold limits the requests to a cold upstream in any second. If Overage is 0, cold upstreams
 // are treated like others.
 type Cold struct {
@@ -140,8 +147,9 @@
 	check(s.Stop.GraceSeconds > 0, "stop.grace_seconds", s.Stop.GraceSeconds, "a number of seconds above 0")
 	check(s.Limits.MemoryMB > 0, "limits.memory_mb", s.Limits.MemoryMB, "a number of megabytes above 0")
 	check(s.Limits.Descriptors > 0, "limits.descriptors", s.Limits.Descriptors, "a number above 0")
-	check(s.Retries.Share >= 0, "retries.share", s.Retries.Share, "a share, 0 or more")
-	check(s.Retries.Slack >= 0, "retries.slack", s.Retries.Slack, "a number, 0 or more")
+	check(s.Retries.Share >= 0 && s.Retries.Share <= maxRetryShare, "retries.share", s.Retries.Share, "a share, 0 to 10")
+	check(s.Retries.Slack >= 0 && s.Retries.Slack <= maxRetrySlack, "retries.slack", s.Retries.Slack, "a number, 0 to 1000000")
+	check(s.Retries.WindowSeconds > 0 && s.Retries.WindowSeconds <= maxRetryWindow, "retries.window_seconds", s.Retries.WindowSeconds, "a number of seconds above 0, at most 3600")
 	check(s.Cold.Overage == 0 || s.Cold.Overage >= 1, "cold.overage", s.Cold.Overage, "a factor, 1 or more; or 0")
 	check(s.Cold.Slack >= 0, "cold.slack", s.Cold.Slack, "a number, 0 or more")
 	if faults := doc.Faults(); len(faults) > 0 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -84,6 +84,8 @@
 	// excluded contains the names of the upstreams on which an attempt failed, and
 	// unreachable those among them to which no connection could be made.
 	excluded, unreachable []string
+	// submissions is the number of times that a placement was requested.
+	submissions int
 	// reconnects is the number of times that the unreachable upstreams were
 	// considered again.
 	reconnects int
@@ -258,7 +260,7 @@
 	}
 	r := decide.Request{
 		ID: q.id, Team: q.team, Class: class, PromptTokens: q.info.PromptTokens, MaxOutputTokens: q.info.MaxOutputTokens,
-		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Reconnecting: q.reconnects > 0, Repeatable: q.isRepeatable(), CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only, Regions: q.regions,
+		Parts: q.info.SharedParts, Fingerprint: q.fingerprint, NeedsVersion: q.needsVersion, Version: q.version, Excluded: q.excluded, NeverSent: q.sends == 0 || q.lastAttemptUnsent, Resubmitted: q.submissions > 0, FromMember: q.fromMember, Repeatable: q.isRepeatable(), CanDetour: canDetour, CanUseCoordinator: canUseCoordinator, Only: q.only, Regions: q.regions,
 	}
 	r.Deadline = q.deadline
 	r.Rank, r.Ranked = q.rank()
@@ -282,6 +284,7 @@
 func (g *Gateway) place(ctx context.Context, q *request) (dispatch.Placement, error) {
 	for {
 		placement, err := g.Dispatcher.Place(ctx, q.placementRequest(g.canDetour(q), g.canUseCoordinator(q)))
+		q.submissions++
 		if err != nil && verdict.OutcomeOf(err).Reason == verdict.CutOff {
 			return g.placeAtMember(q, err)
 		}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mangoloft/decide"
 	"mangoloft/gossip"
 	"mangoloft/verdict"
 )
@@ -48,6 +49,10 @@
 	upstreamsAvoided  = "mangoloft_upstreams_avoided"
 	coldUpstreams     = "mangoloft_cold_upstreams"
 	unevenServices    = "mangoloft_uneven_services"
+	retryBudget       = "mangoloft_retry_budget"
+	retryCapacity     = "mangoloft_retry_budget_capacity"
+	movesLeft         = "mangoloft_moves_left"
+	repeats           = "mangoloft_repeats_total"
 )
 
 // Names returns the names of all metrics.
@@ -56,14 +61,19 @@
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
 		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided, coldUpstreams, unevenServices,
+		retryBudget, retryCapacity, movesLeft, repeats,
 	}
 }
 
 // Metrics holds the metrics of one instance. Use New to create it.
-type Metrics struct{ set *metrics.Set }
+type Metrics struct {
+	set *metrics.Set
+	// retries writes the metrics of the retry budgets, whose services aren't known in advance.
+	retries func(io.Writer)
+}
 
 // New returns metrics without any samples.
-func New() *Metrics { return &Metrics{metrics.NewSet()} }
+func New() *Metrics { return &Metrics{set: metrics.NewSet(), retries: func(io.Writer) {}} }
 
 // CountRequest counts a request that ended after the time elapsed. kind is the
 // kind of its route, or empty if no route was found.
@@ -116,6 +126,10 @@
 	ColdUpstreams func() int
 	// UnevenServices returns the number of services whose engines differ in speed.
 	UnevenServices func() int
+	// RetryBudgets and RepeatCounts return the retry budgets of all services and what was
+	// taken from them.
+	RetryBudgets func() []decide.RetryBudget
+	RepeatCounts func() []decide.RepeatCount
 	// TableConfirmedAt returns the time at which the store last confirmed the table;
 	// zero if the instance does not read it.
 	TableConfirmedAt func() time.Time
@@ -139,6 +153,7 @@
 			return 0
 		}
 	}
+	m.retries = func(w io.Writer) { writeRetries(w, s) }
 	m.set.NewGauge(openRequests, fromInt(s.OpenRequests))
 	m.set.NewGauge(peersAlive, fromInt(s.PeersAlive))
 	m.set.NewGauge(fleetSize, fromInt(s.FleetSize))
@@ -183,7 +198,20 @@
 }
 
 // Write writes all metrics.
-func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	m.retries(w)
+}
+
+// writeRetries writes the metrics of the retry budgets.
+func writeRetries(w io.Writer, s Source) {
+	for _, b := range s.RetryBudgets() {
+		fmt.Fprintf(w, "%s{service=%q} %g\n%s{service=%q} %g\n%s{service=%q} %g\n", retryBudget, b.Pool, b.Available, retryCapacity, b.Pool, b.Capacity, movesLeft, b.Pool, b.MovesLeft)
+	}
+	for _, c := range s.RepeatCounts() {
+		fmt.Fprintf(w, "%s{service=%q,kind=%q,outcome=\"allowed\"} %d\n%s{service=%q,kind=%q,outcome=\"refused\"} %d\n", repeats, c.Pool, c.Kind, c.Allowed, repeats, c.Pool, c.Kind, c.Refused)
+	}
+}
 
 // ServeHTTP implements http.Handler.
 func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mangoloft/decide"
 	"mangoloft/gossip"
 	"mangoloft/telemetry"
 	"mangoloft/verdict"
@@ -30,7 +31,13 @@
 			return map[string]gossip.Traffic{"notices": {Sent: 1, SentBytes: 20, Received: 3, ReceivedBytes: 60}}
 		},
 		Upstreams: func() map[string]int { return map[string]int{"ready": 3} },
-		StoreEra:  func() uint64 { return 2 }, TableConfirmedAt: func() time.Time { return time.Time{} },
+		RetryBudgets: func() []decide.RetryBudget {
+			return []decide.RetryBudget{{Pool: "pool", Available: 1.5, Capacity: 3, MovesLeft: 12}}
+		},
+		RepeatCounts: func() []decide.RepeatCount {
+			return []decide.RepeatCount{{Pool: "pool", Kind: "moved_run", Allowed: 6, Refused: 1}}
+		},
+		StoreEra: func() uint64 { return 2 }, TableConfirmedAt: func() time.Time { return time.Time{} },
 	})
 	var out bytes.Buffer
 	m.Write(&out)
@@ -39,6 +46,11 @@
 		`mangoloft_refusals_total{reason="overloaded"} 1`,
 		`mangoloft_sends_total{service="pool"} 1`,
 		`mangoloft_cold_upstreams 5`,
+		`mangoloft_retry_budget{service="pool"} 1.5`,
+		`mangoloft_retry_budget_capacity{service="pool"} 3`,
+		`mangoloft_moves_left{service="pool"} 12`,
+		`mangoloft_repeats_total{service="pool",kind="moved_run",outcome="allowed"} 6`,
+		`mangoloft_repeats_total{service="pool",kind="moved_run",outcome="refused"} 1`,
 		`mangoloft_failed_sends_total{service="pool",reason="upstream_lost"} 1`,
 		`mangoloft_run_moves_total{outcome="moved"} 1`,
 		`mangoloft_first_event_seconds_count 1`,
