Streams taken up after all instances died: one software version in each text

Cause: an instance that has just started knows neither the streams of the others nor the engines that have left, and let a stream of unknown origin go on if only one version serves now.

Change: a stream goes on only at a version that certainly began it. An instance that doesn't reach back to the time in which the stream can have run asks the members, then reads the store's history once (which entries changed or were deleted; it doesn't count if an entry was deleted that isn't known, or if the start of a young engine is missing there), then the engines' reports of their runs. What isn't certain is refused, not run. The log line names the source; mangoloft_take_ups_total counts by it.

--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -64,6 +64,9 @@
 	// last upstream of a version left its pool.
 	origins *origin.Table
 	retired map[poolVersion]time.Time
+	// departuresKnownSince is the time since which all upstreams that left are known; zero
+	// if none are.
+	departuresKnownSince time.Time
 	// trackers track the traits of requests on which upstreams crash.
 	trackers trackers
 	// receivesPeerReports is true once a load report has arrived for an engine
--- a/decide/version.go
+++ b/decide/version.go
@@ -1,6 +1,8 @@
 package decide
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mangoloft/ident"
@@ -27,15 +29,47 @@
 	// Version is the version that began the stream, if Known is set.
 	Version string
 	Known   bool
-	// Ambiguous means that upstreams of several versions have served lately, so that a
-	// stream of unknown origin can't go on.
-	Ambiguous bool
+	// Recorded reports whether the beginning of the stream was seen. Otherwise Version is
+	// the only one that can have begun it.
+	Recorded bool
+	// Incomplete means that the instance doesn't know all versions that can have begun the
+	// stream, because it has started since.
+	Incomplete bool
 }
 
-// StreamOrigin returns the origin of a stream that a caller takes up in a pool.
-func (s *Scheduler) StreamOrigin(now time.Time, pool string, stream origin.Key) StreamOrigin {
-	version, known := s.origins.Find(now, stream)
-	return StreamOrigin{version, known, s.servesSeveralVersions(now, pool)}
+// StreamOrigin returns the origin of a stream that a caller takes up in a pool, and that has
+// begun or gone on since a time.
+func (s *Scheduler) StreamOrigin(now time.Time, pool string, stream origin.Key, since time.Time) StreamOrigin {
+	if version, ok := s.origins.Find(now, stream); ok {
+		return StreamOrigin{Version: version, Known: true, Recorded: true}
+	}
+	if s.departuresKnownSince.IsZero() || s.departuresKnownSince.After(since) {
+		return StreamOrigin{Incomplete: true}
+	}
+	versions := s.versionsSince(pool, since)
+	if len(versions) != 1 {
+		return StreamOrigin{}
+	}
+	return StreamOrigin{Version: versions[0], Known: true}
+}
+
+// PastVersion is a version of a pool that served in the past.
+type PastVersion struct{ Pool, Version string }
+
+// ExtendPast records versions that served in the past, as the list's history shows, and that
+// no others did since the time.
+func (s *Scheduler) ExtendPast(now time.Time, versions []PastVersion, since time.Time) {
+	for _, v := range versions {
+		s.retired[poolVersion{v.Pool, v.Version}] = now
+	}
+	s.departuresKnownSince = since
+}
+
+// ListKnown records that the list of upstreams is known from now on.
+func (s *Scheduler) ListKnown(now time.Time) {
+	if s.departuresKnownSince.IsZero() {
+		s.departuresKnownSince = now
+	}
 }
 
 // RecordOrigin records the version that began a stream, as another instance knows it.
@@ -68,9 +102,9 @@
 	s.retired[poolVersion{u.Pool, u.Version}] = now
 }
 
-// servesSeveralVersions reports whether upstreams of several versions serve in the pool, or
-// did while streams that callers still take up began.
-func (s *Scheduler) servesSeveralVersions(now time.Time, pool string) bool {
+// versionsSince returns the versions of the upstreams that serve in the pool, or did since a
+// time.
+func (s *Scheduler) versionsSince(pool string, since time.Time) []string {
 	versions := map[string]bool{}
 	for _, u := range s.upstreams {
 		if u.Pool == pool {
@@ -78,9 +112,9 @@
 		}
 	}
 	for key, at := range s.retired {
-		if key.pool == pool && now.Sub(at) <= 2*origin.Retention {
+		if key.pool == pool && !at.Before(since) {
 			versions[key.version] = true
 		}
 	}
-	return len(versions) > 1
+	return slices.Collect(maps.Keys(versions))
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -112,6 +112,9 @@
 	if len(changes) > 0 {
 		c.handleChanges(now, changes)
 	}
+	if before.IsZero() && !c.directory.Position().IsZero() {
+		c.scheduler.ListKnown(now)
+	}
 	c.applyColder(now, cmd.items)
 	after := c.directory.Position()
 	if after == before {
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -447,10 +447,10 @@
 	return l.items, l.at
 }
 
-// StreamOrigin returns the origin of a stream that a caller takes up in a pool; the zero
-// value if the context ends first.
-func (c *Controller) StreamOrigin(ctx context.Context, pool string, stream origin.Key) decide.StreamOrigin {
-	return query(ctx, c, func(now time.Time) decide.StreamOrigin { return c.scheduler.StreamOrigin(now, pool, stream) })
+// StreamOrigin returns the origin of a stream that a caller takes up in a pool, and that has
+// begun or gone on since a time; the zero value if the context ends first.
+func (c *Controller) StreamOrigin(ctx context.Context, pool string, stream origin.Key, since time.Time) decide.StreamOrigin {
+	return query(ctx, c, func(now time.Time) decide.StreamOrigin { return c.scheduler.StreamOrigin(now, pool, stream, since) })
 }
 
 // RecordOrigin records the version that began a stream, as another instance knows it.
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -71,6 +71,8 @@
 	hasOwnProxies bool
 	// regions contains the region of each data centre.
 	regions map[string]string
+	// sharing is a fleet whose store and servers this one uses, without knowing its instances.
+	sharing *fleet
 }
 
 // fleets is the number of fleets so far.
@@ -94,14 +96,11 @@
 func startFleetWith(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
 	f := &fleet{fleetOptions: o, store: standin.NewStore(), executions: &standin.ExecutionLog{}, group: &sync.WaitGroup{}, firstIP: fleetIP(fleets.Add(1))}
-	server := httptest.NewServer(f.store)
-	t.Cleanup(server.Close)
-	var err error
-	f.storeAddr = server.Listener.Addr().(*net.TCPAddr).AddrPort()
-	f.proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), f.storeAddr)
-	assert.NilError(t, err)
-	t.Cleanup(f.proxy.Close)
-	f.publish(t, 1)
+	if o.sharing != nil {
+		f.store, f.executions, f.storeAddr, f.proxy = o.sharing.store, o.sharing.executions, o.sharing.storeAddr, o.sharing.proxy
+	} else {
+		f.startStore(t)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	// The instances stop before the store.
 	t.Cleanup(func() { cancel(); f.group.Wait() })
@@ -114,6 +113,19 @@
 	return f
 }
 
+// startStore starts the store, behind a proxy, and publishes a table.
+func (f *fleet) startStore(t *testing.T) {
+	t.Helper()
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	var err error
+	f.storeAddr = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	f.proxy, err = bench.NewProxy(netip.MustParseAddrPort("127.0.0.1:0"), f.storeAddr)
+	assert.NilError(t, err)
+	t.Cleanup(f.proxy.Close)
+	f.publish(t, 1)
+}
+
 // fleetIP returns the loopback address of the first instance of the nth fleet. It is
 // derived from the process id, so that concurrent tests don't share addresses.
 func fleetIP(n uint32) netip.Addr {
@@ -143,7 +155,7 @@
 		"listen": map[string]any{
 			"callers": callers, "readiness": bench.NewAddr(ip), "control": bench.NewAddr(ip), "metrics": bench.NewAddr(ip), "peers": netip.AddrPortFrom(ip, gossip),
 		},
-		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": proxy.Addr()},
+		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": proxy.Addr(), "history_seconds": 20},
 		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
 		"retries": map[string]any{"share": 0.2, "slack": 100, "window_seconds": 10},
 		"cold":    map[string]any{"overage": 1.5, "slack": 5},
--- a/entry/run.go
+++ b/entry/run.go
@@ -74,6 +74,8 @@
 
 // instance is a running entry instance.
 type instance struct {
+	past         *past
+	engineClient gateway.EngineClient
 	// path is the path of the settings file.
 	path         string
 	settings     atomic.Pointer[Settings]
@@ -144,10 +146,12 @@
 	if dial == nil {
 		dial = gateway.NewDialer().DialContext
 	}
+	i.past = &past{instance: i, runs: map[string]map[string]string{}, runsAt: map[string]time.Time{}}
+	i.engineClient = deps.Engines
 	i.prober = &probe.Prober{Pools: i.controller, Dial: dial}
 	i.metrics = telemetry.New()
 	i.gateway = gateway.New(gateway.Options{
-		Home: i.home, DataCentre: s.DataCentre, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Members: i.peers, Dial: dial, IgnoresRanks: func() bool { return !i.settings.Load().Ranks.Enabled }, Log: i.log, Metrics: i.metrics,
+		Home: i.home, DataCentre: s.DataCentre, Dispatcher: i.controller, Protocol: deps.Protocol, Engines: deps.Engines, Origins: i.peers, Past: i.past, Members: i.peers, Dial: dial, IgnoresRanks: func() bool { return !i.settings.Load().Ranks.Enabled }, Log: i.log, Metrics: i.metrics,
 		MaxBodyBytes: int64(bodyMemoryShare * s.Limits.MemoryMB * (1 << 20)),
 	})
 	i.metrics.RegisterGauges(i.metricsSource())
@@ -208,8 +212,8 @@
 
 // origin returns the version that began a stream, if this instance knows it.
 func (i *instance) origin(ctx context.Context, stream origin.Key) (string, bool) {
-	known := i.controller.StreamOrigin(ctx, "", stream)
-	return known.Version, known.Known
+	known := i.controller.StreamOrigin(ctx, "", stream, time.Now())
+	return known.Version, known.Recorded
 }
 
 // state returns the state that the instance shares with other instances.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -47,10 +47,16 @@
 	// ApplyMS is the time in milliseconds within which all instances must apply a
 	// published change; 0 stands for defaultApplyMS.
 	ApplyMS float64 `json:"apply_ms"`
+	// HistorySeconds is the time for which the store keeps the history of changes; 0 if it
+	// isn't known.
+	HistorySeconds float64 `json:"history_seconds"`
 }
 
 const defaultApplyMS = 2000
 
+// historyTime returns the time for which the store keeps the history of changes.
+func (s Store) historyTime() time.Duration { return seconds(s.HistorySeconds) }
+
 // applyTime returns the time within which a published change must be applied.
 func (s Store) applyTime() time.Duration {
 	ms := s.ApplyMS
@@ -143,6 +149,7 @@
 	check(s.Listen.Peers.IsValid(), "listen.peers", s.Listen.Peers, "an address and a port")
 	check(s.Store.Address.IsValid(), "store.address", s.Store.Address, "an address and a port")
 	check(s.Store.ApplyMS >= 0, "store.apply_ms", s.Store.ApplyMS, "a number of milliseconds, 0 or more")
+	check(s.Store.HistorySeconds >= 0, "store.history_seconds", s.Store.HistorySeconds, "a number of seconds, 0 or more")
 	check(s.Evacuation.ApplyMS >= 0, "evacuation.apply_ms", s.Evacuation.ApplyMS, "a number of milliseconds, 0 or more")
 	check(s.Stop.GraceSeconds > 0, "stop.grace_seconds", s.Stop.GraceSeconds, "a number of seconds above 0")
 	check(s.Limits.MemoryMB > 0, "limits.memory_mb", s.Limits.MemoryMB, "a number of megabytes above 0")
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -78,7 +78,7 @@
 		"{{node-name|json}}", `"edge-a-1"`, "{{zone|json}}", `"a"`, "{{listen.frontend|json}}", `"10.1.0.19:8740"`,
 		"{{listen.ready|json}}", `"10.1.0.19:8749"`, "{{listen.control|json}}", `"10.1.0.19:8748"`, "{{ip}}", "10.1.0.19",
 		"{{internal-ports.0}}", "7200", "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", `"10.1.0.19:8748", "10.2.0.13:8748"`,
-		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{bounds.config-apply-ms|json}}", "2000", `{{#bounds.evacuate-ms}}"evacuation": {"apply_ms": {{.|json}}},{{/bounds.evacuate-ms}}`, `"evacuation": {"apply_ms": 5000},`,
+		"{{platform.address|json}}", `"10.200.1.7:8742"`, "{{bounds.config-apply-ms|json}}", "2000", `{{#platform.history-s}}"history_seconds": {{.|json}},{{/platform.history-s}}`, `"history_seconds": 20,`, `{{#bounds.evacuate-ms}}"evacuation": {"apply_ms": {{.|json}}},{{/bounds.evacuate-ms}}`, `"evacuation": {"apply_ms": 5000},`,
 		`{{#zones}}"{{@}}": {{.|json}}{{,}}{{/zones}}`, `"a": "north", "b": "south"`, "{{limits.memory-mb|json}}", "120", "{{limits.max-fds|json}}", "2870",
 		"{{bounds.grace-s|json}}", "8", "{{bounds.retry-budget-ratio|json}}", "0.2", "{{bounds.retry-slack|json}}", "122",
 		"{{bounds.budget-window-s|json}}", "10",
--- a/entry/version_test.go
+++ b/entry/version_test.go
@@ -76,6 +76,11 @@
 // read sends one attempt of a caller, and adds the versions of the events to those that
 // the caller has. It returns the ID of the last event, and whether the stream is complete.
 func (f *versionFleet) read(t *testing.T, instance int, r standin.CallerRequest, path string, versions map[string]bool) (last int, began, complete bool) {
+	return f.readUntil(t, versionEvents-1, instance, r, path, versions)
+}
+
+// readUntil is like read for a caller who loses the stream after an event.
+func (f *versionFleet) readUntil(t *testing.T, lastWanted, instance int, r standin.CallerRequest, path string, versions map[string]bool) (last int, began, complete bool) {
 	last = r.LastEventID
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s/%s/x", f.callers[instance], path), nil)
 	assert.Check(t, err)
@@ -95,6 +100,9 @@
 		if n, _ := fmt.Sscanf(strings.ReplaceAll(lines.Text(), "/", " "), "data: %s %d %d %d %s", &id, &run, &index, &total, &version); n == 5 {
 			versions[version], last, began = true, index, true
 		}
+		if last >= lastWanted && lastWanted < versionEvents-1 {
+			return last, began, false
+		}
 	}
 	return last, began, lines.Err() == nil && last == versionEvents-1
 }
--- a/event/event.go
+++ b/event/event.go
@@ -82,6 +82,8 @@
 	UpstreamAvoided       ID = 428
 	UpstreamUsedAgain     ID = 429
 	PoolUneven            ID = 426
+	PastRead              ID = 430
+	PastUnknown           ID = 431
 	UpstreamCold          ID = 423
 	UpstreamWarm          ID = 424
 	ColdValueRefused      ID = 425
@@ -166,6 +168,8 @@
 	RunMoved:              "run_moved",
 	RequestClosed:         "request_closed",
 	StreamTakenUp:         "stream_taken_up",
+	PastRead:              "past_read",
+	PastUnknown:           "past_unknown",
 	PeerJoined:            "peer_joined",
 	PeerLost:              "peer_lost",
 	DatagramDropped:       "datagram_dropped",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,7 @@
 	// placed request.
 	Place(ctx context.Context, r decide.Request) (dispatch.Placement, error)
 	// StreamOrigin returns the origin of a stream that a caller takes up in a pool.
-	StreamOrigin(ctx context.Context, pool string, stream origin.Key) decide.StreamOrigin
+	StreamOrigin(ctx context.Context, pool string, stream origin.Key, since time.Time) decide.StreamOrigin
 	// RecordOrigin records the version that began a stream.
 	RecordOrigin(stream origin.Key, version string)
 	// StartMove waits for another upstream for a placed request. The excluded
@@ -82,6 +82,14 @@
 	FindOrigin(ctx context.Context, stream origin.Key) (version string, known bool)
 }
 
+// Past finds out what happened before this instance knew the upstreams.
+type Past interface {
+	// Extend reads which upstreams served before. It reports whether all are known now.
+	Extend(ctx context.Context) bool
+	// FindRun returns the version of the engine of a service that reports a run.
+	FindRun(ctx context.Context, service, run string) (version string, known bool)
+}
+
 // Options configure a Gateway.
 type Options struct {
 	Home ident.Home
@@ -91,6 +99,8 @@
 	Protocol   Protocol
 	Engines    EngineClient
 	Origins    Origins
+	// Past is nil if nothing is known of the past.
+	Past Past
 	// Members are the instances that can serve requests if this one is cut off; nil if
 	// there are none.
 	Members Members
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -53,6 +53,7 @@
 	retryCapacity     = "mangoloft_retry_budget_capacity"
 	movesLeft         = "mangoloft_moves_left"
 	repeats           = "mangoloft_repeats_total"
+	takeUps           = "mangoloft_take_ups_total"
 )
 
 // Names returns the names of all metrics.
@@ -61,7 +62,7 @@
 		requests, refusals, sends, failedSends, moves, duration, firstEvent, longestPause, openRequests, tableVersion, listRevision,
 		upstreams, peersAlive, backlog, linesDropped, storeLost, instanceReady, fleetSize, storeCalls, datagrams, datagramBytes,
 		storeEra, tableAge, contained, containedRequests, evacuated, evacuatedRequests, rankRefusals, upstreamsAvoided, coldUpstreams, unevenServices,
-		retryBudget, retryCapacity, movesLeft, repeats,
+		retryBudget, retryCapacity, movesLeft, repeats, takeUps,
 	}
 }
 
@@ -112,6 +113,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("%s{outcome=%q}", moves, outcome)).Inc()
 }
 
+// CountTakeUp counts a stream that a caller takes up, by what told its origin.
+func (m *Metrics) CountTakeUp(source string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{source=%q}", takeUps, source)).Inc()
+}
+
 // Source contains functions that return the current values of an instance's gauges.
 type Source struct {
 	OpenRequests, PeersAlive, FleetSize, ControlBacklog, ContainedParts, ContainedRequests func() int
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -23,6 +23,7 @@
 	m.CountFailedSend("pool", verdict.UpstreamLost)
 	m.CountMove("moved")
 	m.CountRankRefusal("s", 2)
+	m.CountTakeUp("history")
 	zero := func() int { return 0 }
 	m.RegisterGauges(telemetry.Source{
 		OpenRequests: func() int { return 2 }, PeersAlive: zero, FleetSize: zero, StoreCalls: func() uint64 { return 4 }, ControlBacklog: zero, ContainedParts: zero, ContainedRequests: zero, UnevenServices: zero, Evacuated: zero, EvacuatedRequests: zero, UpstreamsAvoided: zero, ColdUpstreams: func() int { return 5 }, TableVersion: func() uint64 { return 7 }, ListRevision: func() uint64 { return 9 },
@@ -46,6 +47,7 @@
 		`mangoloft_refusals_total{reason="overloaded"} 1`,
 		`mangoloft_sends_total{service="pool"} 1`,
 		`mangoloft_cold_upstreams 5`,
+		`mangoloft_take_ups_total{source="history"} 1`,
 		`mangoloft_retry_budget{service="pool"} 1.5`,
 		`mangoloft_retry_budget_capacity{service="pool"} 3`,
 		`mangoloft_moves_left{service="pool"} 12`,
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -101,6 +101,8 @@
 	LeavesAt time.Time
 	// StartUnixMS is the start of the incarnation in Unix milliseconds.
 	StartUnixMS int64
+	// Runs are the IDs of the attempts whose runs the engine has.
+	Runs []string
 }
 
 // Status is the known status of one upstream.
