--- a/dispatch/past.go
+++ b/dispatch/past.go
@@ -37,7 +37,7 @@
 		case item.Entry != nil:
 			past = append(past, decide.PastVersion{Pool: item.Entry.Service, Version: item.Entry.Version})
 		}
-		known[item.ID] = !item.Deleted
+		known[item.ID] = item.Entry != nil
 	}
 	seen := map[string]bool{}
 	for _, item := range items {
