--- a/decide/uneven_test.go
+++ b/decide/uneven_test.go
@@ -85,6 +85,11 @@
 	now       time.Time
 	sequence  uint64
 	factors   []float64
+	// canMove lets streams look for engines where prompts delay them less, and moves counts
+	// their moves.
+	canMove bool
+	moves   int
+	steady  bool
 
 	longStarts, shortStarts, longPauses, shortPauses []time.Duration
 	ended                                            []*fakeStream
@@ -149,6 +154,9 @@
 	duration := time.Duration(300+u.random.IntN(400)) * time.Millisecond
 	gap := time.Duration(u.random.ExpFloat64() * float64(500*time.Millisecond) * (1 - fakeSlowShare) / fakeSlowShare)
 	u.after(gap, func() {
+		if u.steady {
+			return
+		}
 		e.slowUntil = u.now.Add(duration)
 		u.after(duration, func() { u.slowPeriods(e) })
 	})
@@ -182,8 +190,15 @@
 	for _, action := range u.instances[instance].Step(u.now, e) {
 		switch a := action.(type) {
 		case decide.Place:
+			if u.waiting[a.ID] == nil {
+				u.move(a)
+				continue
+			}
 			u.start(a)
 		case decide.Refuse:
+			if u.waiting[a.ID] == nil {
+				continue // A stream that stays where it is.
+			}
 			u.refused++
 			delete(u.waiting, a.ID)
 		case decide.Notify:
@@ -223,6 +238,30 @@
 	})
 }
 
+// fakeCopyTime is the time in which a run's memory is copied while it continues.
+const fakeCopyTime = 200 * time.Millisecond
+
+// move moves a running stream to another engine.
+func (u *uneven) move(p decide.Place) {
+	u.after(fakeCopyTime, func() {
+		for _, from := range u.engines {
+			i := slices.IndexFunc(from.streams, func(f *fakeStream) bool { return f.request.ID == p.ID })
+			if i < 0 {
+				continue
+			}
+			f, to := from.streams[i], u.engines[p.Upstream.Name]
+			from.streams = slices.Delete(slices.Clone(from.streams), i, i+1)
+			u.moves++
+			u.step(f.instance, decide.MoveEnded{ID: p.ID, Moved: true})
+			to.streams = append(to.streams, f)
+			if !to.stepping {
+				u.run(to)
+			}
+			return
+		}
+	})
+}
+
 // run runs one step of an engine, and the next ones.
 func (u *uneven) run(e *fakeEngine) {
 	e.stepping = len(e.streams) > 0
@@ -288,6 +327,9 @@
 	f.reports++
 	f.reportedAt, f.reportedTokens, f.reportPause = u.now, f.tokens, 0
 	u.step(f.instance, decide.Progressed{ID: f.request.ID, Tokens: f.tokens, Pace: pace})
+	if u.canMove && f.long && f.left > 0 {
+		u.step(f.instance, decide.MoveRequested{ID: f.request.ID, Optional: true})
+	}
 }
 
 // unevenDay describes the load of a simulation.
@@ -304,10 +346,13 @@
 	seed        uint64
 	// countAsEqual makes the schedulers ignore speeds.
 	countAsEqual bool
+	// canMove lets streams move, and steady keeps engines from being slow for a while.
+	canMove, steady bool
 }
 
 func (d unevenDay) run() *uneven {
 	u := newUneven(d.instances, d.engines, d.factors, d.seed, d.countAsEqual)
+	u.canMove, u.steady = d.canMove, d.steady
 	request := func(class string, prompt, limit int, first time.Duration) decide.Request {
 		c := config.Class{Name: class, Pool: "drafting", Kind: config.Stream, WaitTarget: time.Duration(0.8 * float64(first)), MaxOutputTokens: limit}
 		return decide.Request{
