Optional moves: test with a gateway; a stopped run keeps its copy

If the final copy fails after the engine may have stopped the run, the copy before stays usable; it was discarded, found by reading.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -90,6 +90,14 @@
 func (noopAnnouncer) RequestOrders()                                                  {}
 func (noopAnnouncer) TableChanged()                                                   {}
 
+// StartOptionalMove implements gateway.Dispatcher.
+func (r *loadRecorder) StartOptionalMove(ctx context.Context, id ident.Request) (dispatch.Placement, error) {
+	if r.optionalMoves.Load() {
+		return r.StartMove(ctx, id, nil)
+	}
+	return r.Dispatcher.StartOptionalMove(ctx, id)
+}
+
 // fakeEngines records the requested copies; every copy succeeds.
 type fakeEngines struct {
 	mu     sync.Mutex
@@ -682,6 +690,8 @@
 	mu       sync.Mutex
 	names    []string
 	progress int
+	// optionalMoves lets each run move that asks for a better engine.
+	optionalMoves atomic.Bool
 }
 
 func (r *loadRecorder) HandleReport(name string, _ decide.Report) {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -128,12 +128,13 @@
 // stopRequested reports whether the engine was requested to stop the run. The
 // stream of a stopped run ends without its last event.
 func (s *stream) stopRequested() bool {
-	if s.move == nil {
-		return false
-	}
-	s.move.mu.Lock()
-	defer s.move.mu.Unlock()
-	return s.move.stopSent
+	return s.move != nil && s.move.stopRequested()
+}
+
+func (m *mover) stopRequested() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopSent
 }
 
 // finishMove ends a move after the stream from the source has ended. If the run
--- a/gateway/optional_move.go
+++ b/gateway/optional_move.go
@@ -63,6 +63,11 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	if m.stopRequested() {
+		// The engine may have stopped the run, which then continues from the copy before.
+		s.logMove(m.source, destination, "failed", err, time.Since(m.startedAt))
+		return
+	}
 	m.mu.Lock()
 	handle := m.handle
 	m.handle, m.destination = KVHandle{}, dispatch.Placement{}
