--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -842,31 +842,39 @@
 	}
 }
 
+// movingRun is a run of six events that stops after three of them until it is moved.
+type movingRun struct {
+	// stopped is closed when the engine stops the run.
+	stopped chan struct{}
+	mu      sync.Mutex
+	// from contains from which copy and after which event the run was continued.
+	from []string
+}
+
+func (m *movingRun) respond(b *backend, w http.ResponseWriter, r *http.Request) {
+	if handle := r.Header.Get("X-From"); handle != "" {
+		m.mu.Lock()
+		m.from = append(m.from, handle+" after "+r.Header.Get("X-Last"))
+		m.mu.Unlock()
+		streamEvents(5, true)(b, w, r)
+		return
+	}
+	b.recordRun(r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Signed", b.name)
+	for id := range 3 {
+		fmt.Fprintf(w, "id: %d\ndata: a1\n\n", id)
+		_ = http.NewResponseController(w).Flush()
+	}
+	<-m.stopped
+	panic(http.ErrAbortHandler)
+}
+
 func testMove(t *testing.T, fullFor time.Duration) {
 	t.Helper()
-	stopped := make(chan struct{})
-	var mu sync.Mutex
-	var from []string
-	respond := func(b *backend, w http.ResponseWriter, r *http.Request) {
-		if handle := r.Header.Get("X-From"); handle != "" {
-			mu.Lock()
-			from = append(from, handle+" after "+r.Header.Get("X-Last"))
-			mu.Unlock()
-			streamEvents(5, true)(b, w, r)
-			return
-		}
-		b.recordRun(r)
-		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("X-Signed", b.name)
-		for id := range 3 {
-			fmt.Fprintf(w, "id: %d\ndata: a1\n\n", id)
-			_ = http.NewResponseController(w).Flush()
-		}
-		<-stopped
-		panic(http.ErrAbortHandler)
-	}
-	e := &fakeEngines{stop: func(string) { close(stopped) }}
-	b0, b1 := startBackend(t, "b0", respond), startBackend(t, "b1", respond)
+	run := &movingRun{stopped: make(chan struct{})}
+	e := &fakeEngines{stop: func(string) { close(run.stopped) }}
+	b0, b1 := startBackend(t, "b0", run.respond), startBackend(t, "b1", run.respond)
 	g := startGateway(t, e, b0, b1)
 	response, err := http.DefaultClient.Do(g.request(t, "POST", "/long/x", "", nil))
 	assert.NilError(t, err)
@@ -888,7 +896,7 @@
 	for id := range 6 {
 		assert.Equal(t, strings.Count(content, fmt.Sprintf("id: %d\n", id)), 1, content)
 	}
-	assert.DeepEqual(t, from, []string{"h1 after 2"})
+	assert.DeepEqual(t, run.from, []string{"h1 after 2"})
 	assert.DeepEqual(t, e.copies, []string{"a1 false", "a1 true"})
 }
 
--- a/gateway/optional_move_test.go
+++ b/gateway/optional_move_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -32,29 +31,9 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			stopped := make(chan struct{})
-			var mu sync.Mutex
-			var from []string
-			respond := func(b *backend, w http.ResponseWriter, r *http.Request) {
-				if handle := r.Header.Get("X-From"); handle != "" {
-					mu.Lock()
-					from = append(from, handle+" after "+r.Header.Get("X-Last"))
-					mu.Unlock()
-					streamEvents(5, true)(b, w, r)
-					return
-				}
-				b.recordRun(r)
-				w.Header().Set("Content-Type", "text/event-stream")
-				w.Header().Set("X-Signed", b.name)
-				for id := range 3 {
-					fmt.Fprintf(w, "id: %d\ndata: a1\n\n", id)
-					_ = http.NewResponseController(w).Flush()
-				}
-				<-stopped
-				panic(http.ErrAbortHandler)
-			}
-			e := &fakeEngines{stop: func(string) { close(stopped) }, fullUntil: time.Now().Add(test.fullFor)}
-			b0, b1 := startBackend(t, "b0", respond), startBackend(t, "b1", respond)
+			run := &movingRun{stopped: make(chan struct{})}
+			e := &fakeEngines{stop: func(string) { close(run.stopped) }, fullUntil: time.Now().Add(test.fullFor)}
+			b0, b1 := startBackend(t, "b0", run.respond), startBackend(t, "b1", run.respond)
 			g := startGateway(t, e, b0, b1)
 			g.loadRecorder.optionalMoves.Store(true)
 			response, err := http.DefaultClient.Do(g.request(t, "POST", "/long/x", "", map[string]string{"X-Max-Output": "2000"}))
@@ -77,7 +56,7 @@
 			for id := range 6 {
 				assert.Equal(t, strings.Count(content, fmt.Sprintf("id: %d\n", id)), 1, content)
 			}
-			assert.DeepEqual(t, from, []string{"h1 after 2"})
+			assert.DeepEqual(t, run.from, []string{"h1 after 2"})
 			assert.DeepEqual(t, e.copies, test.copies)
 		})
 	}
