Tests of the gateway: instances that start know a history without changes

The fixture has some that know nothing, and a history without changes, so the stream is taken up at the only version as before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,7 @@
 	"mangoloft/gateway"
 	"mangoloft/history"
 	"mangoloft/ident"
+	"mangoloft/origin"
 	"mangoloft/routing"
 	"mangoloft/telemetry"
 	"mangoloft/upstream"
@@ -352,7 +353,7 @@
 	home := ident.Home{Peer: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1}
 	recorder := &loadRecorder{Dispatcher: control}
 	handler := gateway.New(gateway.Options{
-		Home: home, Dispatcher: recorder, Protocol: testProtocol{}, Engines: e, Members: members, Log: log, Metrics: telemetry.New(), MaxBodyBytes: 1 << 20,
+		Home: home, Dispatcher: recorder, Protocol: testProtocol{}, Engines: e, Origins: noOrigins{}, Past: emptyPast{control}, Members: members, Log: log, Metrics: telemetry.New(), MaxBodyBytes: 1 << 20,
 	})
 	server := httptest.NewServer(handler.DetourHandler(handler))
 	t.Cleanup(func() {
@@ -368,6 +369,20 @@
 	return g
 }
 
+// noOrigins are other instances that know no streams.
+type noOrigins struct{}
+
+func (noOrigins) FindOrigin(context.Context, origin.Key) (string, bool) { return "", false }
+
+// emptyPast is a history without changes.
+type emptyPast struct{ control *dispatch.Controller }
+
+func (p emptyPast) Extend(ctx context.Context) bool {
+	return p.control.ExtendPast(ctx, nil, time.Now().Add(-time.Minute))
+}
+
+func (emptyPast) FindRun(context.Context, string, string) (string, bool) { return "", false }
+
 // request returns a request for the gateway. The entries of header are added to the
 // default headers or replace them.
 func (g *testGateway) request(t *testing.T, method, path, body string, header map[string]string) *http.Request {
