Retry budget: one attempt a second after the start

An instance may make one further attempt that it has not earned from 1 s after its start. The test passes, and the bounds of the fleet hold in decide.TestRepeatsStayWithinTheBudget, with instances killed in turn and together, and in entry.TestRepeatsStayWithinTheBudgetOfTheFleet.

--- a/decide/retry_budget.go
+++ b/decide/retry_budget.go
@@ -42,6 +42,9 @@
 	// retryJoinTime is the time after the start in which the instance doesn't use the slack,
 	// because it doesn't know yet how many others share it.
 	retryJoinTime = 3 * time.Second
+	// firstRepeatTime is the time after the start from which an instance may make one further
+	// attempt that it has not earned, so that its first failed request can be served.
+	firstRepeatTime = 1 * time.Second
 	// fleetMemory is the time for which the largest size of the fleet is remembered at
 	// least. Members that can't be reached still spend their parts.
 	fleetMemory = time.Minute
@@ -103,6 +106,8 @@
 	// available is the number of further attempts in the token bucket of this instance.
 	available  float64
 	refilledAt time.Time
+	// hadFirst reports whether the attempt after firstRepeatTime was granted.
+	hadFirst bool
 	// moves contains the times of the moves by all instances that count in the window.
 	moves           []time.Time
 	allowed, denied [repeatKinds]uint64
@@ -168,6 +173,9 @@
 		}
 		b.pools[pool] = budget
 	}
+	if b.limited && !budget.hadFirst && now.Sub(b.startedAt) >= firstRepeatTime {
+		budget.available, budget.hadFirst = max(1, budget.available), true
+	}
 	budget.available = min(capacity, budget.available+perSecond*now.Sub(budget.refilledAt).Seconds())
 	budget.refilledAt = now
 	return budget, capacity
