--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -5,6 +5,7 @@
 const (
 	hostName     = "review.example"
 	apiKey       = "key-of-reef"
+	revokedKey   = "other-key-of-reef"
 	tenant       = "reef"
 	modelService = "pool"
 	plainService = "desk"
@@ -38,8 +39,9 @@
 	}
 }
 
-// publish writes a version of the configuration into the store.
-func (r *rig) publish(version, engineSlots int, routes []route) error {
+// publish writes a version of the configuration into the store. The tenant holds apiKey and the
+// further keys.
+func (r *rig) publish(version, engineSlots int, routes []route, keys ...string) error {
 	var wire []any
 	for _, t := range routes {
 		entry := map[string]any{
@@ -60,6 +62,6 @@
 			map[string]any{"name": plainService, "health-path": "/healthz", "max-connections": 248},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 10000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": tenant, "api-keys": []string{apiKey}}},
+		"tenants": []any{map[string]any{"name": tenant, "api-keys": append([]string{apiKey}, keys...)}},
 	})
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"timeout-in-queue": playTimeoutInQueue,
 	"resumed-at-end":   playResumedAtEnd,
 	"planned-stop":     playPlannedStop,
+	"readers-lost":     playReadersLost,
 }
 
 func main() { os.Exit(run(os.Args)) }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -224,7 +224,7 @@
 			return err
 		}
 	}
-	if err := r.publish(11, engineSlots, siteRoutes()); err != nil {
+	if err := r.publish(11, engineSlots, siteRoutes(), revokedKey); err != nil {
 		return err
 	}
 	for _, zone := range zones {
