Streams without events keep the engine's status and headers

Cause: the status and headers were sent with the first event only. A response without an event for the caller counted as complete, nothing had been written, and net/http sent an empty 200 of its own.

Change: the header is sent at the latest at the complete end of the engine's response. Streams whose events the caller has received already, and streams without any event, had the same fault.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -822,6 +822,57 @@
 	}
 }
 
+// TestStreamsWithoutEventsKeepTheirHeader guards against an empty 200 of the gateway's own in
+// place of a complete stream that has no event for the caller.
+func TestStreamsWithoutEventsKeepTheirHeader(t *testing.T) {
+	repeatEvents := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("X-Last", "-1")
+		streamEvents(4, true)(b, w, r)
+	}
+	breakOff := respondRaw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\n\r\nid: 5")
+	tests := map[string]struct {
+		path    string
+		header  map[string]string
+		respond behaviour
+		runs    int
+	}{
+		"taken up after the last event":          {path: "/resumable/x", header: map[string]string{"X-Last": "4"}, respond: streamEvents(4, true), runs: 1},
+		"only events that the caller has":        {path: "/resumable/x", header: map[string]string{"X-Last": "4"}, respond: repeatEvents, runs: 1},
+		"no events at all":                       {path: "/long/x", respond: streamEvents(-1, true), runs: 1},
+		"broken off before, at another upstream": {path: "/resumable/x", header: map[string]string{"X-Last": "4"}, respond: firstThen(breakOff, streamEvents(4, true)), runs: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var backends []*backend
+			for i := range test.runs {
+				backends = append(backends, startBackend(t, fmt.Sprint("b", i), test.respond))
+			}
+			g := startGateway(t, &fakeEngines{}, backends...)
+			response, content, err := g.send(t, "POST", test.path, "", test.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+			assert.Equal(t, content, "")
+			assert.Assert(t, response.Header.Get("X-Signed") != "", "%v", response.Header)
+			assert.Equal(t, response.Header.Get("Content-Type"), "text/event-stream")
+			runs := 0
+			for _, b := range backends {
+				runs += b.runCount()
+			}
+			assert.Equal(t, runs, test.runs)
+		})
+	}
+}
+
+// firstThen responds to the first request with first, and to all others with others.
+func firstThen(first, others behaviour) behaviour {
+	var once sync.Once
+	return func(b *backend, w http.ResponseWriter, r *http.Request) {
+		respond := others
+		once.Do(func() { respond = first })
+		respond(b, w, r)
+	}
+}
+
 // TestStreamResumedAtAnotherUpstream checks that a failed resumable stream
 // continues on another upstream and delivers each event once.
 func TestStreamResumedAtAnotherUpstream(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -260,6 +260,8 @@
 			// After a request to stop the run, the close of the connection does not
 			// prove that the stream is complete.
 			if r.err == io.EOF && !(s.stopRequested() && endsWithConnection(response)) {
+				// A stream that is taken up after its last event has no further one.
+				s.sendHeader(response)
 				return nil
 			}
 			if r.err != nil {
@@ -322,14 +324,7 @@
 			return false, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "event %d came after event %d", e.id, s.lastEventID)
 		}
 	}
-	if !s.headerSent {
-		header := s.w.Header()
-		for name, values := range s.g.callerHeader(response.Header) {
-			header[name] = values
-		}
-		s.w.WriteHeader(response.StatusCode)
-		s.headerSent = true
-	}
+	s.sendHeader(response)
 	if _, err := s.w.Write(e.raw); err != nil {
 		return false, errCallerDisconnected
 	}
@@ -351,6 +346,19 @@
 	return due, nil
 }
 
+// sendHeader sends the status and headers of the first response that is relayed to the caller.
+func (s *stream) sendHeader(response *http.Response) {
+	if s.headerSent {
+		return
+	}
+	header := s.w.Header()
+	for name, values := range s.g.callerHeader(response.Header) {
+		header[name] = values
+	}
+	s.w.WriteHeader(response.StatusCode)
+	s.headerSent = true
+}
+
 // logMove logs and counts the outcome of a move.
 func (s *stream) logMove(source, destination dispatch.Placement, outcome string, err error, elapsed time.Duration) {
 	detail := ""
