A deadline that ends in the queue is not a caller that has disconnected

Cause: Controller.await returned caller_gone for every end of the request's context, also for its deadline and for the end of the instance. Nothing is written for such callers, and net/http then sends an empty 200. The queue kept requests until twice their wait target, whatever their deadline. Evidence: the engines' records show no run, and the log has request_closed with caller_gone at the timeout.

Change: the reason follows from the cause of the context's end, in the product's own interface too (kernel.Runtime.Place). A request leaves the queue once it can't get a first token before its deadline, and isn't queued if that is known when it arrives. The connection of a caller that is taken for disconnected is closed instead of left to net/http.

--- a/decide/queue.go
+++ b/decide/queue.go
@@ -27,8 +27,8 @@
 type waitingRequest struct {
 	Request
 	arrivedAt time.Time
-	// deadline is the latest start that meets the target; at expiresAt the
-	// request is refused.
+	// deadline is the latest start that meets the target. At expiresAt the request is refused,
+	// at the latest when its caller would give up before the first token.
 	deadline, expiresAt time.Time
 	// latestStart is the estimated latest time at which the request can be placed
 	// and still meet its deadlines.
@@ -64,11 +64,31 @@
 // setLatestStart sets latestStart to the latest time at which the request can
 // be placed and still get its first token by its deadline.
 func (s *Scheduler) setLatestStart(w *waitingRequest) {
-	if w.FirstTokenBy.IsZero() {
-		return
+	if !w.FirstTokenBy.IsZero() {
+		w.latestStart = w.FirstTokenBy.Add(-s.prefillTime(w) - maxPrefillBacklog/2)
 	}
-	prefill := float64(w.PromptTokens)/s.pool(w.Class.Pool).prefill.tokensPerSecond() + maxPrefillBacklog.Seconds()/2
-	w.latestStart = w.FirstTokenBy.Add(-time.Duration(prefill * float64(time.Second)))
+	w.latestStart = earlier(w.latestStart, w.expiresAt)
+}
+
+// limitWait makes the request expire when it could be placed no more and get its first token
+// before its caller gives up.
+func (s *Scheduler) limitWait(w *waitingRequest) {
+	if !w.Deadline.IsZero() {
+		w.expiresAt = earlier(w.expiresAt, w.Deadline.Add(-s.prefillTime(w)))
+	}
+}
+
+// prefillTime returns the average time in which an engine prefills the request's prompt; 0 for
+// calls.
+func (s *Scheduler) prefillTime(w *waitingRequest) time.Duration {
+	return time.Duration(float64(w.PromptTokens) / s.pool(w.Class.Pool).prefill.tokensPerSecond() * float64(time.Second))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // queue contains the requests that no upstream has capacity for. It also
--- a/decide/scheduler.go
+++ b/decide/scheduler.go
@@ -246,9 +246,10 @@
 			}
 		}
 	}
-	start := s.pool(r.Class.Pool).optimisticStart(now, r.Rank, ahead)
-	if start.After(w.deadline) || len(s.queue.list) >= maxQueue {
-		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v after the target", ahead.total(), start.Sub(w.deadline).Round(time.Millisecond))
+	s.limitWait(w)
+	start, latest := s.pool(r.Class.Pool).optimisticStart(now, r.Rank, ahead), earlier(w.deadline, w.expiresAt)
+	if start.After(latest) || len(s.queue.list) >= maxQueue {
+		explanation := fmt.Sprintf("%d requests are ahead in the queue and the earliest start is %v too late", ahead.total(), start.Sub(latest).Round(time.Millisecond))
 		return []Action{s.refuseRanked(now, w, verdict.Overloaded, ahead, explanation)}
 	}
 	s.setLatestStart(w)
--- a/decide/scheduler_test.go
+++ b/decide/scheduler_test.go
@@ -175,6 +175,48 @@
 	}
 }
 
+// TestRequestsLeaveTheQueueBeforeTheirDeadline guards against requests that wait until their
+// callers have given up, or that are placed too late for a first token, while all engines are
+// full.
+func TestRequestsLeaveTheQueueBeforeTheirDeadline(t *testing.T) {
+	const prefill = 400 * time.Millisecond // of 2,000 tokens at the initial rate
+	for name, test := range map[string]struct {
+		promptTokens int
+		deadline     time.Duration
+		// refusedBy is the latest time of the refusal.
+		refusedBy time.Duration
+	}{
+		"deadline before the target":              {100, 500 * time.Millisecond, 500 * time.Millisecond},
+		"deadline after the target":               {100, 1500 * time.Millisecond, 1500 * time.Millisecond},
+		"deadline after twice the target":         {100, 5 * time.Second, 2 * time.Second},
+		"no first token before the deadline":      {2000, 800 * time.Millisecond, 800*time.Millisecond - prefill},
+		"no first token even if placed at once":   {2000, 300 * time.Millisecond, 0},
+		"unknown deadline, twice the wait target": {100, 0, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(1)
+			h.now = h.now.Add(time.Second)
+			h.report(func(int) decide.Report { return fullReport })
+			arrivedAt := h.now
+			id, actions := h.arrive("reef", func(r *decide.Request) {
+				r.PromptTokens = test.promptTokens
+				if test.deadline > 0 {
+					r.Deadline = h.now.Add(test.deadline)
+				}
+			})
+			for describe(actions) == "" && h.now.Sub(arrivedAt) <= 10*time.Second {
+				h.now = h.now.Add(20 * time.Millisecond)
+				actions = append(h.report(func(int) decide.Report { return fullReport }), h.step(decide.Tick{})...)
+			}
+			assert.Assert(t, len(actions) == 1, "%v", actions)
+			refusal, ok := actions[0].(decide.Refuse)
+			assert.Assert(t, ok, "%v", actions)
+			assert.Equal(t, refusal.ID, id)
+			assert.Assert(t, h.now.Sub(arrivedAt) <= test.refusedBy+20*time.Millisecond, "refused after %v", h.now.Sub(arrivedAt))
+		})
+	}
+}
+
 // TestPaceTarget places a request on an engine that runs eight generations and
 // whose steps take 20 ms plus 2 ms per generation.
 func TestPaceTarget(t *testing.T) {
--- a/dispatch/controller.go
+++ b/dispatch/controller.go
@@ -481,7 +481,7 @@
 func (c *Controller) Place(ctx context.Context, r decide.Request) (Placement, error) {
 	cmd := &placeCommand{event: decide.Arrived{Request: r}, id: r.ID, reply: make(chan decision, 1)}
 	place, err := c.await(ctx, cmd)
-	if err != nil && verdict.OutcomeOf(err).Reason == verdict.CallerDisconnected {
+	if err != nil && ctx.Err() != nil {
 		// The scheduler may already have queued or placed the request.
 		c.End(r.ID, 0, verdict.OutcomeOf(err))
 	}
@@ -521,9 +521,10 @@
 			return Placement{}, verdict.FailAt(verdict.NotRun, a.Reason, a.RetryAt, "%s", a.Explanation)
 		}
 	case <-ctx.Done():
+		return Placement{}, verdict.ContextEnded(ctx, verdict.NotRun, "before an upstream had room")
 	case <-c.stopped:
 	}
-	return Placement{}, verdict.Fail(verdict.NotRun, verdict.CallerDisconnected, "cancelled before the scheduler decided")
+	return Placement{}, verdict.Fail(verdict.NotRun, verdict.Stopping, "the instance has stopped")
 }
 
 // subscribe returns the channel that receives the upstream's status when it
--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -116,6 +116,50 @@
 	}
 }
 
+// TestPlaceEndsWithItsContext guards against taking a deadline that ends in the queue, or the
+// end of the instance, for a caller that has disconnected: nothing is answered to those.
+func TestPlaceEndsWithItsContext(t *testing.T) {
+	log := event.NewLog(io.Discard, "i", time.Now)
+	defer log.Close(time.Now().Add(time.Second))
+	background := context.Background()
+	for name, test := range map[string]struct {
+		request func() (context.Context, context.CancelFunc)
+		// stops reports whether the controller stops before a decision.
+		stops bool
+		want  verdict.Reason
+	}{
+		"deadline": {func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(background, 20*time.Millisecond)
+		}, false, verdict.WaitExpired},
+		"caller disconnected": {func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(background)
+			cancel()
+			return ctx, cancel
+		}, false, verdict.CallerDisconnected},
+		"instance stopped": {func() (context.Context, context.CancelFunc) { return context.WithCancel(background) }, true, verdict.Stopping},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The controller doesn't run, so it decides nothing.
+			c := dispatch.New("a", log)
+			c.SetAnnouncer(&recordingAnnouncer{})
+			ctx, cancel := test.request()
+			defer cancel()
+			var group sync.WaitGroup
+			defer group.Wait()
+			if test.stops {
+				group.Go(func() {
+					stopped, stop := context.WithCancel(background)
+					stop()
+					_ = c.Run(stopped)
+				})
+			}
+			_, err := c.Place(ctx, request(1))
+			assert.Equal(t, verdict.OutcomeOf(err).Reason, test.want, "%v", err)
+			assert.Equal(t, verdict.OutcomeOf(err).Verdict, verdict.NotRun)
+		})
+	}
+}
+
 // TestPlaceAndMove places a request, moves it when its engine leaves, and checks
 // the announcements.
 func TestPlaceAndMove(t *testing.T) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -279,6 +279,9 @@
 
 const key = "key-1"
 
+// backendSlots is the number of streams that a backend runs at the same time.
+const backendSlots = 8
+
 func routes() *routing.Table {
 	share := []routing.Share{{Service: "pool", Weight: 1}}
 	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
@@ -303,13 +306,15 @@
 		r.Timeout, r.Target = 10*r.Timeout, 10*r.Target
 		return r
 	}
+	hurried := route("hurried-resumable", routing.Streaming, 2, true)
+	hurried.Timeout = hurried.Target
 	safe, unsafe, resumable := route("safe", routing.Safe, 2, false), route("unsafe", routing.Unsafe, 1, false), route("resumable", routing.Streaming, 2, true)
 	return routing.New(routing.Table{
 		Version: 1, RequiresCredential: true, Limits: routing.Limits{BodyBytes: 64},
 		Routes: []routing.Route{
-			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), long, longResumable, plain, urgentPlain,
+			safe, unsafe, resumable, patient(safe), patient(unsafe), patient(resumable), hurried, long, longResumable, plain, urgentPlain,
 		},
-		Services: map[string]*routing.Service{"plain": {Name: "plain"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: 8, KVCacheTokens: 10000, EventTokens: 1, SupportsMove: true}}},
+		Services: map[string]*routing.Service{"plain": {Name: "plain"}, "pool": {Name: "pool", Engine: &routing.Engine{Slots: backendSlots, KVCacheTokens: 10000, EventTokens: 1, SupportsMove: true}}},
 	}, []routing.Team{{Name: "reef"}}, map[string][]string{"reef": {key}})
 }
 
@@ -324,7 +329,7 @@
 // item returns the backend's item in the list.
 func item(b *backend, revision uint64, draining bool) upstream.Item {
 	return upstream.Item{ID: b.name, Revision: revision, Raw: []byte("x"), Entry: &upstream.Entry{
-		ID: b.name, Service: serviceOf(b), Addr: b.addr, DataCentre: "a", Slots: 8, StartUnixMS: 1, Draining: draining,
+		ID: b.name, Service: serviceOf(b), Addr: b.addr, DataCentre: "a", Slots: backendSlots, StartUnixMS: 1, Draining: draining,
 	}}
 }
 
@@ -822,6 +827,45 @@
 	}
 }
 
+// TestStreamsWhoseTimeEndsInTheQueue guards against an empty 200 for a stream whose deadline
+// passes before an engine has room for it.
+func TestStreamsWhoseTimeEndsInTheQueue(t *testing.T) {
+	for name, test := range map[string]struct {
+		path   string
+		header map[string]string
+	}{
+		"caller's deadline":     {"/resumable/x", map[string]string{"X-Wait": "100ms"}},
+		"timeout of the route":  {"/hurried-resumable/x", nil},
+		"must not be repeated":  {"/long/x", map[string]string{"X-Wait": "100ms"}},
+		"less than a tick left": {"/resumable/x", map[string]string{"X-Wait": "5ms"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			full := startBackend(t, "full", hang)
+			g := startGateway(t, &fakeEngines{}, full)
+			var group sync.WaitGroup
+			defer group.Wait()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for range backendSlots {
+				group.Go(func() {
+					if response, err := http.DefaultClient.Do(g.request(t, "POST", "/long/x", "", nil).WithContext(ctx)); err == nil {
+						response.Body.Close()
+					}
+				})
+			}
+			for full.runCount() < backendSlots {
+				time.Sleep(time.Millisecond)
+			}
+			response, content, err := g.send(t, "POST", test.path, "", test.header)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, content)
+			assert.Assert(t, response.Header.Get("Retry-After") != "")
+			assert.Assert(t, strings.Contains(content, `"verdict":"not_run"`), content)
+			assert.Equal(t, full.runCount(), backendSlots)
+		})
+	}
+}
+
 // TestStreamsWithoutEventsKeepTheirHeader guards against an empty 200 of the gateway's own in
 // place of a complete stream that has no event for the caller.
 func TestStreamsWithoutEventsKeepTheirHeader(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -338,7 +338,8 @@
 	switch {
 	case o.Reason == verdict.CallerDisconnected:
 		g.logClosed(q, 0, o)
-		return
+		// Without a response, net/http would send an empty 200.
+		panic(http.ErrAbortHandler)
 	case q.mayHaveRun && !time.Now().Before(q.deadline):
 		status = http.StatusGatewayTimeout
 	case !q.mayHaveRun:
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -109,10 +108,7 @@
 	if sent {
 		v = verdict.MayHaveRun
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verdict.Fail(v, verdict.WaitExpired, "the deadline passed before the upstream responded")
-	}
-	return verdict.Fail(v, verdict.CallerDisconnected, "the caller disconnected")
+	return verdict.ContextEnded(ctx, v, "before the upstream responded")
 }
 
 // targetURL returns the URL of the target at an upstream. It keeps the path byte
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net/http"
@@ -307,10 +308,7 @@
 
 // contextError returns the error for a stream whose context ended.
 func (s *stream) contextError(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return verdict.Fail(verdict.MayHaveRun, verdict.WaitExpired, "the deadline passed after event %d", s.lastEventID)
-	}
-	return errCallerDisconnected
+	return verdict.ContextEnded(ctx, verdict.MayHaveRun, fmt.Sprintf("after event %d", s.lastEventID))
 }
 
 // forward writes the next event in order to the caller, and reports whether the scheduler was
--- a/kernel/runtime.go
+++ b/kernel/runtime.go
@@ -103,11 +103,12 @@
 			return decide.Place{}, verdict.FailAt(verdict.NotRun, action.Reason, action.RetryAt, "%s", action.Explanation)
 		}
 	case <-ctx.Done():
+		err := verdict.ContextEnded(ctx, verdict.NotRun, "before the request was placed")
+		rt.Send(control.SchedulerEvent{Event: decide.Ended{ID: r.ID, Outcome: verdict.OutcomeOf(err)}})
+		return decide.Place{}, err
 	case <-rt.stopped:
 	}
-	outcome := verdict.Outcome{Verdict: verdict.NotRun, Reason: verdict.CallerDisconnected}
-	rt.Send(control.SchedulerEvent{Event: decide.Ended{ID: r.ID, Outcome: outcome}})
-	return decide.Place{}, verdict.Fail(outcome.Verdict, outcome.Reason, "the caller disconnected before the request was placed")
+	return decide.Place{}, verdict.Fail(verdict.NotRun, verdict.Stopping, "the instance has stopped")
 }
 
 // Admission is the result of RequestTracker.Begin.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -3,6 +3,8 @@
 package verdict
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -88,3 +90,12 @@
 	}
 	return Outcome{Verdict: MayHaveRun, Reason: Internal, Detail: err.Error()}
 }
+
+// ContextEnded returns the error of a request whose context has ended: at its deadline, or
+// because its caller has disconnected. when says how far it had come.
+func ContextEnded(ctx context.Context, v Verdict, when string) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return Fail(v, WaitExpired, "the deadline passed %s", when)
+	}
+	return Fail(v, CallerDisconnected, "the caller disconnected %s", when)
+}
