A body that is incomplete at the deadline is answered 408

Callers saw: 400 for a proper request whose body was still on its way at its deadline or at its route's timeout. They don't try again after 400.

Change: at the deadline the answer is 408, not run.

gateway.TestBodiesThatArriveTooLate: 400 before, 408 now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -866,6 +866,20 @@
 	}
 }
 
+// TestBodiesThatArriveTooLate guards against a 400 for a proper request whose body is still on
+// its way at the deadline: callers don't try again after it.
+func TestBodiesThatArriveTooLate(t *testing.T) {
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", respondOK))
+	body, writer := io.Pipe()
+	defer writer.Close()
+	r := g.request(t, "POST", "/unsafe/x", "", map[string]string{"X-Wait": "100ms"})
+	r.Body, r.ContentLength = body, 10
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+}
+
 // TestStreamsWithoutEventsKeepTheirHeader guards against an empty 200 of the gateway's own in
 // place of a complete stream that has no event for the caller.
 func TestStreamsWithoutEventsKeepTheirHeader(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -232,6 +233,8 @@
 		size = n
 	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return size, http.StatusRequestTimeout, verdict.Fail(verdict.NotRun, verdict.WaitExpired, "the deadline passed after %d bytes of the body", n)
 	case err != nil:
 		return size, http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body could not be read: %v", err)
 	case n > limit:
