Planned stop: refuse streams that it would cut off

Cause: Gateway.isStopping compared the rest of the stop with twice the target for the first event, not with the length of the stream.

Change: gateway/stop.go computes how long a request takes if it meets its targets: for a stream, the first event and all pauses up to its maximum output. It is refused, not run and with Retry-After 0, unless twice that time is left or its deadline comes first. A stream of unknown length counts until its deadline. The decision is repeated for requests that waited for an upstream when the stop began.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,16 +171,6 @@
 // except new streams that can't be resumed.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// StopAt sets the time at which the planned stop ends, and cuts off the requests that are still
-// in progress. New ones that might be among them are refused.
-func (g *Gateway) StopAt(t time.Time) { g.stopsAt.Store(&t) }
-
-// isStopping reports whether the planned stop might end before a request that arrives now.
-func (g *Gateway) isStopping(q *request) bool {
-	stopsAt := g.stopsAt.Load()
-	return stopsAt != nil && time.Until(*stopsAt) < max(minBeforeStop, targetsBeforeStop*q.route.Target)
-}
-
 // Abort records that the instance closes the connections of its callers, because its
 // planned stop ends or a part of it has failed. Requests that are cut off from then on
 // are logged as cut off by the instance, not by their callers.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,13 +60,10 @@
 // serveStream sends a request, repeatedly if necessary, until its stream is
 // complete or can't be continued.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, q *request) {
-	s := &stream{request: q, g: g, w: w, lastEventID: noID, tokensPerEvent: 1}
-	if lastEventID, err := strconv.Atoi(q.info.LastEventID); err == nil {
+	s := &stream{request: q, g: g, w: w, lastEventID: noID, tokensPerEvent: q.tokensPerEvent()}
+	if lastEventID, ok := q.lastEventID(); ok {
 		s.lastEventID = lastEventID
 	}
-	if service := q.table.Services[q.service]; service != nil && service.Engine != nil {
-		s.tokensPerEvent = max(1, service.Engine.EventTokens)
-	}
 	plain, err := s.relay(ctx)
 	// A move that is still in progress is no longer needed. The run was not moved.
 	s.cancelMove(false)
