Planned stop: answer what is still in progress at its end

Callers saw: a call or stream that had no response yet when the planned stop ended lost its connection without an answer.

Cause: the server's Close ends all connections, and the gateway took the end of their contexts for callers that had disconnected. A response that was read then counted as truncated by its upstream, at a caller's deadline too.

Change: 100 ms before the server is closed all open requests are interrupted, and answered 502, or 503 if they have not run. The interruption does not count against the upstream.

entry.TestPlannedStopAnswersRequestsInProgress failed without the call of Interrupt (EOF instead of 502). gateway.TestStopAnswersRequests: five kinds of requests, passes.

--- a/entry/run.go
+++ b/entry/run.go
@@ -41,8 +41,10 @@
 	// process exits by itself.
 	stopMargin = 400 * time.Millisecond
 	// shutdownTime is the time after the end of the planned stop in which requests that were
-	// just accepted are answered. It is shorter than stopMargin.
+	// just accepted are answered. It is shorter than stopMargin. In the last answerTime of it
+	// those that are still in progress are interrupted.
 	shutdownTime         = 200 * time.Millisecond
+	answerTime           = 100 * time.Millisecond
 	shutdownPollInterval = 5 * time.Millisecond
 	// idleBeforeClose is the minimum idle time of a connection that a planned
 	// stop closes.
@@ -405,6 +407,9 @@
 		if !pause.Sleep(ctx, shutdownPollInterval) {
 			break
 		}
+		if time.Until(deadline) < answerTime {
+			i.gateway.Interrupt()
+		}
 		i.callerServer.idle.closeIdle(time.Now().Add(-idleBeforeClose))
 	}
 	return err
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -98,3 +98,16 @@
 		}
 	}
 }
+
+// TestPlannedStopAnswersRequestsInProgress guards against a planned stop that closes the
+// connection of a call which its upstream has not answered at the end.
+func TestPlannedStopAnswersRequestsInProgress(t *testing.T) {
+	t.Parallel()
+	p := startInstance(t, &fakeStore{version: 2}, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	p.waitFor(t, "the instance to be ready", func() bool { return p.ready(t) })
+	p.stop()
+	time.Sleep(300 * time.Millisecond)
+	status, body := send(t, p.settings.Listen.Callers, "/v2/x")
+	assert.Equal(t, status, http.StatusBadGateway, body)
+	assert.NilError(t, <-p.done)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,9 @@
 	draining  atomic.Bool
 	// stopsAt is the time at which the planned stop ends; nil if there is none.
 	stopsAt atomic.Pointer[time.Time]
+	// open is the parent of the contexts of all requests, which interrupt cancels.
+	open      context.Context
+	interrupt context.CancelCauseFunc
 	// aborting reports whether Abort has been called.
 	aborting atomic.Bool
 
@@ -140,7 +143,9 @@
 	if o.Dial == nil {
 		o.Dial = NewDialer().DialContext
 	}
-	return &Gateway{Options: o, transport: newTransport(o.Dial)}
+	g := &Gateway{Options: o, transport: newTransport(o.Dial)}
+	g.open, g.interrupt = context.WithCancelCause(context.Background())
+	return g
 }
 
 func (g *Gateway) requestStarted() {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -231,7 +231,7 @@
 // as failed.
 func (q *request) countsAgainstUpstream(r verdict.Reason) bool {
 	switch r {
-	case verdict.CallerDisconnected, verdict.UpstreamLeaving, verdict.Overloaded, verdict.Evacuated:
+	case verdict.CallerDisconnected, verdict.Stopping, verdict.UpstreamLeaving, verdict.Overloaded, verdict.Evacuated:
 		return false
 	case verdict.WaitExpired:
 		return q.deadline.Equal(q.info.Deadline)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -147,7 +147,7 @@
 		return
 	}
 	q.fingerprint = fingerprint.Of(q.team, q.outgoing.method, q.outgoing.host, q.outgoing.target, q.outgoing.body)
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := g.requestContext(r.Context(), q.deadline)
 	defer cancel()
 	if q.route.Kind == routing.Streaming {
 		g.serveStream(ctx, w, q)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -140,6 +140,8 @@
 		switch {
 		case err == io.EOF:
 			return body.Bytes(), nil
+		case err != nil && response.Request.Context().Err() != nil:
+			return nil, verdict.ContextEnded(response.Request.Context(), verdict.MayHaveRun, "before the response was complete")
 		case err != nil:
 			return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the response is truncated: %v", err)
 		case body.Len() > maxResponseBytes:
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"mangoloft/routing"
@@ -19,6 +20,25 @@
 // in progress. New ones that might be among them are refused.
 func (g *Gateway) StopAt(t time.Time) { g.stopsAt.Store(&t) }
 
+// errInterrupted is the cause of the end of the contexts of requests that are interrupted.
+var errInterrupted = verdict.Fail(verdict.MayHaveRun, verdict.Stopping, "the planned stop ends")
+
+// Interrupt ends the requests that are still in progress. Those that have no response yet get
+// one, which a closed connection would not give.
+func (g *Gateway) Interrupt() { g.interrupt(errInterrupted) }
+
+// requestContext returns a context that also ends at the deadline and with Interrupt.
+func (g *Gateway) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	interruptible, interrupt := context.WithCancelCause(parent)
+	unregister := context.AfterFunc(g.open, func() { interrupt(context.Cause(g.open)) })
+	ctx, cancel := context.WithDeadline(interruptible, deadline)
+	return ctx, func() {
+		cancel()
+		unregister()
+		interrupt(nil)
+	}
+}
+
 // checkStop returns a refusal if the planned stop might cut off the request, so that its caller
 // goes to another instance.
 func (g *Gateway) checkStop(q *request) error {
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -117,3 +117,45 @@
 	assert.Assert(t, strings.Contains(content, `"verdict":"not_run"`), content)
 	assert.Equal(t, b.runCount(), backendSlots)
 }
+
+// TestStopAnswersRequests guards against a planned stop that closes the connections of requests
+// without a response, and against holding its end against their upstreams.
+func TestStopAnswersRequests(t *testing.T) {
+	beginBody := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		w.Header().Set("X-Signed", "s")
+		w.Header().Set("Content-Length", "9")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	for name, test := range map[string]struct {
+		path    string
+		respond behaviour
+	}{
+		"call without a response":    {"/patient-unsafe/x", hang},
+		"call with half a response":  {"/patient-unsafe/x", beginBody},
+		"repeatable call":            {"/patient-safe/x", hang},
+		"stream without a response":  {"/long/x", hang},
+		"resumable stream, no event": {"/long-resumable/x", hang},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := startBackend(t, "b0", test.respond)
+			g := startGateway(t, &fakeEngines{}, b)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				for b.runCount() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				g.gateway.Interrupt()
+			})
+			response, content, err := g.send(t, "POST", test.path, "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway, content)
+			assert.Assert(t, strings.Contains(content, `"reason":"stopping"`), content)
+			assert.Assert(t, strings.Contains(content, `"verdict":"may_have_run"`), content)
+			assert.Equal(t, b.runCount(), 1)
+		})
+	}
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -91,11 +91,15 @@
 	return Outcome{Verdict: MayHaveRun, Reason: Internal, Detail: err.Error()}
 }
 
-// ContextEnded returns the error of a request whose context has ended: at its deadline, or
-// because its caller has disconnected. when says how far it had come.
+// ContextEnded returns the error of a request whose context has ended: at its deadline, because
+// the instance stops, or because its caller has disconnected. when says how far it had come.
 func ContextEnded(ctx context.Context, v Verdict, when string) error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return Fail(v, WaitExpired, "the deadline passed %s", when)
+	case OutcomeOf(cause).Reason == Stopping:
+		return Fail(v, Stopping, "the instance stopped %s", when)
 	}
 	return Fail(v, CallerDisconnected, "the caller disconnected %s", when)
 }
