A refusal proves nothing about another request

Callers saw (an operator's report, tried by the users with real processes): 503, not run, for calls that a server ran, and calls that ran at a second server, where a faulty server writes an earlier refusal once more before its own answer.

Cause: checkResponse accepted a refusal or a 421 before it compared the id of the response with that of the request. attempt_ended didn't name the id.

Change: the id is compared first. A refusal of another request, or without an id, means that the attempt may have run; the load and identity in such a response are ignored. attempt_ended names the id and status of the response.

gateway.TestPlain (4 cases) and gateway.TestStreams (1 case) failed before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -217,6 +217,12 @@
 	}
 }
 
+// respondRefusal runs the request, but writes a refusal with the header fields before the
+// response, as a faulty upstream writes an earlier one again.
+func respondRefusal(status, fields string) behaviour {
+	return respondRaw("HTTP/1.1 " + status + "\r\n" + fields + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nab")
+}
+
 func hang(b *backend, _ http.ResponseWriter, r *http.Request) {
 	b.recordRun(r)
 	<-r.Context().Done()
@@ -458,6 +464,10 @@
 		"unsafe, misdirected":                  {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondMisdirected, respondMisdirected}, status: 503},
 		"unsafe, no signature":                 {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondUnsigned, respondUnsigned}, status: 502, runs: 1},
 		"unsafe, response to another request":  {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondOtherID, respondOtherID}, status: 502, runs: 1},
+		"unsafe, refusal of another request":   {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1"), respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1")}, status: 502, runs: 1},
+		"unsafe, refusal without an id":        {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRefusal("503 Full", "X-Not-Run: 1"), respondRefusal("503 Full", "X-Not-Run: 1")}, status: 502, runs: 1},
+		"unsafe, 421 to another request":       {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRefusal("421 Misdirected", "X-Id: another"), respondRefusal("421 Misdirected", "X-Id: another")}, status: 502, runs: 1},
+		"safe, refusal of another request":     {method: "GET", path: "/safe/x", behaviours: []behaviour{respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1"), respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1")}, status: 502, runs: 2},
 		"unsafe, truncated body":               {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRaw("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 9\r\n\r\nab")}, status: 502, runs: 1},
 		"unsafe, connection closed":            {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRaw(""), respondRaw("")}, status: 502, runs: 1},
 		"not an HTTP response":                 {method: "POST", path: "/unsafe/x", behaviours: []behaviour{respondRaw("garbage\r\n\r\n")}, status: 502, runs: 1},
@@ -806,6 +816,7 @@
 		"failed twice, resumable":        {path: "/resumable/x", behaviours: []behaviour{streamEvents(2, false), streamEvents(2, false)}, want: events(0, 2), status: 200, aborted: true, runs: 2},
 		"closed before the first event":  {path: "/long/x", behaviours: []behaviour{respondRaw(""), respondRaw("")}, status: 502, runs: 1},
 		"not run":                        {path: "/long/x", behaviours: []behaviour{respondNotRun, respondNotRun}, status: 503},
+		"refusal of another request":     {path: "/long/x", behaviours: []behaviour{respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1"), respondRefusal("503 Full", "X-Id: another\r\nX-Not-Run: 1")}, status: 502, runs: 1},
 		"status 500 instead of a stream": {path: "/long/x", behaviours: []behaviour{respond500, respond500}, status: 500, runs: 1},
 	}
 	for name, test := range tests {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -130,16 +130,25 @@
 		return g.checkDetour(q, placement, response)
 	}
 	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now())
-	if responseInfo.Misdirected {
-		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
-	}
-	if load := responseInfo.Load; load != nil && !responseInfo.Misdirected {
-		g.reportLoad(q, placement, *load)
+	if responseInfo.ID == q.info.ID {
+		g.reportIdentity(q, placement, responseInfo)
 	}
 	g.reportDeclarations(q, placement, responseInfo)
 	return checkResponse(response, responseInfo, q.info.ID)
 }
 
+// reportIdentity reports to the dispatcher that another upstream has responded, or the load of
+// the intended one.
+func (g *Gateway) reportIdentity(q *request, placement dispatch.Placement, info ResponseInfo) {
+	if info.Misdirected {
+		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
+		return
+	}
+	if info.Load != nil {
+		g.reportLoad(q, placement, *info.Load)
+	}
+}
+
 // reportLoad reports to the dispatcher the load that an upstream declares; of an engine only
 // its pace.
 func (g *Gateway) reportLoad(q *request, placement dispatch.Placement, load Load) {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -156,12 +156,15 @@
 // response to the request with the given ID.
 func checkResponse(response *http.Response, info ResponseInfo, id string) error {
 	switch {
+	// A faulty upstream may write an earlier response again, before that to this request.
+	case info.ID != "" && info.ID != id:
+		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response, status %s, belongs to request %q", response.Status, info.ID)
+	case info.ID == "" && (info.Misdirected || info.NotRun):
+		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the refusal, status %s, has no id", response.Status)
 	case info.Misdirected:
 		return verdict.Fail(verdict.NotRun, verdict.UpstreamLeaving, "another upstream responds at this address")
 	case info.NotRun:
 		return verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "response status %s", response.Status)
-	case info.ID != "" && info.ID != id:
-		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response belongs to request %q", info.ID)
 	case isSuccess(response.StatusCode) && (!info.Signed || info.ID == ""):
 		return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the successful response has no signature or id")
 	case isSuccess(response.StatusCode) && response.Header.Get("Content-Encoding") != "":
