Test: a controller that has stopped before the request

dispatch.TestPlaceEndsWithItsContext/instance_stopped let the controller stop beside the request, so it could still decide (seen once: no_upstream instead of stopping).

--- a/dispatch/controller_test.go
+++ b/dispatch/controller_test.go
@@ -30,6 +30,8 @@
 	notices []decide.NoticeKind
 	leaving []string
 	lists   int
+	// changed are the items of the announced changes of the list.
+	changed []string
 	tables  int
 	// ordersRequested is the number of requests for the orders of other instances.
 	ordersRequested atomic.Int64
@@ -47,10 +49,13 @@
 	a.leaving = append(a.leaving, id)
 }
 
-func (a *recordingAnnouncer) ListChanged([]upstream.Item, history.Position, history.Position) {
+func (a *recordingAnnouncer) ListChanged(items []upstream.Item, _, _ history.Position) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lists++
+	for _, item := range items {
+		a.changed = append(a.changed, item.ID)
+	}
 }
 
 func (a *recordingAnnouncer) OrdersChanged(evacuation.Orders) {}
@@ -124,7 +129,7 @@
 	background := context.Background()
 	for name, test := range map[string]struct {
 		request func() (context.Context, context.CancelFunc)
-		// stops reports whether the controller stops before a decision.
+		// stops reports whether the controller has stopped.
 		stops bool
 		want  verdict.Reason
 	}{
@@ -139,19 +144,15 @@
 		"instance stopped": {func() (context.Context, context.CancelFunc) { return context.WithCancel(background) }, true, verdict.Stopping},
 	} {
 		t.Run(name, func(t *testing.T) {
-			// The controller doesn't run, so it decides nothing.
+			// The controller doesn't run, or only until it has stopped, so it decides nothing.
 			c := dispatch.New("a", log)
 			c.SetAnnouncer(&recordingAnnouncer{})
 			ctx, cancel := test.request()
 			defer cancel()
-			var group sync.WaitGroup
-			defer group.Wait()
 			if test.stops {
-				group.Go(func() {
-					stopped, stop := context.WithCancel(background)
-					stop()
-					_ = c.Run(stopped)
-				})
+				stopped, stop := context.WithCancel(background)
+				stop()
+				assert.NilError(t, c.Run(stopped))
 			}
 			_, err := c.Place(ctx, request(1))
 			assert.Equal(t, verdict.OutcomeOf(err).Reason, test.want, "%v", err)
@@ -160,6 +161,27 @@
 	}
 }
 
+// TestOddEntriesAreNotAnnounced guards against entries of another writer that make all instances
+// fetch the list again: they don't fit into a datagram, and nobody can use them.
+func TestOddEntriesAreNotAnnounced(t *testing.T) {
+	c, announcer := start(t)
+	odd := func(revision uint64) upstream.Item {
+		return upstream.Item{ID: "odd", Revision: revision, Raw: make([]byte, 1<<20)}
+	}
+	update := func(at uint64, complete bool, items ...upstream.Item) history.Position {
+		c.UpdateList(items, history.Position{Revision: at}, complete, upstream.FromList)
+		c.Upstreams() // Waits until the list is applied.
+		return c.Snapshot().ListPosition
+	}
+	listed := update(3, true, odd(1), engine("e1", 2, false))
+	assert.Equal(t, listed, history.Position{Revision: 3})
+	assert.Equal(t, update(5, false, odd(4), odd(5)), listed)
+	assert.Equal(t, update(8, false, odd(6), engine("e2", 7, false), odd(8)).Revision, uint64(7))
+	announcer.mu.Lock()
+	defer announcer.mu.Unlock()
+	assert.DeepEqual(t, announcer.changed, []string{"e1", "e2"})
+}
+
 // TestPlaceAndMove places a request, moves it when its engine leaves, and checks
 // the announcements.
 func TestPlaceAndMove(t *testing.T) {
