Odd items in the store leave the others readable

Operators reported instances that stopped following the list of upstreams because of one odd entry of another writer.

Cause: a response of the store was decoded as one value, so a revision, key or value of another type in one item failed all of them, at each try. Entries had no bound: one of 1 MiB doesn't fit into a datagram, a few don't fit into the response to a member that pulls the list, and a watch of more than 8 MB was asked for again and again.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"mangoloft/decide"
@@ -99,6 +100,9 @@
 
 func (cmd updateListCommand) apply(c *Controller, now time.Time) {
 	before := c.directory.Position()
+	if !cmd.complete {
+		cmd.items = usableItems(cmd.items)
+	}
 	var changes []upstream.Change
 	if cmd.complete {
 		changes = c.directory.Replace(now, cmd.items, cmd.at)
@@ -127,10 +131,16 @@
 		// The complete list of a new era is pulled by the other instances.
 		c.announcer.ListChanged(nil, before, after)
 	default:
-		c.announcer.ListChanged(cmd.items, before, after)
+		c.announcer.ListChanged(usableItems(cmd.items), before, after)
 	}
 }
 
+// usableItems returns the items without those that could not be decoded. They change nothing,
+// and may be too large for the other instances.
+func usableItems(items []upstream.Item) []upstream.Item {
+	return slices.DeleteFunc(slices.Clone(items), func(item upstream.Item) bool { return item.Entry == nil && !item.Deleted })
+}
+
 // newestPosition returns the position of the newest change in the command, or before if
 // it was not applied completely. The store's own revision also grows with unrelated
 // changes, which other instances need not fetch.
