Streams taken up at an instance out of step: ask and read before concluding

Operators reported streams of two software versions: one instance was cut off from the others, or stood still, while engines of a new version joined, and streams that had begun there were taken up at it.

Cause: an instance that had not seen the beginning of a stream took the only version that it knew for the one that began it, before it asked the others and however old its list was. It also recorded beginnings, which others announce, with the version that it knew the engine by.

Change: the other instances are asked first. A version counts as the only one after a read of the list that began after the request, shared by the requests of 0.1 s; if the store can't be read, the stream is refused, not run. The announcement of a beginning names the version (omitted by older builds).

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -419,6 +419,19 @@
 	return nil
 }
 
+// ReadList reads the complete list, whether or not the instance is a reader.
+func (f *Follower) ReadList(ctx context.Context) error {
+	items, at, err := f.readList(ctx, history.Position{}, true)
+	if err != nil {
+		return err
+	}
+	if at, err = f.observeEra("list", at); err != nil {
+		return err
+	}
+	f.Sink.UpdateList(items, at, true, upstream.FromList)
+	return nil
+}
+
 func (f *Follower) readList(ctx context.Context, after history.Position, complete bool) ([]upstream.Item, history.Position, error) {
 	f.calls.Add(1)
 	if complete {
--- a/decide/notice.go
+++ b/decide/notice.go
@@ -55,7 +55,10 @@
 			s.recordPlacement(now, u, n.Request, s.lengthsOf(n.Request), true)
 		}
 	case NoticeProgressed:
-		if u := s.upstreams[n.Upstream]; u != nil {
+		// This instance may not know the upstream yet, or an earlier incarnation of it.
+		if u := s.upstreams[n.Upstream]; n.Version != "" {
+			s.origins.Record(now, n.Began, n.Version)
+		} else if u != nil {
 			s.origins.Record(now, n.Began, u.Version)
 		}
 		s.updateTokens(now, id, n.Tokens, n.Pace)
--- a/decide/progress.go
+++ b/decide/progress.go
@@ -15,7 +15,7 @@
 		// others from then on.
 		n := Notice{Kind: NoticeProgressed, Request: Request{ID: e.ID}, Upstream: s.placed[e.ID], Tokens: e.Tokens, Pace: e.Pace, Deferrable: started}
 		if !started {
-			n.Began = s.recordOrigin(now, e.ID)
+			n.Began, n.Version = s.recordOrigin(now, e.ID)
 		}
 		s.notify(n)
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -285,6 +285,9 @@
 	// Began is the stream that has begun on the upstream, in the first NoticeProgressed;
 	// otherwise zero.
 	Began origin.Key
+	// Version is the version of the upstream's software, if Began is set. Notices of older
+	// builds don't contain it.
+	Version string
 	// Deferrable notices can be sent later, together with others: the recipients only
 	// overestimate the load in the meantime.
 	Deferrable bool
--- a/decide/version.go
+++ b/decide/version.go
@@ -78,18 +78,18 @@
 }
 
 // recordOrigin records the origin of a request whose first tokens have been generated. It
-// returns the key of its stream.
-func (s *Scheduler) recordOrigin(now time.Time, id ident.Request) origin.Key {
+// returns the key of its stream and the version that began it.
+func (s *Scheduler) recordOrigin(now time.Time, id ident.Request) (stream origin.Key, version string) {
 	u := s.upstreams[s.placed[id]]
 	if u == nil {
-		return 0
+		return 0, ""
 	}
 	f := u.find(id)
 	if f == nil {
-		return 0
+		return 0, ""
 	}
 	s.origins.Record(now, f.Stream, u.Version)
-	return f.Stream
+	return f.Stream, u.Version
 }
 
 // retire records that an upstream has left or has changed.
--- a/decide/version_test.go
+++ b/decide/version_test.go
@@ -100,6 +100,26 @@
 	assert.Assert(t, s.StreamOrigin(now, "pool", other, since).Recorded)
 }
 
+// TestOriginComesFromTheNotice guards against the version of an engine as an instance knows it
+// that has not seen the engine join, or start again with another version.
+func TestOriginComesFromTheNotice(t *testing.T) {
+	for name, test := range map[string]struct{ upstream, version, want string }{
+		"engine not known yet":   {"e2", "v2", "v2"},
+		"engine started again":   {"e1", "v2", "v2"},
+		"notice of an old build": {"e1", "", "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, step := versionedEngines(map[string]string{"e1": "v1"})
+			now := time.Date(2027, 1, 31, 9, 30, 10, 0, time.UTC)
+			stream := origin.NewKey("team", "9c41")
+			step(decide.NoticeReceived{Notice: decide.Notice{
+				Kind: decide.NoticeProgressed, Request: decide.Request{ID: ident.Request{Sequence: 77}}, Upstream: test.upstream, Tokens: 4, Began: stream, Version: test.version,
+			}})
+			assert.DeepEqual(t, s.StreamOrigin(now, "pool", stream, now), decide.StreamOrigin{Version: test.want, Known: true, Recorded: true})
+		})
+	}
+}
+
 func TestOriginIsUnknownIfSeveralVersionsCanHaveBegunTheStream(t *testing.T) {
 	s, step := versionedEngines(map[string]string{"e1": "v1", "e2": "v1"})
 	now := time.Date(2027, 1, 31, 9, 30, 0, 0, time.UTC)
--- a/entry/past.go
+++ b/entry/past.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mangoloft/event"
+	"mangoloft/pause"
 	"mangoloft/upstream"
 )
 
@@ -15,6 +16,9 @@
 	// the engines' reports. A caller waits for both.
 	pastTimeout = 500 * time.Millisecond
 	runsTimeout = 300 * time.Millisecond
+	// minListInterval is the time between two reads of the list for streams that callers take
+	// up.
+	minListInterval = 100 * time.Millisecond
 	// runsReuse is the time for which the engines' reports are reused.
 	runsReuse = 300 * time.Millisecond
 	// maxRunEngines is the maximum number of engines that are asked for their runs.
@@ -32,6 +36,12 @@
 	// runs contains the versions of the engines by service and run, as of runsAt.
 	runs   map[string]map[string]string
 	runsAt map[string]time.Time
+
+	listMu sync.Mutex
+	// listReadAt is the time at which the latest read of the list began, and listRead reports
+	// whether it succeeded.
+	listReadAt time.Time
+	listRead   bool
 }
 
 // Extend implements gateway.Past. The history is read once: later it holds less.
@@ -57,6 +67,29 @@
 	return p.complete
 }
 
+// ReadList implements gateway.Past. Requests that wait for one read share the result of the
+// next one.
+func (p *past) ReadList(ctx context.Context, until time.Time) bool {
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	if !p.listReadAt.Before(until) {
+		return p.listRead
+	}
+	if !pause.Sleep(ctx, time.Until(p.listReadAt.Add(minListInterval))) {
+		return false
+	}
+	// Other requests use the result, too.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pastTimeout)
+	defer cancel()
+	p.listReadAt = time.Now()
+	err := p.instance.follower.ReadList(ctx)
+	p.listRead = err == nil
+	if err != nil {
+		p.instance.log.EmitRateLimited(event.PastUnknown, "error", err.Error())
+	}
+	return p.listRead
+}
+
 // FindRun implements gateway.Past.
 func (p *past) FindRun(ctx context.Context, service, run string) (version string, known bool) {
 	p.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,9 @@
 
 // Past finds out what happened before this instance knew the upstreams.
 type Past interface {
+	// ReadList makes the list of upstreams contain all changes until a time in the past. It
+	// reports whether that succeeded.
+	ReadList(ctx context.Context, until time.Time) bool
 	// Extend reads which upstreams served before. It reports whether all are known now.
 	Extend(ctx context.Context) bool
 	// FindRun returns the version of the engine of a service that reports a run.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -395,6 +395,8 @@
 	return p.control.ExtendPast(ctx, nil, time.Now().Add(-time.Minute))
 }
 
+func (emptyPast) ReadList(context.Context, time.Time) bool { return true }
+
 func (emptyPast) FindRun(context.Context, string, string) (string, bool) { return "", false }
 
 // request returns a request for the gateway. The entries of header are added to the
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mangoloft/decide"
 	"mangoloft/event"
 	"mangoloft/origin"
 	"mangoloft/routing"
@@ -84,20 +85,15 @@
 // searchOrigin asks those who may know the origin of a stream, the cheapest first.
 func (s *stream) searchOrigin(ctx context.Context, key origin.Key, since time.Time) (version string, source originSource) {
 	own := s.g.Dispatcher.StreamOrigin(ctx, s.service, key, since)
-	switch {
-	case own.Recorded:
+	if own.Recorded {
 		return own.Version, fromRecord
-	case own.Known:
-		return own.Version, fromOnlyVersion
 	}
 	if version, ok := s.g.Origins.FindOrigin(ctx, key); ok {
 		s.g.Dispatcher.RecordOrigin(key, version)
 		return version, fromPeer
 	}
-	if own.Incomplete && s.g.Past != nil && s.g.Past.Extend(ctx) {
-		if past := s.g.Dispatcher.StreamOrigin(ctx, s.service, key, since); past.Known {
-			return past.Version, fromHistory
-		}
+	if version, source := s.inferOrigin(ctx, own, key, since); source != unknownOrigin {
+		return version, source
 	}
 	if s.g.Past != nil && s.info.Resumes != "" {
 		if version, ok := s.g.Past.FindRun(ctx, s.service, s.info.Resumes); ok {
@@ -106,3 +102,24 @@
 	}
 	return "", unknownOrigin
 }
+
+// inferOrigin returns the only version that can have begun the stream, if there is one. An
+// instance that was cut off or stopped for a while may not know that another version has joined,
+// so the list of upstreams must be newer than the request.
+func (s *stream) inferOrigin(ctx context.Context, own decide.StreamOrigin, key origin.Key, since time.Time) (version string, source originSource) {
+	if !own.Known && !own.Incomplete || s.g.Past == nil || !s.g.Past.ReadList(ctx, s.received) {
+		return "", unknownOrigin
+	}
+	source = fromOnlyVersion
+	if own.Incomplete {
+		if !s.g.Past.Extend(ctx) {
+			return "", unknownOrigin
+		}
+		source = fromHistory
+	}
+	own = s.g.Dispatcher.StreamOrigin(ctx, s.service, key, since)
+	if !own.Known {
+		return "", unknownOrigin
+	}
+	return own.Version, source
+}
--- a/gossip/wire.go
+++ b/gossip/wire.go
@@ -143,6 +143,8 @@
 	PauseMS int64 `json:"pause_ms,omitempty"`
 	// Began is the key of the stream that has begun on the upstream.
 	Began string `json:"began,omitempty"`
+	// Version is the version of the engine's software, with Began.
+	Version string `json:"version,omitempty"`
 }
 
 // leavingWire announces that an upstream is leaving. StartUnixMS is the start
@@ -243,7 +245,7 @@
 		PauseTargetMS: min(maxPause, n.Request.PauseTarget).Milliseconds(), TokenUS: min(maxPause, n.Pace.PerToken).Microseconds(), PauseMS: min(maxPause, n.Pace.LongestPause).Milliseconds(),
 	}
 	if n.Began != 0 {
-		w.Began = n.Began.String()
+		w.Began, w.Version = n.Began.String(), n.Version
 	}
 	if !n.Request.StartBy.IsZero() {
 		w.StartInMS, w.WaitMS = n.Request.StartBy.Sub(now).Milliseconds(), n.Request.Class.WaitTarget.Milliseconds()
@@ -283,6 +285,7 @@
 		if n.Began, err = origin.ParseKey(w.Began); err != nil {
 			return decide.Notice{}, err
 		}
+		n.Version = w.Version
 	}
 	return n, nil
 }
