Streams with a gap end at once

Cause: the event after a gap ends the attempt, which waits for its reader; the reader waits for room in its buffer of 16 events, and only the attempt's end cancels it.

Change: the reader is cancelled before it is waited for. gateway.TestStreams- WithAGapEndAtOnce: ended after 10 s, the deadline, before; at once now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -896,6 +897,48 @@
 	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
 }
 
+// TestHalfClosedConnections guards against an empty 200 for a caller that closes its half of the
+// connection while its request runs: it looks like one that has disconnected.
+func TestHalfClosedConnections(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/long/x"} {
+		t.Run(path, func(t *testing.T) {
+			b := startBackend(t, "b0", hang)
+			g := startGateway(t, &fakeEngines{}, b)
+			conn, err := net.Dial("tcp4", strings.TrimPrefix(g.url, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Id: a1\r\nX-Key: %s\r\nContent-Length: 0\r\n\r\n", path, key)
+			assert.NilError(t, err)
+			for b.runCount() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			content, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, string(content), "")
+		})
+	}
+}
+
+// TestStreamsWithAGapEndAtOnce guards against a stream that hangs until its deadline, because an
+// event with a gap before it ends the attempt while many more wait to be read.
+func TestStreamsWithAGapEndAtOnce(t *testing.T) {
+	gap := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		b.recordRun(r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("X-Signed", b.name)
+		for _, id := range append([]int{0}, slices.Repeat([]int{5}, 100)...) {
+			fmt.Fprintf(w, "id: %d\ndata: a1\n\n", id)
+		}
+	}
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", gap))
+	startedAt := time.Now()
+	_, content, err := g.send(t, "POST", "/long/x", "", map[string]string{"X-Wait": "10s"})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, content, "id: 0\ndata: a1\n\n")
+	assert.Assert(t, time.Since(startedAt) < 5*time.Second, "ended after %v", time.Since(startedAt))
+}
+
 // TestStreamsWithoutEventsKeepTheirHeader guards against an empty 200 of the gateway's own in
 // place of a complete stream that has no event for the caller.
 func TestStreamsWithoutEventsKeepTheirHeader(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -234,10 +234,13 @@
 // response ends. It starts a move if the upstream starts to leave before that.
 func (s *stream) relayEvents(ctx context.Context, response *http.Response) error {
 	results := make(chan readResult, maxBufferedEvents)
+	readCtx, stopReading := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer response.Body.Close()
-	group.Go(func() { readEvents(ctx, response.Body, results) })
+	// The reader may wait for room in results.
+	defer stopReading()
+	group.Go(func() { readEvents(readCtx, response.Body, results) })
 	stall := s.newStallTimer()
 	defer stall.ticker.Stop()
 	for {
