Log entries of the list that can't be used

Cause: an entry that could not be decoded was left out without a trace, so nobody could find the writer of an odd entry.

The tests of dispatch, event and docs pass.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"mangoloft/decide"
@@ -100,6 +101,11 @@
 
 func (cmd updateListCommand) apply(c *Controller, now time.Time) {
 	before := c.directory.Position()
+	for _, item := range cmd.items {
+		if item.Err != nil {
+			c.log.EmitRateLimited(event.EntryRefused, "entry", item.ID, "bytes", len(item.Raw), "revision", item.Revision, "error", shortError(item.Err))
+		}
+	}
 	if !cmd.complete {
 		cmd.items = usableItems(cmd.items)
 	}
@@ -135,6 +141,15 @@
 	}
 }
 
+// maxErrorBytes is the maximum length of a decoding error in the log, which may quote the
+// entry.
+const maxErrorBytes = 200
+
+func shortError(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], "")
+}
+
 // usableItems returns the items without those that could not be decoded. They change nothing,
 // and may be too large for the other instances.
 func usableItems(items []upstream.Item) []upstream.Item {
--- a/event/event.go
+++ b/event/event.go
@@ -84,6 +84,7 @@
 	PoolUneven            ID = 426
 	PastRead              ID = 430
 	PastUnknown           ID = 431
+	EntryRefused          ID = 432
 	UpstreamCold          ID = 423
 	UpstreamWarm          ID = 424
 	ColdValueRefused      ID = 425
@@ -170,6 +171,7 @@
 	StreamTakenUp:         "stream_taken_up",
 	PastRead:              "past_read",
 	PastUnknown:           "past_unknown",
+	EntryRefused:          "entry_refused",
 	PeerJoined:            "peer_joined",
 	PeerLost:              "peer_lost",
 	DatagramDropped:       "datagram_dropped",
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -58,7 +58,11 @@
 	if !ok {
 		return q.deadline
 	}
-	return earlier(q.deadline, time.Now().Add(max(minBeforeStop, timesBeforeStop*duration)))
+	until := time.Now().Add(max(minBeforeStop, timesBeforeStop*duration))
+	if until.After(q.deadline) {
+		return q.deadline
+	}
+	return until
 }
 
 // timeOnTarget returns the longest time that the request takes if it meets the targets of its
@@ -81,10 +85,3 @@
 	}
 	return q.route.Target + time.Duration(max(0, events-1))*eventTime, true
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -69,8 +69,9 @@
 	Revision uint64
 	// Deleted items are no longer in the list.
 	Deleted bool
-	// Entry is nil for an item that could not be decoded.
+	// Entry is nil for an item that could not be decoded, for the reason in Err.
 	Entry *Entry
+	Err   error
 	// Raw is the encoded entry, which is forwarded to peers.
 	Raw []byte
 }
