--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"syscall"
@@ -49,6 +51,15 @@
 // serverIDs are the ids of the model servers (e) and plain servers (p).
 var serverIDs = []string{"e0", "e1", "e2", "e3", "e4", "p0", "p1", "p2"}
 
+// oddEntries are entries of another writer.
+var oddEntries = [][]byte{
+	[]byte("{"), []byte(`{"service":"llm"}`), []byte(`[]`), []byte("\xff\xfe"), bytes.Repeat([]byte("x"), 1<<20), bytes.Repeat([]byte("["), 100_000),
+	[]byte(`{"service":"llm","address":"127.0.0.1:99999","zone":"a","state":"ready"}`),
+	[]byte(`{"service":"llm","address":"127.0.0.1:0","zone":"a","state":"ready"}`),
+	[]byte(`{"service":"llm","address":"127.0.0.1:80","zone":"a","state":"ready","slots":1e400}`),
+	[]byte(`{"service":"llm","address":"127.0.0.1:80","zone":"a","state":"ready","slots":-1,"born":-1}`),
+}
+
 var faults = []fault{
 	{"kill", func(env *environment, ctx context.Context, r *rand.Rand) error {
 		return env.restart(ctx, env.randomInstance(r), syscall.SIGKILL, randomDuration(r, 50*time.Millisecond, time.Second))
@@ -88,7 +99,15 @@
 	{"store forgets", func(env *environment, _ context.Context, _ *rand.Rand) error { env.store.DropHistory(); return nil }},
 	{"store restored", func(env *environment, ctx context.Context, r *rand.Rand) error { return env.restoreStore(ctx, r) }},
 	{"bad entries", func(env *environment, _ context.Context, r *rand.Rand) error {
-		env.store.AddMalformedEntry("odd", []byte([]string{"{", `{"service":"llm"}`, `[]`, "\xff\xfe"}[r.IntN(4)]))
+		env.store.AddMalformedEntry(fmt.Sprintf("odd%d", r.IntN(3)), oddEntries[r.IntN(len(oddEntries))])
+		return nil
+	}},
+	{"repeated refusals", func(env *environment, ctx context.Context, r *rand.Rand) error {
+		if server := env.randomServer(r, false); server != nil {
+			server.SetRepeatShare(0.3)
+			pause.Sleep(ctx, randomDuration(r, time.Second, 3*time.Second))
+			server.SetRepeatShare(0)
+		}
 		return nil
 	}},
 	{"server cut", func(env *environment, ctx context.Context, r *rand.Rand) error {
