OPTIONS * is answered by the gateway

Cause: net/http answers OPTIONS * with an empty 200 before the handler sees it, so a caller got a success that no upstream gave.

Change: the general handler is off; no route matches, so the answer is 404. entry.TestOptionsOfTheServer: 200 before, 404 now.

--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -358,3 +359,19 @@
 	dropped := regexp.MustCompile(`(?m)^mangoloft_log_lines_dropped\S* ([0-9.e+]+)$`).FindStringSubmatch(body)
 	assert.Assert(t, dropped != nil && dropped[1] != "0", "dropped log lines: got %v, want more than 0 in %s", dropped, body)
 }
+
+// TestOptionsOfTheServer guards against an empty 200 of the HTTP server's own for OPTIONS *, which
+// concerns no route.
+func TestOptionsOfTheServer(t *testing.T) {
+	p := startInstance(t, &fakeStore{version: 2}, echoID)
+	p.waitFor(t, "the instance to be ready", func() bool { return p.ready(t) })
+	conn, err := net.Dial("tcp4", p.settings.Listen.Callers.String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: h.example\r\nX-Id: a1\r\nConnection: close\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -86,7 +86,7 @@
 	idle := &idleConns{since: map[net.Conn]time.Time{}}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.track,
-		ErrorLog: discardLog(),
+		ErrorLog: discardLog(), DisableGeneralOptionsHandler: true,
 	}
 	return &callerServer{server, &drainingListener{TCPListener: listener}, idle, limit}, nil
 }
