--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -15,11 +15,7 @@
 // TestStreamsTakenUpAfterAllInstancesDied guards against texts of two software versions:
 // instances that have just started know neither a stream nor the engines that have left.
 func TestStreamsTakenUpAfterAllInstancesDied(t *testing.T) {
-	const (
-		streams, engines = 24, 3
-		// eventsRead is the number of events after which the callers lose their streams.
-		eventsRead = 5
-	)
+	const streams, engines = 24, 3
 	tests := map[string]struct {
 		// before and after are the versions in service before and after all instances died.
 		before, after []string
@@ -40,23 +36,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			died := &versionFleet{fleet: startFleet(t, 1), engines: map[string][]*standin.Server{}}
-			route := standin.Route{Name: "one", Kind: "streaming", Service: model, MaxAttempts: 1, Resumable: true, Timeout: 6 * time.Second, Target: 1500 * time.Millisecond}
-			assert.NilError(t, died.store.Publish(standin.Configuration{
-				Version: 2, Host: host, ModelService: model, PlainService: plain, Slots: 20, KVCacheTokens: 40_000, Team: "team", Key: credential, Routes: []standin.Route{route},
-			}))
+			died.publishResumable(t)
 			for _, version := range test.before {
 				for range engines {
 					died.addVersion(t, version)
 				}
 			}
 			died.waitForEngine(t)
-
-			var readers sync.WaitGroup
-			broken := make([]brokenStream, streams)
-			for n := range broken {
-				readers.Go(func() { broken[n] = died.readSome(t, eventsRead) })
-			}
-			readers.Wait()
+			broken := died.loseStreams(t, streams)
 			for _, version := range test.before {
 				if test.leaves || !contains(test.after, version) {
 					died.replaceAll(t, version, replacement(test.after, version), test.leaves)
@@ -69,22 +56,7 @@
 			restarted := &versionFleet{fleet: startFleetWith(t, fleetOptions{instances: 2, dataCentres: 1, sharing: died.fleet}), engines: map[string][]*standin.Server{}}
 			restarted.sent.Store(1 << 20)
 			restarted.waitForEngine(t)
-			var takenUp, mixed atomic.Int64
-			for n, stream := range broken {
-				readers.Go(func() {
-					again := standin.CallerRequest{ID: fmt.Sprintf("%x", restarted.sent.Add(1)), Key: credential, Timeout: 6 * time.Second, PromptTokens: 100, OutputTokens: 4 * versionEvents, Resumes: stream.id, LastEventID: stream.last}
-					if _, began, _ := restarted.read(t, n%2, again, "one", stream.versions); began {
-						takenUp.Add(1)
-					}
-					if len(stream.versions) > 1 {
-						mixed.Add(1)
-					}
-				})
-			}
-			readers.Wait()
-			t.Logf("%d of %d went on, %d of two versions", takenUp.Load(), streams, mixed.Load())
-			assert.Equal(t, mixed.Load(), int64(0))
-			assert.Check(t, float64(takenUp.Load()) >= test.goOn*streams, "%d of %d went on", takenUp.Load(), streams)
+			restarted.takeUp(t, broken, test.goOn)
 		})
 	}
 }
@@ -105,6 +77,56 @@
 	return false
 }
 
+const (
+	// streamTimeout is the time that callers give a stream.
+	streamTimeout = 6 * time.Second
+	// eventsRead is the number of events after which callers lose their streams.
+	eventsRead = 5
+)
+
+// publishResumable publishes a table with a route of resumable streams.
+func (f *versionFleet) publishResumable(t *testing.T) {
+	t.Helper()
+	route := standin.Route{Name: "one", Kind: "streaming", Service: model, MaxAttempts: 1, Resumable: true, Timeout: streamTimeout, Target: 1500 * time.Millisecond}
+	assert.NilError(t, f.store.Publish(standin.Configuration{
+		Version: 2, Host: host, ModelService: model, PlainService: plain, Slots: 20, KVCacheTokens: 40_000, Team: "team", Key: credential, Routes: []standin.Route{route},
+	}))
+}
+
+// loseStreams begins streams, whose callers lose them.
+func (f *versionFleet) loseStreams(t *testing.T, count int) []brokenStream {
+	var readers sync.WaitGroup
+	broken := make([]brokenStream, count)
+	for n := range broken {
+		readers.Go(func() { broken[n] = f.readSome(t, eventsRead) })
+	}
+	readers.Wait()
+	return broken
+}
+
+// takeUp takes the streams up. None may hold events of two versions, and the given share must go
+// on.
+func (f *versionFleet) takeUp(t *testing.T, broken []brokenStream, minShare float64) {
+	t.Helper()
+	var readers sync.WaitGroup
+	var takenUp, mixed atomic.Int64
+	for n, stream := range broken {
+		readers.Go(func() {
+			again := standin.CallerRequest{ID: fmt.Sprintf("%x", f.sent.Add(1)), Key: credential, Timeout: streamTimeout, PromptTokens: 100, OutputTokens: 4 * versionEvents, Resumes: stream.id, LastEventID: stream.last}
+			if _, began, _ := f.read(t, n%len(f.callers), again, "one", stream.versions); began {
+				takenUp.Add(1)
+			}
+			if len(stream.versions) > 1 {
+				mixed.Add(1)
+			}
+		})
+	}
+	readers.Wait()
+	t.Logf("%d of %d went on, %d of two versions", takenUp.Load(), len(broken), mixed.Load())
+	assert.Equal(t, mixed.Load(), int64(0))
+	assert.Check(t, float64(takenUp.Load()) >= minShare*float64(len(broken)), "%d of %d went on", takenUp.Load(), len(broken))
+}
+
 // replacement returns the version by which another one is replaced.
 func replacement(after []string, version string) string {
 	if contains(after, version) {
@@ -116,7 +138,7 @@
 // readSome reads a stream until an event, and loses it.
 func (f *versionFleet) readSome(t *testing.T, lastWanted int) brokenStream {
 	s := brokenStream{id: fmt.Sprintf("%x", f.sent.Add(1)), versions: map[string]bool{}}
-	r := standin.CallerRequest{ID: s.id, Key: credential, Timeout: 6 * time.Second, PromptTokens: 100, OutputTokens: 4 * versionEvents, LastEventID: -1}
+	r := standin.CallerRequest{ID: s.id, Key: credential, Timeout: streamTimeout, PromptTokens: 100, OutputTokens: 4 * versionEvents, LastEventID: -1}
 	var began bool
 	s.last, began, _ = f.readUntil(t, lastWanted, 0, r, "one", s.versions)
 	assert.Check(t, began)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 	FindOrigin(ctx context.Context, stream origin.Key) (version string, known bool)
 }
 
-// Past finds out what happened before this instance knew the upstreams.
+// Past finds out what has happened to the upstreams that this instance may not have seen.
 type Past interface {
 	// ReadList makes the list of upstreams contain all changes until a time in the past. It
 	// reports whether that succeeded.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -131,15 +131,15 @@
 	}
 	responseInfo := g.Protocol.ParseResponse(response.StatusCode, response.Header, time.Now())
 	if responseInfo.ID == q.info.ID {
-		g.reportIdentity(q, placement, responseInfo)
+		g.reportResponder(q, placement, responseInfo)
 	}
 	g.reportDeclarations(q, placement, responseInfo)
 	return checkResponse(response, responseInfo, q.info.ID)
 }
 
-// reportIdentity reports to the dispatcher that another upstream has responded, or the load of
+// reportResponder reports to the dispatcher that another upstream has responded, or the load of
 // the intended one.
-func (g *Gateway) reportIdentity(q *request, placement dispatch.Placement, info ResponseInfo) {
+func (g *Gateway) reportResponder(q *request, placement dispatch.Placement, info ResponseInfo) {
 	if info.Misdirected {
 		g.Dispatcher.ReportMisdirected(placement.Name, int64(placement.Incarnation))
 		return
