--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,8 +21,9 @@
 
 // plays are the cases by name. A case returns whether its rule was broken.
 var plays = map[string]func(*rig) (bool, error){
-	"takeover": playTakeover,
-	"memory":   playMemory,
+	"takeover":  playTakeover,
+	"departure": playDeparture,
+	"memory":    playMemory,
 }
 
 func main() {
--- a/review/rig2/takeover.go
+++ b/review/rig2/takeover.go
@@ -21,68 +21,94 @@
 	streamInterval = 700 * time.Millisecond
 )
 
-// playTakeover lets the machines that read the store lose power, and publishes a
-// configuration at once. The others must apply it within config-apply-ms.
-func playTakeover(r *rig) (bool, error) {
-	zones := []string{"zone-a", "zone-b", "zone-c"}
+// zoneNames are the zones of the fleet. Each has two instances, of which the first one reads
+// the store.
+var zoneNames = []string{"zone-a", "zone-b", "zone-c"}
+
+// firstRoutes are the routes of the first configuration.
+var firstRoutes = []route{{"topup", "unsafe", "old"}, {"brief", "streaming", engineService}}
+
+// startFleet starts instances and servers in three zones, and clients of which only streams are
+// sent to the instances that read the store. The returned function stops the clients.
+func (r *rig) startFleet() (c *clients, stop func(), err error) {
 	var seeds []netip.Addr
-	for z := range zones {
+	for z := range zoneNames {
 		seeds = append(seeds, netip.AddrFrom4([4]byte{127, 0, byte(z + 1), 1}))
 	}
-	for z, zone := range zones {
+	for z, zone := range zoneNames {
 		for _, service := range []string{"old", "new"} {
 			if _, err := r.addServer(service+"-"+zone, service, zone); err != nil {
-				return false, err
+				return nil, nil, err
 			}
 		}
 		if _, err := r.addEngine("engine-"+zone, zone); err != nil {
-			return false, err
+			return nil, nil, err
 		}
 		for n := range 2 {
 			if _, err := r.addInstance(fmt.Sprintf("edge-%s-%d", zone, n+1), zone, netip.AddrFrom4([4]byte{127, 0, byte(z + 1), byte(n + 1)}), seeds); err != nil {
-				return false, err
+				return nil, nil, err
 			}
 		}
 	}
-	version := 1
-	if err := r.publish(version, route{"topup", "unsafe", "old"}, route{"brief", "streaming", engineService}); err != nil {
-		return false, err
+	if err := r.publish(1, firstRoutes...); err != nil {
+		return nil, nil, err
 	}
 	if err := r.waitReady(); err != nil {
-		return false, err
+		return nil, nil, err
 	}
 	time.Sleep(settleTime)
-	c := newClients(r)
+	c = newClients(r)
 	done := make(chan struct{})
 	var group sync.WaitGroup
 	for n, i := range r.instances {
-		if n%2 == 1 {
+		if !isReader(n) {
 			group.Go(func() { c.load(i, "topup", callInterval, done, &group) })
 		}
 		group.Go(func() { c.load(i, "brief", streamInterval, done, &group) })
 	}
 	time.Sleep(settleTime)
-	var changes []change
-	for range takeoverRounds {
-		if r.trouble {
-			for n, i := range r.instances {
-				if n%2 == 0 {
-					r.note("%s loses power for %v", i.name, darkTime)
-					i.losePower(darkTime)
-				}
-			}
+	return c, func() {
+		close(done)
+		group.Wait()
+	}, nil
+}
+
+// isReader reports whether the n-th instance is the first one of its zone.
+func isReader(n int) bool { return n%2 == 0 }
+
+// readersLosePower lets the instances that read the store lose power, unless the case is
+// played without its disruption.
+func (r *rig) readersLosePower() {
+	if !r.trouble {
+		return
+	}
+	for n, i := range r.instances {
+		if isReader(n) {
+			r.note("%s loses power for %v", i.name, darkTime)
+			i.losePower(darkTime)
 		}
+	}
+}
+
+// playTakeover lets the machines that read the store lose power, and publishes a
+// configuration at once. The others must apply it within config-apply-ms.
+func playTakeover(r *rig) (bool, error) {
+	c, stop, err := r.startFleet()
+	if err != nil {
+		return false, err
+	}
+	var changes []change
+	for n := range takeoverRounds {
+		r.readersLosePower()
 		time.Sleep(publishDelay)
-		version++
-		service := map[bool]string{true: "new", false: "old"}[version%2 == 0]
-		if err := r.publish(version, route{"topup", "unsafe", service}, route{"brief", "streaming", engineService}); err != nil {
+		service := []string{"new", "old"}[n%2]
+		if err := r.publish(n+2, route{"topup", "unsafe", service}, firstRoutes[1]); err != nil {
 			return false, err
 		}
 		changes = append(changes, change{service, time.Now()})
 		time.Sleep(roundTime)
 	}
-	close(done)
-	group.Wait()
+	stop()
 	return c.judgeChanges(changes), nil
 }
 
