--- a/review/rig2/departure.go
+++ b/review/rig2/departure.go
@@ -10,7 +10,7 @@
 	// server that leaves (drain-ms).
 	drainTime = 2000 * time.Millisecond
 	// leaveDelay is the time from the loss of power to the removal of the server's entry.
-	leaveDelay = 300 * time.Millisecond
+	leaveDelay = 50 * time.Millisecond
 )
 
 // departure is the removal of a server's entry.
