--- a/review/rig2/departure.go
+++ b/review/rig2/departure.go
@@ -27,15 +27,15 @@
 		return false, err
 	}
 	var departures []departure
-	for n := range takeoverRounds {
+	for n := range departureRounds {
 		r.readersLosePower()
 		time.Sleep(leaveDelay)
-		leaving := r.serverOf("old", zoneNames[n])
+		leaving := r.serverOf(deskService, zoneNames[n])
 		r.store.RemoveEntry(leaving.id)
 		departures = append(departures, departure{leaving, time.Now()})
 		r.note("store acknowledged: the entry of %s is removed", leaving.id)
 		time.Sleep(roundTime / 2)
-		if _, err := r.addServer(leaving.id+"-next", "old", leaving.zone); err != nil {
+		if _, err := r.addServer(leaving.id+"-next", deskService, leaving.zone); err != nil {
 			return false, err
 		}
 		time.Sleep(roundTime / 2)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,7 +21,6 @@
 
 // plays are the cases by name. A case returns whether its rule was broken.
 var plays = map[string]func(*rig) (bool, error){
-	"takeover":  playTakeover,
 	"departure": playDeparture,
 	"memory":    playMemory,
 }
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -34,7 +34,7 @@
 	for n, ip := range ips {
 		zone := fmt.Sprintf("zone-%d", n+1)
 		for m := range 2 {
-			if _, err := r.addServer(fmt.Sprintf("desk-%d-%d", n+1, m+1), "desk", zone); err != nil {
+			if _, err := r.addServer(fmt.Sprintf("desk-%d-%d", n+1, m+1), deskService, zone); err != nil {
 				return false, err
 			}
 		}
@@ -42,7 +42,7 @@
 			return false, err
 		}
 	}
-	if err := r.publish(1, route{"topup", "unsafe", "desk"}); err != nil {
+	if err := r.publish(1, route{"topup", "unsafe", deskService}); err != nil {
 		return false, err
 	}
 	if err := r.waitReady(); err != nil {
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -30,7 +30,11 @@
 	at time.Time
 }
 
-const workTime = 15 * time.Millisecond
+const (
+	// deskService is the plain service.
+	deskService = "desk"
+	workTime    = 15 * time.Millisecond
+)
 
 // addServer starts a server and writes its entry.
 func (r *rig) addServer(id, service, zone string) (*server, error) {
