A reset during an upload is not the end of the response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer; a stream ended as if it were complete.

Cause: the kernel reports a reset once per socket. The write of the request and the read of the response wait on the same socket. If the write receives ECONNRESET, the error is gone, and the read sees the end of the data, which is the end of a body without a length or chunks.

Evidence: freshconn.TestEndOfData lets the write receive the error before the first read; without the fix, its cases "reset" and "closed unread" read "data" without an error, every time.

Change: freshconn.Conn keeps the error of the first failed write. A read that reaches the end of the data waits for a write in progress, which it ends with a deadline, and returns its error instead of io.EOF. EPIPE is no evidence of a truncated response, because the kernel reports it for a reset that follows an orderly end; neither is the deadline.

Why it works: a connection ends without an orderly end only by an error, which the kernel reports either to the read or to a write.

--- a/freshconn/conn.go
+++ b/freshconn/conn.go
@@ -1,13 +1,19 @@
-// Package freshconn provides connections that carry one request each and know
-// whether any part of it was sent. A request of which nothing was sent can't have
-// run, so it can be sent again even if it must not run twice.
+// Package freshconn provides connections that carry one request each. They know
+// whether any part of it was sent: a request of which nothing was sent can't have
+// run, so it can be sent again even if it must not run twice. They also distinguish
+// the end of a response from a reset during the request.
 package freshconn
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -28,6 +34,11 @@
 	net.Conn
 	unusedUntil time.Time
 	written     atomic.Bool
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed.
+	writeErr error
 }
 
 // New returns a connection that was opened at the given time.
@@ -43,7 +54,38 @@
 		}
 		c.written.Store(true)
 	}
-	return c.Conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has closed the connection
+// in an orderly way.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		err = c.endError()
+	}
+	return n, err
+}
+
+// endError returns io.EOF, or the error that ended the connection. The operating system
+// reports a reset only once: if a write has received it, reads only see the end of the data.
+func (c *Conn) endError() error {
+	// A write in progress is about to receive the error, or waits for a server that reads no
+	// more. A connection on which no deadline can be set is closed, which ends the write too.
+	_ = c.SetWriteDeadline(time.Now())
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+		// EPIPE means that the reset came after the orderly end.
+		return io.EOF
+	}
+	return c.writeErr
 }
 
 // Dial opens a connection, like net.Dialer.DialContext.
--- a/freshconn/conn_test.go
+++ b/freshconn/conn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,3 +84,59 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !use.Sent())
 }
+
+// TestEndOfData guards against a reset that passes for the end of the data because a write has
+// received its error, and against an orderly end that passes for a reset.
+func TestEndOfData(t *testing.T) {
+	const (
+		content = "data"
+		// upload is more than the buffers of a connection hold.
+		upload = 64 << 20
+	)
+	reset := func(conn *net.TCPConn) {
+		_ = conn.SetLinger(0)
+		conn.Close()
+	}
+	tests := map[string]struct {
+		end func(conn *net.TCPConn)
+		// writeFails reports whether the connection ends by itself while the upload is written.
+		writeFails, complete bool
+	}{
+		"reset":              {end: reset, writeFails: true},
+		"closed unread":      {end: func(conn *net.TCPConn) { conn.Close() }, writeFails: true},
+		"closed for writing": {end: func(conn *net.TCPConn) { _ = conn.CloseWrite() }, complete: true},
+		"orderly end, reset": {end: func(conn *net.TCPConn) { _ = conn.CloseWrite(); reset(conn) }, writeFails: true, complete: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			conn, err := freshconn.DialContext((&net.Dialer{}).DialContext)(t.Context(), "tcp4", listener.Addr().String())
+			assert.NilError(t, err)
+			accepted, err := listener.Accept()
+			assert.NilError(t, err)
+			defer accepted.Close()
+			var group sync.WaitGroup
+			defer group.Wait()
+			defer conn.Close()
+			written := make(chan error, 1)
+			group.Go(func() {
+				_, err := conn.Write(make([]byte, upload))
+				written <- err
+			})
+			_, err = io.ReadFull(accepted, make([]byte, 1<<10))
+			assert.NilError(t, err)
+			_, err = io.WriteString(accepted, content)
+			assert.NilError(t, err)
+			test.end(accepted.(*net.TCPConn))
+			if test.writeFails {
+				// The write receives the error before the first read.
+				assert.Assert(t, <-written != nil)
+			}
+			read, err := io.ReadAll(conn)
+			assert.Equal(t, string(read), content)
+			assert.Equal(t, err == nil, test.complete, "%v", err)
+		})
+	}
+}
