A response without a valid status is no answer

What callers saw: an upstream in trouble answered with status 000, 042 or 099, and the caller's connection was closed without an answer. With 600 or 999 the status, body and signature reached the caller. The upstream was not set aside.

Cause: net/http accepts any three characters that strconv.Atoi takes for a number that is not negative, and any protocol version. The gateway took such a response for the upstream's, and http.ResponseWriter.WriteHeader panics below 100. In our own interface, engine.Client.Cancel took 000 for "the generation has ended". The class: a response counts as valid because net/http has returned it.

Versions other than HTTP/1 and statuses outside 200 to 599 (RFC 9110, section 15) are errors, like a head that net/http refuses itself. So the request may have run, the failure counts against the upstream, and attempt_ended names the status.

Heads with a control byte in a name, without a colon or a name, or with a status of two digits were refused before; their cases stay as tests.

--- a/engine/client.go
+++ b/engine/client.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"mangoloft/http1"
 	"mangoloft/relay"
 	"mangoloft/settings"
 	"mangoloft/verdict"
@@ -47,7 +48,7 @@
 // data.
 func NewClient(s settings.Settings) *Client {
 	dialer := s.Dialer(dialTimeout)
-	return &Client{&http.Client{Transport: &http.Transport{
+	return &Client{&http.Client{Transport: http1.Transport{Base: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -56,7 +57,7 @@
 			return &timeoutConn{conn}, nil
 		},
 		MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
+	}}}}
 }
 
 // timeoutConn fails reads that block for longer than readTimeout. This also closes
--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"mangoloft/routing"
 )
@@ -102,3 +104,93 @@
 		})
 	}
 }
+
+// waitFor waits until the log contains a text the given number of times.
+func (b *logBuffer) waitFor(t *testing.T, text string, times int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := b.count(text); n != times {
+			return poll.Continue("%q is %d times in the log", text, n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestMalformedHeadsAreNoResponse guards against responses whose heads are not valid HTTP: they
+// reach the caller neither as an answer nor as a closed connection, and count against the
+// upstream.
+func TestMalformedHeadsAreNoResponse(t *testing.T) {
+	const length = "Content-Length: 2\r\n\r\nab"
+	status := func(line string) string {
+		return line + "\r\nX-Id: ID\r\nX-Signed: s\r\n" + length
+	}
+	heads := map[string]string{
+		"status 000":                status("HTTP/1.1 000 no"),
+		"status 042":                status("HTTP/1.1 042 no"),
+		"status 099":                status("HTTP/1.1 099 no"),
+		"status +20":                status("HTTP/1.1 +20 no"),
+		"status 101":                status("HTTP/1.1 101 Switching Protocols"),
+		"status 600":                status("HTTP/1.1 600 no"),
+		"status 999":                status("HTTP/1.1 999 no"),
+		"status of two digits":      status("HTTP/1.1 20 no"),
+		"another version":           status("HTTP/2.0 200 OK"),
+		"tab in a name":             success + "X\ty: z\r\n" + length,
+		"control byte in a name":    success + "X\x01y: z\r\n" + length,
+		"carriage return in a name": success + "X\ry: z\r\n" + length,
+		"NUL in a name":             success + "X\x00y: z\r\n" + length,
+		"DEL in a name":             success + "X\x7fy: z\r\n" + length,
+		"byte over 127 in a name":   success + "X\x80y: z\r\n" + length,
+		"no name":                   success + ": z\r\n" + length,
+		"no colon":                  success + "xyz\r\n" + length,
+		"failure, status 000":       "HTTP/1.1 000 no\r\n\r\n",
+	}
+	for name, head := range heads {
+		for path, runs := range map[string]int{"/unsafe/x": 1, "/safe/x": 2, "/long/x": 1, "/resumable/x": 2} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				content := head
+				if strings.HasPrefix(path, "/long") || strings.HasPrefix(path, "/res") {
+					content = strings.Replace(content, success, success+eventsHeader, 1)
+				}
+				var backends []*backend
+				for i := range runs {
+					backends = append(backends, startBackend(t, fmt.Sprint("b", i), respondRaw(content)))
+				}
+				g := startGateway(t, &fakeEngines{}, backends...)
+				response, err := http.DefaultClient.Do(g.request(t, "POST", path, "", nil))
+				assert.NilError(t, err)
+				defer response.Body.Close()
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+				assert.Equal(t, response.Header.Get("X-Signed"), "")
+				ran := 0
+				for _, b := range backends {
+					ran += b.runCount()
+				}
+				assert.Equal(t, ran, runs)
+				g.logs.waitFor(t, `"reason":"upstream_lost"`, runs+1)
+			})
+		}
+	}
+}
+
+// TestDetoursOverBrokenResponses guards against a broken response of an upstream that reaches
+// the caller through another instance.
+func TestDetoursOverBrokenResponses(t *testing.T) {
+	for name, content := range map[string]string{
+		"status 000": "HTTP/1.1 000 no\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nab",
+		"status 600": "HTTP/1.1 600 no\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			member := startRawBackend(t, "member", func(conn *net.TCPConn, id string) {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(content, "ID", id))
+			})
+			x, _ := restartingBackend(t, "x", respondOK)
+			y, _ := restartingBackend(t, "y", respondOK)
+			g := startMember(t, &fakeEngines{}, members{member.addr}, x, y)
+			response, body, err := g.send(t, "POST", "/patient-unsafe/x", "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway, body)
+			assert.Equal(t, member.runCount(), 1)
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,7 +121,7 @@
 // Gateway is the http.Handler that serves callers.
 type Gateway struct {
 	Options
-	transport *http.Transport
+	transport http.RoundTripper
 	// sequence is the sequence number of the last request ID.
 	sequence atomic.Uint64
 	// bodyBytes is the total size of the buffered bodies.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -14,6 +14,7 @@
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/freshconn"
+	"mangoloft/http1"
 	"mangoloft/verdict"
 )
 
@@ -42,16 +43,16 @@
 // pooled connection may deliver a stale response or may have been dropped
 // silently, and a request lost on it can't be distinguished from a request that
 // ran.
-func newTransport(dial freshconn.Dial) *http.Transport {
+func newTransport(dial freshconn.Dial) http.RoundTripper {
 	dialInTime := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		return dial(ctx, network, addr)
 	}
-	return &http.Transport{
+	return http1.Transport{Base: &http.Transport{
 		DialContext: freshconn.DialContext(dialInTime), DisableKeepAlives: true, DisableCompression: true,
 		ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // NewDialer returns the dialer for connections to upstreams.
--- a/gossip/state.go
+++ b/gossip/state.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/history"
+	"mangoloft/http1"
 	"mangoloft/routing"
 	"mangoloft/upstream"
 )
@@ -26,7 +27,7 @@
 	maxStateHeaderBytes = 64 << 10
 )
 
-var stateClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStateHeaderBytes}}
+var stateClient = &http.Client{Transport: http1.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStateHeaderBytes}}}
 
 // Handler serves the routing table and the list to members that have older
 // ones.
--- /dev/null
+++ b/http1/transport_test.go
@@ -0,0 +1,79 @@
+package http1_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"mangoloft/http1"
+)
+
+// startServer starts a server that answers each request with the same bytes, and returns its
+// URL.
+func startServer(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	t.Cleanup(func() { listener.Close(); group.Wait() })
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, answer)
+			}
+			conn.Close()
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// TestResponses guards against responses that are not valid HTTP/1.1 and pass for an answer, and
+// against refusing valid ones.
+func TestResponses(t *testing.T) {
+	const body = "Content-Length: 2\r\n\r\nab"
+	tests := map[string]struct {
+		answer string
+		valid  bool
+	}{
+		"status 200":           {"HTTP/1.1 200 OK\r\n" + body, true},
+		"status 599":           {"HTTP/1.1 599 no\r\n" + body, true},
+		"no reason phrase":     {"HTTP/1.1 200\r\n" + body, true},
+		"HTTP/1.0":             {"HTTP/1.0 200 OK\r\n\r\nab", true},
+		"after an interim one": {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + body, true},
+		"status 000":           {"HTTP/1.1 000 no\r\n" + body, false},
+		"status 099":           {"HTTP/1.1 099 no\r\n" + body, false},
+		"status +20":           {"HTTP/1.1 +20 no\r\n" + body, false},
+		"status 101":           {"HTTP/1.1 101 Switching Protocols\r\n\r\nab", false},
+		"status 600":           {"HTTP/1.1 600 no\r\n" + body, false},
+		"status 999":           {"HTTP/1.1 999 no\r\n" + body, false},
+		"HTTP/2.0":             {"HTTP/2.0 200 OK\r\n" + body, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequest(http.MethodGet, startServer(t, test.answer), nil)
+			assert.NilError(t, err)
+			var content []byte
+			response, err := http1.Transport{Base: &http.Transport{DisableKeepAlives: true}}.RoundTrip(request)
+			if err == nil {
+				defer response.Body.Close()
+				content, err = io.ReadAll(response.Body)
+			}
+			if !test.valid {
+				assert.Assert(t, errorx.IsOfType(err, http1.ErrMalformed), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(content), "ab")
+		})
+	}
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/joomcode/errorx"
 
 	"mangoloft/certs"
+	"mangoloft/http1"
 	"mangoloft/ident"
 )
 
@@ -105,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := (&http.Client{Transport: transport}).Do(request)
+	response, err := (&http.Client{Transport: http1.Transport{Base: transport}}).Do(request)
 	if err != nil {
 		return nil, unreachable.New("no answer from %s, which should be an instance's listen.operators: %v", c.Addr, err)
 	}
--- a/publisher/client.go
+++ b/publisher/client.go
@@ -17,6 +17,7 @@
 	"mangoloft/config"
 	"mangoloft/control"
 	"mangoloft/decide"
+	"mangoloft/http1"
 	"mangoloft/ident"
 	"mangoloft/member"
 	"mangoloft/settings"
@@ -56,7 +57,7 @@
 
 func newClient(s settings.Settings) *client {
 	return &client{
-		http:        &http.Client{Transport: &http.Transport{DialContext: s.Dialer(dialTimeout).DialContext}},
+		http:        &http.Client{Transport: http1.Transport{Base: &http.Transport{DialContext: s.Dialer(dialTimeout).DialContext}}},
 		platform:    s.Platform,
 		readerLimit: rate.NewLimiter(readerReadsPerSecond, readerBurst),
 		otherLimit:  rate.NewLimiter(otherReadsPerSecond, otherBurst),
--- a/service/client.go
+++ b/service/client.go
@@ -14,6 +14,7 @@
 
 	"mangoloft/call"
 	"mangoloft/freshconn"
+	"mangoloft/http1"
 	"mangoloft/kernel"
 	"mangoloft/settings"
 	"mangoloft/verdict"
@@ -56,13 +57,13 @@
 
 func newClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
 	return &Client{&http.Client{
-		Transport: &http.Transport{
+		Transport: http1.Transport{Base: &http.Transport{
 			DialContext:       dial,
 			DisableKeepAlives: true,
 			// Automatic decompression would hide the answer's declared length.
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}},
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
