A line that fills the read buffer does not end its event

What callers could see: an event with a line of exactly 2,048 bytes was forwarded without its last line break. If the engine failed then, the next event, from another engine, was joined to it. An ID in such a line was not found.

Cause: eventReader reads lines in parts of its buffer and looked at the last part only. The part after a line that fills the buffer is the line break alone, which looks like the blank line at the end of an event.

Evidence: two new cases of TestEventReader failed: "line that fills the buffer" gave two events, and "id that fills the buffer" one without an ID.

Change: a line is looked at as a whole, in the event's bytes.

--- a/gateway/sse.go
+++ b/gateway/sse.go
@@ -21,6 +21,8 @@
 const (
 	// maxEventBytes is the maximum size of one event.
 	maxEventBytes = 1 << 20
+	// lineBufferBytes is the size of the buffer from which lines are read.
+	lineBufferBytes = 2 << 10
 	// noID is the ID of an event without a numeric ID.
 	noID = -1
 )
@@ -34,35 +36,37 @@
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(r, 2<<10)}
+	return &eventReader{bufio.NewReaderSize(r, lineBufferBytes)}
 }
 
 // next returns the next event, or io.EOF if the stream ended between two
 // events.
 func (e *eventReader) next() (sseEvent, error) {
 	event := sseEvent{id: noID, isComment: true}
+	lineStart := 0
 	for {
-		line, err := e.lines.ReadSlice('\n')
-		event.raw = append(event.raw, line...)
-		// The rest of a line that exceeds the buffer is read later.
-		if bytes.HasPrefix(line, []byte("data")) {
-			event.isComment = false
-		}
+		part, err := e.lines.ReadSlice('\n')
+		event.raw = append(event.raw, part...)
 		if len(event.raw) > maxEventBytes {
 			return sseEvent{}, errEventTooLong
 		}
 		switch {
 		case err == bufio.ErrBufferFull:
+			// The rest of the line follows.
 			continue
 		case err == io.EOF && len(event.raw) > 0:
 			return sseEvent{}, io.ErrUnexpectedEOF
 		case err != nil:
 			return sseEvent{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(event.raw[lineStart:], "\r\n")
+		lineStart = len(event.raw)
 		if len(line) == 0 {
 			return event, nil
 		}
+		if bytes.HasPrefix(line, []byte("data")) {
+			event.isComment = false
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 				event.id, event.isComment = id, false
--- a/gateway/sse_test.go
+++ b/gateway/sse_test.go
@@ -17,17 +17,19 @@
 		// comments is the number of events without ID and data.
 		comments int
 	}{
-		"events":                    {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int{1, 2}, io.EOF, 0},
-		"CRLF line ends":            {"id: 1\r\ndata: a\r\n\r\n", []int{1}, io.EOF, 0},
-		"field before the id":       {"weight-versions: 3\nid: 7\n\n", []int{7}, io.EOF, 0},
-		"no id":                     {"data: a\n\n", []int{noID}, io.EOF, 0},
-		"truncated line":            {"id: 1\n\nid: 2\ndat", []int{1}, io.ErrUnexpectedEOF, 0},
-		"truncated event":           {"id: 1\n\nid: 2\n", []int{1}, io.ErrUnexpectedEOF, 0},
-		"long line":                 {"id: 1\ndata: " + strings.Repeat("x", 9000) + "\n\n", []int{1}, io.EOF, 0},
-		"event over the size limit": {"id: 1\ndata: " + strings.Repeat("x", maxEventBytes) + "\n\n", nil, errEventTooLong, 0},
-		"comment":                   {": x\n\n: y\n\nid: 1\n\n", []int{noID, noID, 1}, io.EOF, 2},
-		"long line without id":      {"data: " + strings.Repeat("x", 9000) + "\n\n", []int{noID}, io.EOF, 0},
-		"empty stream":              {"", nil, io.EOF, 0},
+		"events":                     {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []int{1, 2}, io.EOF, 0},
+		"CRLF line ends":             {"id: 1\r\ndata: a\r\n\r\n", []int{1}, io.EOF, 0},
+		"field before the id":        {"weight-versions: 3\nid: 7\n\n", []int{7}, io.EOF, 0},
+		"no id":                      {"data: a\n\n", []int{noID}, io.EOF, 0},
+		"truncated line":             {"id: 1\n\nid: 2\ndat", []int{1}, io.ErrUnexpectedEOF, 0},
+		"truncated event":            {"id: 1\n\nid: 2\n", []int{1}, io.ErrUnexpectedEOF, 0},
+		"long line":                  {"id: 1\ndata: " + strings.Repeat("x", 9000) + "\n\n", []int{1}, io.EOF, 0},
+		"event over the size limit":  {"id: 1\ndata: " + strings.Repeat("x", maxEventBytes) + "\n\n", nil, errEventTooLong, 0},
+		"comment":                    {": x\n\n: y\n\nid: 1\n\n", []int{noID, noID, 1}, io.EOF, 2},
+		"long line without id":       {"data: " + strings.Repeat("x", 9000) + "\n\n", []int{noID}, io.EOF, 0},
+		"empty stream":               {"", nil, io.EOF, 0},
+		"line that fills the buffer": {"data: " + strings.Repeat("x", lineBufferBytes-len("data: ")) + "\nid: 1\n\n", []int{1}, io.EOF, 0},
+		"id that fills the buffer":   {"id:" + strings.Repeat(" ", lineBufferBytes-len("id:")) + "7\n\n", []int{7}, io.EOF, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
