Only the next event continues a stream that broke off

What callers saw: a stream had begun and broken off, and the next engine answered with an error. Its text, at times a whole head, stood in the middle of the stream, or the stream ended as if it were complete. So did streams that callers took up.

Cause: a response to a continued stream was relayed like the beginning of one. Events without an ID were forwarded, whatever they held, as the gateway only compared IDs; and any 2xx status with the type of an event stream counted, so a 202, 204 or 205 without a body was a stream that had ended. Errors with a status of their own were held back before.

Refusals, failures, redirects, other content types and text without an end were handled before; their cases stay as tests.

Change: until an event with an ID shows that a response continues the stream, nothing of it is forwarded, and an event that has more than comments and no ID fails the attempt, which counts against the engine. An event stream has status 200. A stream whose events have no IDs isn't continued, because its events can't be told from those of another run.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -180,6 +180,65 @@
 	}
 }
 
+// TestStreamsThatGoOnContainOnlyEvents guards against an error of the next upstream, or its
+// head, in the middle of a stream that broke off, and against an end that looks complete.
+func TestStreamsThatGoOnContainOnlyEvents(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nX-Id: ID\r\nX-Signed: s\r\nContent-Type: text/plain\r\n"
+	next := map[string]string{
+		"failure":                         failure + "Content-Length: 4\r\n\r\nfail",
+		"failure that looks like events":  "HTTP/1.1 500 no\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "\r\nid: 2\ndata: a1\n\n",
+		"refusal":                         "HTTP/1.1 503 Full\r\nX-Id: ID\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"text":                            success + "Content-Length: 4\r\n\r\nfail",
+		"no content":                      "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "\r\n",
+		"reset content":                   "HTTP/1.1 205 Reset\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "Content-Length: 0\r\n\r\n",
+		"accepted":                        "HTTP/1.1 202 Accepted\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "Content-Length: 0\r\n\r\n",
+		"redirect":                        "HTTP/1.1 302 Found\r\nX-Id: ID\r\nX-Signed: s\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
+		"status 000":                      "HTTP/1.1 000 no\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "\r\nid: 2\ndata: a1\n\n",
+		"error as an event":               success + eventsHeader + "\r\nevent: error\ndata: {\"error\":\"overloaded\"}\n\n",
+		"error as an event before others": success + eventsHeader + "\r\ndata: {\"error\":\"overloaded\"}\n\nid: 2\ndata: a1\n\n",
+		"error in place of events":        success + eventsHeader + "\r\n{\"error\":\"overloaded\"}\n\n",
+		"head in place of events":         success + eventsHeader + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfail\n\n",
+		"head before the events":          success + eventsHeader + "\r\nHTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: a1\n\n",
+		"error after comments":            success + eventsHeader + "\r\n: x\n\nretry: 5\n\nevent: error\ndata: fail\n\n",
+		"text without an end":             success + eventsHeader + "\r\nfail",
+	}
+	const begun = "id: 0\ndata: a1\n\nid: 1\ndata: a1\n\n"
+	for name, content := range next {
+		for _, takenUp := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, taken up %v", name, takenUp), func(t *testing.T) {
+				t.Parallel()
+				respond := firstThen(streamEvents(1, false), respondRaw(content))
+				header := map[string]string{}
+				if takenUp {
+					respond, header["X-Last"] = respondRaw(content), "1"
+				}
+				g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", respond), startBackend(t, "b1", respond))
+				response, err := http.DefaultClient.Do(g.request(t, "POST", "/resumable/x", "", header))
+				assert.NilError(t, err)
+				defer response.Body.Close()
+				delivered, err := io.ReadAll(response.Body)
+				if !takenUp {
+					assert.Assert(t, err != nil, "the stream ended as if it were complete: %q", delivered)
+					assert.Equal(t, string(delivered), begun)
+					return
+				}
+				isStream := response.StatusCode == http.StatusOK && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+				assert.Assert(t, !isStream, "%d %q", response.StatusCode, delivered)
+			})
+		}
+	}
+}
+
+// TestStreamsWithoutIDsDoNotGoOn guards against a second run that begins again after events that
+// can't be told from its own.
+func TestStreamsWithoutIDsDoNotGoOn(t *testing.T) {
+	respond := firstThen(respondRaw(success+eventsHeader+"\r\ndata: a1\n\ndata"), streamEvents(1, true))
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", respond), startBackend(t, "b1", respond))
+	_, content, err := g.send(t, "POST", "/resumable/x", "", nil)
+	assert.Assert(t, err != nil, "the stream ended as if it were complete")
+	assert.Equal(t, content, "data: a1\n\n")
+}
+
 // TestDetoursOverBrokenResponses guards against a broken response of an upstream that reaches
 // the caller through another instance.
 func TestDetoursOverBrokenResponses(t *testing.T) {
--- a/gateway/sse.go
+++ b/gateway/sse.go
@@ -16,6 +16,9 @@
 	id int
 	// isComment reports that it has neither an ID nor data, so that readers ignore it.
 	isComment bool
+	// hasContent reports whether it has a line that is neither a comment nor the reconnection
+	// time.
+	hasContent bool
 }
 
 const (
@@ -67,6 +70,9 @@
 		if bytes.HasPrefix(line, []byte("data")) {
 			event.isComment = false
 		}
+		if line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			event.hasContent = true
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if id, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 				event.id, event.isComment = id, false
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -33,6 +33,9 @@
 	// noID if none. If the caller resumes a stream, the initial value comes from
 	// the request.
 	lastEventID int
+	// continues reports that the attempt must continue the stream after lastEventID, and that
+	// no event with an ID has shown yet that it does.
+	continues bool
 	// headerSent reports whether the status and headers were sent to the caller.
 	headerSent bool
 	// tokensPerEvent is the number of tokens in one event.
@@ -149,7 +152,8 @@
 	if verdict.OutcomeOf(err).Verdict == verdict.NotRun && s.delivered == 0 && !s.mayHaveRun {
 		return true
 	}
-	return s.route.Resumable
+	// Events without an ID can't be told from those of another run.
+	return s.route.Resumable && (s.delivered == 0 || s.lastEventID != noID)
 }
 
 // attempt sends the request to the current placement and relays its events.
@@ -157,7 +161,8 @@
 	s.upstream = s.placement.Name
 	attemptInfo := s.attemptInfo(s.placement.Name)
 	attemptInfo.ResumeFrom = resumeFrom
-	if s.lastEventID != noID {
+	s.continues = s.lastEventID != noID
+	if s.continues {
 		attemptInfo.LastEventID = strconv.Itoa(s.lastEventID)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -197,7 +202,7 @@
 
 func isEventStream(response *http.Response) bool {
 	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream" && isSuccess(response.StatusCode)
+	return err == nil && kind == "text/event-stream" && response.StatusCode == http.StatusOK
 }
 
 // readPlainResponse reads a response that is not an event stream, such as an
@@ -314,7 +319,11 @@
 // forward writes the next event in order to the caller, and reports whether the scheduler was
 // told of the run's progress. It skips repeated events; a gap in the event IDs ends the attempt.
 func (s *stream) forward(response *http.Response, e sseEvent, readAt time.Time) (reported bool, err error) {
+	if s.continues && e.id == noID {
+		return false, s.checkBeforeContinuation(e)
+	}
 	if e.id != noID {
+		s.continues = false
 		if s.lastEventID != noID && e.id <= s.lastEventID {
 			return false, nil
 		}
@@ -344,6 +353,15 @@
 	return due, nil
 }
 
+// checkBeforeContinuation checks an event without an ID before the first one that shows that the
+// response continues the stream. Nothing of it is forwarded: it may be an error.
+func (s *stream) checkBeforeContinuation(e sseEvent) error {
+	if !e.hasContent {
+		return nil
+	}
+	return verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response does not continue the stream after event %d", s.lastEventID)
+}
+
 // sendHeader sends the status and headers of the first response that is relayed to the caller.
 func (s *stream) sendHeader(response *http.Response) {
 	if s.headerSent {
