Bodies and events without end stay within the memory

What operators saw: a faulty server sent bytes that were no answer, without end, until the caller closed. The machine that had called it kept them and ran out of memory, and the requests of its other callers ended with it.

Cause: MaxBodyBytes counted the bytes of bodies, not their memory. A buffer that grows by doubling holds the content up to three times, and what it gives up stays until the next garbage collection. Events did not count at all: each stream may buffer 16 of up to 1 MiB. And the first bodies took all of the memory, so that an ordinary response failed while it was full.

Change: package bodies reads bodies in chunks, counts what they hold, and lets one hold at most what is still free, so that n without end leave 1/(n+1) of the memory. A declared length above the limit is refused at once. Events count until they are forwarded, twice while they grow.

Heads without end were cut off before (TestServersThatSendWithoutEndAreCutOff).

--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -23,6 +23,8 @@
 // the connection is closed.
 type endlessServer struct {
 	beginning, filler string
+	// heldAfter is the number of bytes after which it sends nothing more; 0 if there is none.
+	heldAfter int
 
 	mu sync.Mutex
 	// sent are the numbers of bytes that each connection accepted.
@@ -45,6 +47,11 @@
 		if err != nil {
 			break
 		}
+		if s.heldAfter > 0 && sent > s.heldAfter {
+			// Until the caller closes the connection.
+			_, _ = io.Copy(io.Discard, conn)
+			break
+		}
 		content = chunk
 	}
 	s.mu.Lock()
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -9,10 +9,12 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,6 +58,8 @@
 	crashes times
 	// firstIP is the address of the first instance; those of the others follow.
 	firstIP netip.Addr
+	// processes are the processes of the instances, if they have their own.
+	processes []*os.Process
 	fleetOptions
 	// ownProxies are the proxies between each instance and the store, if it has its own.
 	ownProxies []*bench.Proxy
@@ -71,6 +75,9 @@
 	hasOwnProxies bool
 	// regions contains the region of each data centre.
 	regions map[string]string
+	// program is the path of the program that the instances run in processes of their own;
+	// empty if they run in this process.
+	program string
 	// sharing is a fleet whose store and servers this one uses, without knowing its instances.
 	sharing *fleet
 }
@@ -170,6 +177,11 @@
 	assert.NilError(t, err)
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
 	assert.NilError(t, os.WriteFile(path, content, 0o600))
+	if f.program != "" {
+		f.callers = append(f.callers, callers)
+		f.startProcess(t, path)
+		return
+	}
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	assert.NilError(t, err)
 	t.Cleanup(func() { logLastLines(t, n, logs.Name()) })
@@ -186,6 +198,36 @@
 	})
 }
 
+// buildEdge builds the program of an instance and returns its path.
+func buildEdge(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	output, err := exec.Command("go", "build", "-o", bin, "mangoloft/cmd/mangoloft-edge").CombinedOutput()
+	assert.NilError(t, err, string(output))
+	return filepath.Join(bin, "mangoloft-edge")
+}
+
+// startProcess starts the program of an instance with the settings at path, until the test ends.
+func (f *fleet) startProcess(t *testing.T, path string) {
+	t.Helper()
+	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	assert.NilError(t, err)
+	command := exec.Command(f.program, "serve", "--settings", path)
+	command.Stdout, command.Stderr = logs, logs
+	// In the group of a shell that ends, stopped processes get SIGHUP.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	assert.NilError(t, command.Start())
+	n := len(f.processes)
+	f.processes = append(f.processes, command.Process)
+	t.Cleanup(func() {
+		// The process may have ended by itself.
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		logs.Close()
+		logLastLines(t, n, logs.Name())
+	})
+}
+
 // maxLogLines is the maximum number of lines of an instance's log that a failed test shows.
 const maxLogLines = 30
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"mangoloft/bodies"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
@@ -114,7 +115,7 @@
 	Log     *event.Log
 	Metrics *telemetry.Metrics
 	// MaxBodyBytes is the maximum total size of the bodies of requests and responses
-	// that are buffered concurrently.
+	// and the events of streams that are buffered concurrently.
 	MaxBodyBytes int64
 }
 
@@ -124,9 +125,9 @@
 	transport http.RoundTripper
 	// sequence is the sequence number of the last request ID.
 	sequence atomic.Uint64
-	// bodyBytes is the total size of the buffered bodies.
-	bodyBytes atomic.Int64
-	draining  atomic.Bool
+	// memory is the memory for the buffered bodies and events.
+	memory   *bodies.Memory
+	draining atomic.Bool
 	// stopsAt is the time at which the planned stop ends; nil if there is none.
 	stopsAt atomic.Pointer[time.Time]
 	// open is the parent of the contexts of all requests, which interrupt cancels.
@@ -146,7 +147,7 @@
 	if o.Dial == nil {
 		o.Dial = NewDialer().DialContext
 	}
-	g := &Gateway{Options: o, transport: newTransport(o.Dial)}
+	g := &Gateway{Options: o, transport: newTransport(o.Dial), memory: bodies.NewMemory(o.MaxBodyBytes)}
 	g.open, g.interrupt = context.WithCancelCause(context.Background())
 	return g
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"mangoloft/bodies"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/event"
@@ -17,7 +18,7 @@
 type plainResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   bodies.Body
 }
 
 // servePlain sends a request to one upstream after another until one returns a
@@ -254,10 +255,10 @@
 	for name, values := range plain.header {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(plain.body)))
+	header.Set("Content-Length", strconv.FormatInt(plain.body.Len(), 10))
 	w.WriteHeader(plain.status)
 	o := outcomeOf(plain, nil)
-	if _, err := w.Write(plain.body); err != nil {
+	if _, err := plain.body.WriteTo(w); err != nil {
 		o.Reason, o.Detail = verdict.CallerDisconnected, err.Error()
 	}
 	g.logClosed(q, plain.status, o)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"mangoloft/bodies"
 	"mangoloft/config"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
@@ -97,8 +98,8 @@
 	firstEventAt, lastEventAt time.Time
 	// longestPause is the longest time between two consecutive events.
 	longestPause time.Duration
-	// responseBytes is the size of the buffered bodies of responses.
-	responseBytes int64
+	// memory holds the bodies of the request and its responses.
+	memory *bodies.Account
 	// upstream is the name of the upstream that was chosen last.
 	upstream string
 	// fromMember reports whether another instance sent the request, because it is cut off
@@ -140,9 +141,9 @@
 		g.writeRefusal(w, q, http.StatusServiceUnavailable, err)
 		return
 	}
-	size, status, err := g.readBody(w, q, r)
-	defer func() { g.bodyBytes.Add(-size - q.responseBytes) }()
-	if err != nil {
+	q.memory = g.memory.Open()
+	defer q.memory.Close()
+	if status, err := g.readBody(w, q, r); err != nil {
 		g.writeRefusal(w, q, status, err)
 		return
 	}
@@ -200,44 +201,43 @@
 }
 
 // readBody reads the whole body, so that an upstream never waits for a slow
-// caller. It returns the number of bytes counted against MaxBodyBytes.
-func (g *Gateway) readBody(w http.ResponseWriter, q *request, r *http.Request) (int64, int, error) {
+// caller. With an error it returns the HTTP status of the response.
+func (g *Gateway) readBody(w http.ResponseWriter, q *request, r *http.Request) (int, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return 0, 0, nil
+		return 0, nil
 	}
 	limit := q.table.Limits.BodyBytes
 	if r.ContentLength > limit {
-		return 0, http.StatusRequestEntityTooLarge, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
+		return http.StatusRequestEntityTooLarge, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body has %d bytes, the limit is %d", r.ContentLength, limit)
 	}
 	size := max(r.ContentLength, 0)
-	if g.bodyBytes.Add(size) > g.MaxBodyBytes {
-		return size, http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Overloaded, time.Now().Add(defaultRetryAfter), "the memory for the bodies of open requests is full")
+	if !q.memory.Reserve(size) {
+		return http.StatusServiceUnavailable, verdict.FailAt(verdict.NotRun, verdict.Overloaded, time.Now().Add(defaultRetryAfter), "the memory for the bodies of open requests is full")
 	}
 	if err := http.NewResponseController(w).SetReadDeadline(q.deadline); err != nil {
-		return size, http.StatusInternalServerError, verdict.Fail(verdict.NotRun, verdict.Internal, "%v", err)
+		return http.StatusInternalServerError, verdict.Fail(verdict.NotRun, verdict.Internal, "%v", err)
 	}
 	var body bytes.Buffer
 	body.Grow(int(size))
 	n, err := io.Copy(&body, io.LimitReader(r.Body, limit+1))
 	if r.ContentLength < 0 {
-		g.bodyBytes.Add(n)
-		size = n
+		q.memory.Add(n)
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return size, http.StatusRequestTimeout, verdict.Fail(verdict.NotRun, verdict.WaitExpired, "the deadline passed after %d bytes of the body", n)
+		return http.StatusRequestTimeout, verdict.Fail(verdict.NotRun, verdict.WaitExpired, "the deadline passed after %d bytes of the body", n)
 	case err != nil:
-		return size, http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body could not be read: %v", err)
+		return http.StatusBadRequest, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body could not be read: %v", err)
 	case n > limit:
-		return size, http.StatusRequestEntityTooLarge, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body has more than %d bytes", limit)
+		return http.StatusRequestEntityTooLarge, verdict.Fail(verdict.NotRun, verdict.BadRequest, "the body has more than %d bytes", limit)
 	}
 	// The deadline applies only to the body. Afterwards the server reads from
 	// the connection to detect that the caller closes it.
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
-		return size, http.StatusInternalServerError, verdict.Fail(verdict.NotRun, verdict.Internal, "%v", err)
+		return http.StatusInternalServerError, verdict.Fail(verdict.NotRun, verdict.Internal, "%v", err)
 	}
 	q.outgoing.body = body.Bytes()
-	return size, 0, nil
+	return 0, nil
 }
 
 // placementRequest returns the request in the form that the scheduler uses.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -11,6 +11,9 @@
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"mangoloft/bodies"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
 	"mangoloft/freshconn"
@@ -26,9 +29,6 @@
 	// maxResponseBytes is the maximum size of a plain response, which is
 	// buffered completely.
 	maxResponseBytes = 8 << 20
-	// responseChunk is the number of bytes of a response that are read between two checks
-	// of the limits.
-	responseChunk = 32 << 10
 	// maxResponseHeaderBytes is the maximum size of the head of a response. An upstream in
 	// trouble may send one without end.
 	maxResponseHeaderBytes = 64 << 10
@@ -132,25 +132,20 @@
 
 // readResponseBody reads the body of a plain response completely. It counts against
 // MaxBodyBytes until the request ends.
-func (g *Gateway) readResponseBody(q *request, response *http.Response) ([]byte, error) {
-	var body bytes.Buffer
-	for {
-		n, err := io.CopyN(&body, response.Body, responseChunk)
-		q.responseBytes += n
-		total := g.bodyBytes.Add(n)
-		switch {
-		case err == io.EOF:
-			return body.Bytes(), nil
-		case err != nil && response.Request.Context().Err() != nil:
-			return nil, verdict.ContextEnded(response.Request.Context(), verdict.MayHaveRun, "before the response was complete")
-		case err != nil:
-			return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the response is truncated: %v", err)
-		case body.Len() > maxResponseBytes:
-			return nil, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response has more than %d bytes", maxResponseBytes)
-		case total > g.MaxBodyBytes:
-			return nil, verdict.Fail(verdict.MayHaveRun, verdict.Overloaded, "the memory for the bodies of open requests is full")
-		}
+func (g *Gateway) readResponseBody(q *request, response *http.Response) (bodies.Body, error) {
+	body, err := bodies.Read(response.Body, response.ContentLength, maxResponseBytes, q.memory)
+	ctx := response.Request.Context()
+	switch {
+	case err == nil:
+		return body, nil
+	case errorx.IsOfType(err, bodies.ErrTooLong):
+		return nil, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the response has more than %d bytes", maxResponseBytes)
+	case errorx.IsOfType(err, bodies.ErrMemoryFull):
+		return nil, verdict.Fail(verdict.MayHaveRun, verdict.Overloaded, "the memory for the bodies of open requests is full")
+	case ctx.Err() != nil:
+		return nil, verdict.ContextEnded(ctx, verdict.MayHaveRun, "before the response was complete")
 	}
+	return nil, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the response is truncated: %v", err)
 }
 
 // checkResponse returns an error unless the status and headers form a usable
--- a/gateway/sse.go
+++ b/gateway/sse.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/joomcode/errorx"
+
+	"mangoloft/bodies"
 )
 
 // sseEvent is one server-sent event with its original bytes.
@@ -19,11 +21,15 @@
 	// hasContent reports whether it has a line that is neither a comment nor the reconnection
 	// time.
 	hasContent bool
+	// held is the memory in bytes that the event holds.
+	held int64
 }
 
 const (
 	// maxEventBytes is the maximum size of one event.
 	maxEventBytes = 1 << 20
+	// minEventBytes is the size for which an event has room at first.
+	minEventBytes = 128
 	// lineBufferBytes is the size of the buffer from which lines are read.
 	lineBufferBytes = 2 << 10
 	// noID is the ID of an event without a numeric ID.
@@ -36,19 +42,24 @@
 // because an upstream may stop in the middle of one.
 type eventReader struct {
 	lines *bufio.Reader
+	// memory holds the events until they are forwarded.
+	memory *bodies.Account
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(r, lineBufferBytes)}
+func newEventReader(r io.Reader, memory *bodies.Account) *eventReader {
+	return &eventReader{bufio.NewReaderSize(r, lineBufferBytes), memory}
 }
 
 // next returns the next event, or io.EOF if the stream ended between two
-// events.
+// events. The caller must return what the event holds to the memory.
 func (e *eventReader) next() (sseEvent, error) {
 	event := sseEvent{id: noID, isComment: true}
 	lineStart := 0
 	for {
 		part, err := e.lines.ReadSlice('\n')
+		if !e.grow(&event, len(part)) {
+			return sseEvent{}, bodies.ErrMemoryFull.New("the memory for events is full")
+		}
 		event.raw = append(event.raw, part...)
 		if len(event.raw) > maxEventBytes {
 			return sseEvent{}, errEventTooLong
@@ -80,3 +91,21 @@
 		}
 	}
 }
+
+// grow makes room in an event for n more bytes and reports whether the memory has it. While the
+// event is copied, the memory holds it twice.
+func (e *eventReader) grow(event *sseEvent, n int) bool {
+	needed := len(event.raw) + n
+	if needed <= cap(event.raw) {
+		return true
+	}
+	grown := int64(max(needed, 2*cap(event.raw), minEventBytes))
+	if !e.memory.Grow(grown) {
+		return false
+	}
+	raw := make([]byte, len(event.raw), grown)
+	copy(raw, event.raw)
+	e.memory.Shrink(event.held)
+	event.raw, event.held = raw, grown
+	return true
+}
--- a/gateway/sse_test.go
+++ b/gateway/sse_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"mangoloft/bodies"
 )
 
 func TestEventReader(t *testing.T) {
@@ -33,7 +35,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			events := newEventReader(strings.NewReader(test.content))
+			events := newEventReader(strings.NewReader(test.content), bodies.NewMemory(4*maxEventBytes).Open())
 			var ids []int
 			var raw strings.Builder
 			comments := 0
@@ -62,7 +64,7 @@
 	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	f.Add("id: 99999999999999999999\n\n\n\n\r\n")
 	f.Fuzz(func(t *testing.T, content string) {
-		events := newEventReader(strings.NewReader(content))
+		events := newEventReader(strings.NewReader(content), bodies.NewMemory(4*maxEventBytes).Open())
 		read := ""
 		for {
 			event, err := events.next()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"mangoloft/bodies"
 	"mangoloft/dispatch"
 	"mangoloft/event"
 	"mangoloft/upstream"
@@ -245,7 +248,9 @@
 	defer response.Body.Close()
 	// The reader may wait for room in results.
 	defer stopReading()
-	group.Go(func() { readEvents(readCtx, response.Body, results) })
+	memory := s.g.memory.Open()
+	defer memory.Close()
+	group.Go(func() { readEvents(readCtx, newEventReader(response.Body, memory), results) })
 	stall := s.newStallTimer()
 	defer stall.ticker.Stop()
 	for {
@@ -271,10 +276,11 @@
 				return nil
 			}
 			if r.err != nil {
-				return verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the stream failed after event %d: %v", s.lastEventID, r.err)
+				return s.readError(r.err)
 			}
 			delivered := s.delivered
 			due, err := s.forward(response, r.event, r.readAt)
+			memory.Shrink(r.event.held)
 			if err != nil {
 				return err
 			}
@@ -294,10 +300,17 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// readEvents sends the events in body to results until an error, such as io.EOF,
-// which it sends last.
-func readEvents(ctx context.Context, body io.Reader, results chan<- readResult) {
-	events := newEventReader(body)
+// readError returns the error for a stream that could not be read.
+func (s *stream) readError(err error) error {
+	reason := verdict.UpstreamLost
+	if errorx.IsOfType(err, bodies.ErrMemoryFull) {
+		reason = verdict.Overloaded
+	}
+	return verdict.Fail(verdict.MayHaveRun, reason, "the stream failed after event %d: %v", s.lastEventID, err)
+}
+
+// readEvents sends events to results until an error, such as io.EOF, which it sends last.
+func readEvents(ctx context.Context, events *eventReader, results chan<- readResult) {
 	for {
 		event, err := events.next()
 		select {
--- a/service/client.go
+++ b/service/client.go
@@ -6,12 +6,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"mangoloft/bodies"
 	"mangoloft/call"
 	"mangoloft/freshconn"
 	"mangoloft/http1"
@@ -25,8 +27,10 @@
 	dialTimeout = 1 * time.Second
 	// answerTimeout is the timeout for a service's complete answer.
 	answerTimeout = 10 * time.Second
-	// maxAnswerBytes is the maximum size of an answer's body.
+	// maxAnswerBytes is the maximum size of an answer's body, and maxUnreadBytes that of all
+	// answers that are being read.
 	maxAnswerBytes = 8 << 20
+	maxUnreadBytes = 64 << 20
 	// maxResponseHeaderBytes is the maximum size of the head of an answer.
 	maxResponseHeaderBytes = 64 << 10
 	// requestHeader contains the request's id. The service returns it in the
@@ -45,7 +49,8 @@
 
 // Client sends calls to all services. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	memory *bodies.Memory
 }
 
 // NewClient returns a client that opens a new connection for each call. A pooled
@@ -56,7 +61,7 @@
 }
 
 func newClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	return &Client{&http.Client{
+	return &Client{memory: bodies.NewMemory(maxUnreadBytes), http: &http.Client{
 		Transport: http1.Transport{Base: &http.Transport{
 			DialContext:       dial,
 			DisableKeepAlives: true,
@@ -100,12 +105,14 @@
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "%v", err)
 	}
 	defer response.Body.Close()
-	return readAnswer(response, r)
+	memory := c.memory.Open()
+	defer memory.Close()
+	return readAnswer(response, r, memory)
 }
 
 // readAnswer reads the answer to a call. It returns an error unless the answer is
 // complete and belongs to the request.
-func readAnswer(response *http.Response, r call.Request) (call.Answer, error) {
+func readAnswer(response *http.Response, r call.Request, memory *bodies.Account) (call.Answer, error) {
 	if echoed := response.Header.Get(requestHeader); echoed != r.ID.String() {
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer belongs to request %q", echoed)
 	}
@@ -114,13 +121,16 @@
 		// complete.
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer has neither a length nor chunked encoding")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil {
-		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the answer is truncated: %v", err)
-	}
-	if len(body) > maxAnswerBytes {
+	content, err := bodies.Read(response.Body, response.ContentLength, maxAnswerBytes, memory)
+	switch {
+	case errorx.IsOfType(err, bodies.ErrTooLong):
 		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.AnswerMismatch, "the answer has more than %d bytes", maxAnswerBytes)
+	case errorx.IsOfType(err, bodies.ErrMemoryFull):
+		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.Overloaded, "the memory for answers is full")
+	case err != nil:
+		return call.Answer{}, verdict.Fail(verdict.MayHaveRun, verdict.UpstreamLost, "the answer is truncated: %v", err)
 	}
+	body := content.Bytes()
 	var refusal refusalWire
 	if response.StatusCode >= http.StatusBadRequest && json.Unmarshal(body, &refusal) == nil && refusal.NotRun {
 		return call.Answer{}, verdict.Fail(verdict.NotRun, verdict.UpstreamRefused, "response status %s: %s", response.Status, refusal.Error)
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -192,3 +193,48 @@
 	}
 	assert.Equal(t, connections.Load(), int32(3))
 }
+
+// TestEndlessAnswersAreBoundedTogether guards against answers without end that use up the memory
+// of the process, and against failing other calls meanwhile.
+func TestEndlessAnswersAreBoundedTogether(t *testing.T) {
+	const (
+		concurrent = 40
+		// sentBytes is what each endless answer sends before it stalls, 1.9 times the memory
+		// for answers in all.
+		sentBytes = 3 << 20
+	)
+	client := service.NewClient(settings.Settings{Listen: settings.Listen{Peers: netip.MustParseAddrPort("127.0.0.1:1")}})
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server notices that a caller closes its connection only after the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = w.Write(make([]byte, sentBytes))
+		<-r.Context().Done()
+	}))
+	defer endless.Close()
+	sound := serve(t, false, headerOK+"Content-Length: 4\r\n\r\ndone")
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	var refused atomic.Int32
+	for range concurrent {
+		group.Go(func() {
+			r := request
+			r.Deadline = time.Now().Add(time.Minute)
+			_, err := client.Call(ctx, endless.Listener.Addr().(*net.TCPAddr).AddrPort(), r)
+			if verdict.OutcomeOf(err).Reason == verdict.Overloaded {
+				refused.Add(1)
+			}
+		})
+	}
+	for deadline := time.Now().Add(5 * time.Second); refused.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, refused.Load() > 0)
+	r := request
+	r.Deadline = time.Now().Add(time.Minute)
+	answer, err := client.Call(t.Context(), sound.addr, r)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "done")
+}
