--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -75,6 +76,8 @@
 	hasOwnProxies bool
 	// regions contains the region of each data centre.
 	regions map[string]string
+	// graceSeconds is the time of a planned stop; 0 for 1 second.
+	graceSeconds float64
 	// program is the path of the program that the instances run in processes of their own;
 	// empty if they run in this process.
 	program string
@@ -163,7 +166,7 @@
 			"callers": callers, "readiness": bench.NewAddr(ip), "control": bench.NewAddr(ip), "metrics": bench.NewAddr(ip), "peers": netip.AddrPortFrom(ip, gossip),
 		},
 		"seeds": []string{netip.AddrPortFrom(f.firstIP, 1).String()}, "store": map[string]any{"address": proxy.Addr(), "history_seconds": 20},
-		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": 1},
+		"limits": map[string]any{"memory_mb": 120, "descriptors": 2000}, "stop": map[string]any{"grace_seconds": cmp.Or(f.graceSeconds, 1)},
 		"retries": map[string]any{"share": 0.2, "slack": 100, "window_seconds": 10},
 		"cold":    map[string]any{"overage": 1.5, "slack": 5},
 	}
