--- a/bodies/memory.go
+++ b/bodies/memory.go
@@ -1,6 +1,6 @@
 // Package bodies buffers the bodies of messages in a memory that all of them share. One body
-// can hold at most as much as the others leave free, so that a few without end leave room for
-// those of ordinary size, however many there are.
+// can hold at most as much as is then still free: n bodies without end leave 1/(n+1) of the
+// memory to those of ordinary size.
 package bodies
 
 import "sync/atomic"
--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -239,6 +241,41 @@
 	assert.Equal(t, content, "data: a1\n\n")
 }
 
+// TestMemoryOfEventsIsReturned guards against memory that is returned never or twice when a
+// stream ends while events are read or wait to be forwarded.
+func TestMemoryOfEventsIsReturned(t *testing.T) {
+	const (
+		streams = 200
+		// eventBytes makes the events of a few streams fill the memory for bodies.
+		eventBytes = 20 << 10
+		// fits and tooLong are the sizes in KiB of two responses, of which only the first fits
+		// into half of the memory.
+		fits, tooLong = 480, 500
+	)
+	respond := func(b *backend, w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", b.name)
+		if strings.HasPrefix(r.URL.Path, "/unsafe") {
+			size, _ := strconv.Atoi(r.URL.RawQuery)
+			_, _ = w.Write(make([]byte, size<<10))
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, id := range append([]int{0}, slices.Repeat([]int{5}, 100)...) {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", eventBytes))
+		}
+	}
+	g := startGateway(t, &fakeEngines{}, startBackend(t, "b0", respond), startBackend(t, "b1", respond))
+	for range streams {
+		_, _, err := g.send(t, "POST", "/long/x", "", nil)
+		assert.Assert(t, err != nil, "the gap ends the stream")
+	}
+	for size, status := range map[int]int{fits: http.StatusOK, tooLong: http.StatusBadGateway} {
+		response, content, err := g.send(t, "POST", fmt.Sprint("/unsafe/x?", size), "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, status, "%d KiB: %.200s", size, content)
+	}
+}
+
 // TestDetoursOverBrokenResponses guards against a broken response of an upstream that reaches
 // the caller through another instance.
 func TestDetoursOverBrokenResponses(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -243,13 +243,14 @@
 func (s *stream) relayEvents(ctx context.Context, response *http.Response) error {
 	results := make(chan readResult, maxBufferedEvents)
 	readCtx, stopReading := context.WithCancel(ctx)
+	memory := s.g.memory.Open()
+	// The reader takes memory until it ends.
+	defer memory.Close()
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer response.Body.Close()
 	// The reader may wait for room in results.
 	defer stopReading()
-	memory := s.g.memory.Open()
-	defer memory.Close()
 	group.Go(func() { readEvents(readCtx, newEventReader(response.Body, memory), results) })
 	stall := s.newStallTimer()
 	defer stall.ticker.Stop()
