A large body of a request does not count against its response

Cause: a response could hold as much memory as was free, but what it held included the body of its request. With several large uploads in progress, their responses were refused, as 502, though the requests had run.

Evidence: gateway.TestResponseBeforeTheEndOfAnUpload, a response of 2 bytes to an upload that takes most of the memory, got 502. The same made TestResetDuringUploadIsNotTheEndOfTheBody pass for the wrong reason: its uploads now leave room for the response.

Change: the body of the request and the bodies of responses have accounts of their own.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -25,6 +25,8 @@
 	// success is the head of a successful response without its last line.
 	success      = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: s\r\n"
 	eventsHeader = "Content-Type: text/event-stream\r\n"
+	// uploadSize leaves little of the memory for bodies to a response.
+	uploadSize = 1000 << 10
 )
 
 // startRawBackend starts a backend that gets each connection and the request's ID after the
@@ -73,9 +75,8 @@
 	const (
 		// The upstreams reset the connection at different times after the beginning of the
 		// response, between its arrival and the next read of the gateway.
-		attempts   = 120
-		delayStep  = 2 * time.Microsecond
-		uploadSize = 1 << 20
+		attempts  = 120
+		delayStep = 2 * time.Microsecond
 	)
 	tests := map[string]struct{ path, content string }{
 		"call":                    {"/unsafe/x", success + "\r\n" + strings.Repeat("x", 150)},
@@ -107,6 +108,23 @@
 	}
 }
 
+// TestResponseBeforeTheEndOfAnUpload guards against refusing a response without a length that an
+// upstream ends in an orderly way while it reads no more of the request, and against refusing
+// one because its request has a large body.
+func TestResponseBeforeTheEndOfAnUpload(t *testing.T) {
+	b := startRawBackend(t, "b0", func(conn *net.TCPConn, id string) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(success+"\r\nab", "ID", id))
+		_ = conn.CloseWrite()
+		time.Sleep(100 * time.Millisecond)
+	})
+	g := startGateway(t, &fakeEngines{}, b)
+	g.allowLargeBodies(uploadSize)
+	response, content, err := g.send(t, "POST", "/patient-unsafe/x", strings.Repeat("u", uploadSize), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK, content)
+	assert.Equal(t, content, "ab")
+}
+
 // waitFor waits until the log contains a text the given number of times.
 func (b *logBuffer) waitFor(t *testing.T, text string, times int) {
 	t.Helper()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,8 +98,8 @@
 	firstEventAt, lastEventAt time.Time
 	// longestPause is the longest time between two consecutive events.
 	longestPause time.Duration
-	// memory holds the bodies of the request and its responses.
-	memory *bodies.Account
+	// memory holds the body of the request, and responseMemory those of its responses.
+	memory, responseMemory *bodies.Account
 	// upstream is the name of the upstream that was chosen last.
 	upstream string
 	// fromMember reports whether another instance sent the request, because it is cut off
@@ -141,8 +141,9 @@
 		g.writeRefusal(w, q, http.StatusServiceUnavailable, err)
 		return
 	}
-	q.memory = g.memory.Open()
+	q.memory, q.responseMemory = g.memory.Open(), g.memory.Open()
 	defer q.memory.Close()
+	defer q.responseMemory.Close()
 	if status, err := g.readBody(w, q, r); err != nil {
 		g.writeRefusal(w, q, status, err)
 		return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -133,7 +133,7 @@
 // readResponseBody reads the body of a plain response completely. It counts against
 // MaxBodyBytes until the request ends.
 func (g *Gateway) readResponseBody(q *request, response *http.Response) (bodies.Body, error) {
-	body, err := bodies.Read(response.Body, response.ContentLength, maxResponseBytes, q.memory)
+	body, err := bodies.Read(response.Body, response.ContentLength, maxResponseBytes, q.responseMemory)
 	ctx := response.Request.Context()
 	switch {
 	case err == nil:
