Errors for malformed heads are short

Cause: the errors of http1 quoted the whole status line or name, up to 64 KiB of an upstream's bytes, and stand in the log and in the body of our 502.

Evidence: two new cases of TestResponses, a long reason phrase and a long name, failed: more than 200 bytes. Now the code of the status and 40 bytes of the name.

--- a/http1/transport.go
+++ b/http1/transport.go
@@ -53,17 +53,20 @@
 	case response.ProtoMajor != 1:
 		return ErrMalformed.New("the response has protocol version %q", response.Proto)
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
-		return ErrMalformed.New("the response has status %q", response.Status)
+		return ErrMalformed.New("the response has status %03d", response.StatusCode)
 	}
 	return nil
 }
 
+// maxNameBytes is the number of bytes of an invalid name that an error contains.
+const maxNameBytes = 40
+
 // checkNames returns an error unless the names of all fields are valid. net/http accepts blanks
 // in them, but does not recognise "Content-Length :" as the length of the body.
 func checkNames(fields http.Header) error {
 	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return ErrMalformed.New("the response has a field named %q", name)
+			return ErrMalformed.New("the response has a field named %.*q", maxNameBytes, name)
 		}
 	}
 	return nil
--- a/http1/transport_test.go
+++ b/http1/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -41,7 +42,11 @@
 // TestResponses guards against responses that are not valid HTTP/1.1 and pass for an answer, and
 // against refusing valid ones.
 func TestResponses(t *testing.T) {
-	const body = "Content-Length: 2\r\n\r\nab"
+	const (
+		body = "Content-Length: 2\r\n\r\nab"
+		// maxErrorBytes is the maximum length of an error, which is logged.
+		maxErrorBytes = 200
+	)
 	tests := map[string]struct {
 		answer string
 		valid  bool
@@ -57,12 +62,14 @@
 		"status 101":           {"HTTP/1.1 101 Switching Protocols\r\n\r\nab", false},
 		"status 600":           {"HTTP/1.1 600 no\r\n" + body, false},
 		"status 999":           {"HTTP/1.1 999 no\r\n" + body, false},
+		"status 000, long":     {"HTTP/1.1 000 " + strings.Repeat("x", 10*maxErrorBytes) + "\r\n" + body, false},
 		"HTTP/2.0":             {"HTTP/2.0 200 OK\r\n" + body, false},
 
 		"empty value":                 {"HTTP/1.1 200 OK\r\nX:\r\n" + body, true},
 		"any sign of a name":          {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09az: x\r\n" + body, true},
 		"trailer":                     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n", true},
 		"blank in a name":             {"HTTP/1.1 200 OK\r\nX y: z\r\n" + body, false},
+		"long name with a blank":      {"HTTP/1.1 200 OK\r\nX " + strings.Repeat("x", 10*maxErrorBytes) + ": z\r\n" + body, false},
 		"blank before a colon":        {"HTTP/1.1 200 OK\r\nX : z\r\n" + body, false},
 		"length with a blank":         {"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab", false},
 		"blank in a trailer":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX y: z\r\n\r\n", false},
@@ -80,6 +87,7 @@
 			}
 			if !test.valid {
 				assert.Assert(t, errorx.IsOfType(err, http1.ErrMalformed), "%v", err)
+				assert.Assert(t, len(err.Error()) < maxErrorBytes, "the error has %d bytes", len(err.Error()))
 				return
 			}
 			assert.NilError(t, err)
