Test: malformed heads where a stream goes on

Without the checks of heads, three cases of TestStreamsThatGoOnContainOnlyEvents fail (status 000, taken up; a blank in a name, continued and taken up). A blank before a name is refused by the connection.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -214,6 +214,8 @@
 		"accepted":                        "HTTP/1.1 202 Accepted\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "Content-Length: 0\r\n\r\n",
 		"redirect":                        "HTTP/1.1 302 Found\r\nX-Id: ID\r\nX-Signed: s\r\nLocation: /\r\nContent-Length: 0\r\n\r\n",
 		"status 000":                      "HTTP/1.1 000 no\r\nX-Id: ID\r\nX-Signed: s\r\n" + eventsHeader + "\r\nid: 2\ndata: a1\n\n",
+		"blank in a name":                 success + "X y: z\r\n" + eventsHeader + "\r\nid: 2\ndata: a1\n\n",
+		"blank before a name":             success + " X: z\r\n" + eventsHeader + "\r\nid: 2\ndata: a1\n\n",
 		"error as an event":               success + eventsHeader + "\r\nevent: error\ndata: {\"error\":\"overloaded\"}\n\n",
 		"error as an event before others": success + eventsHeader + "\r\ndata: {\"error\":\"overloaded\"}\n\nid: 2\ndata: a1\n\n",
 		"error in place of events":        success + eventsHeader + "\r\n{\"error\":\"overloaded\"}\n\n",
