Test: addresses that refuse connections stay unused

Its upstreams that can't be reached had the port of a listener that was closed again. The system gives such a port to the next listener or connection of any program: one case met the listener of the upstream's own server, which was never started (504), another gateway of the same test (401), or a server of another test.

TestConnectionRefused, service.TestCallIsNotSent and the addresses in TestExitCodes were made in the same way.

--- a/bench/address.go
+++ b/bench/address.go
@@ -19,6 +19,13 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + pid%netCount), byte(subnet), byte(1 + n%addrsPerSubnet)})
 }
 
+// UnusedAddr returns an address that refuses connections until the program listens on it.
+// The port of a closed listener on 127.0.0.1 does not: the system gives it to the next
+// listener or outgoing connection of any program.
+func UnusedAddr() netip.AddrPort {
+	return NewAddr(nextIP())
+}
+
 // A program has a group of subnets of one network, both derived from its process id.
 const (
 	netCount        = 250
--- a/cmd/mangoloft/main_test.go
+++ b/cmd/mangoloft/main_test.go
@@ -85,11 +85,7 @@
 // TestExitCodes checks the exit code and a part of the output of commands that need
 // no running instance.
 func TestExitCodes(t *testing.T) {
-	// No process listens at the address of a closed listener.
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	closed := listener.Addr().String()
-	listener.Close()
+	closed := bench.UnusedAddr().String()
 	id := "r-fwAAARtYAAAAAAAAAAEAAAAAAAAAAQ"
 	for name, c := range map[string]struct {
 		code int
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mangoloft/bench"
 	"mangoloft/containment"
 	"mangoloft/decide"
 	"mangoloft/dispatch"
@@ -513,10 +514,7 @@
 // TestConnectionRefused checks that an unsafe request is sent to another upstream
 // if a connection was refused, because nothing was sent.
 func TestConnectionRefused(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	dead := &backend{name: "dead", addr: listener.Addr().(*net.TCPAddr).AddrPort()}
-	listener.Close()
+	dead := &backend{name: "dead", addr: bench.UnusedAddr()}
 	live := startBackend(t, "live", respondOK)
 	g := startGateway(t, &fakeEngines{}, dead, live)
 	for n := range 5 {
@@ -624,15 +622,11 @@
 // startListening is called.
 func restartingBackend(t *testing.T, name string, respond behaviour) (b *backend, startListening func()) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	addr := listener.Addr().(*net.TCPAddr).AddrPort()
-	listener.Close()
-	b = &backend{name: name, addr: addr}
+	b = &backend{name: name, addr: bench.UnusedAddr()}
 	server := httptest.NewUnstartedServer(b.handler(respond))
 	t.Cleanup(server.Close)
 	return b, func() {
-		listener, err := net.Listen("tcp4", addr.String())
+		listener, err := net.Listen("tcp4", b.addr.String())
 		if err != nil {
 			t.Errorf("listen again: %v", err)
 			return
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"mangoloft/bench"
 	"mangoloft/call"
 	"mangoloft/ident"
 	"mangoloft/service"
@@ -147,15 +148,11 @@
 // passed, has verdict NotRun and does not reach the service.
 func TestCallIsNotSent(t *testing.T) {
 	f := serve(t, false, headerOK+"Content-Length: 4\r\n\r\ndone")
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	closedAddr := closed.Addr().(*net.TCPAddr).AddrPort()
-	closed.Close()
 	tests := map[string]struct {
 		addr     netip.AddrPort
 		deadline time.Time
 	}{
-		"connection refused":      {closedAddr, time.Now().Add(time.Minute)},
+		"connection refused":      {bench.UnusedAddr(), time.Now().Add(time.Minute)},
 		"after the deadline":      {f.addr, time.Now().Add(-time.Second)},
 		"long after the deadline": {f.addr, time.Time{}},
 	}
