--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"testing"
 
@@ -10,6 +9,7 @@
 
 	"mangoloft/relay"
 	"mangoloft/settings"
+	"mangoloft/standin"
 )
 
 // TestCancelNeedsAnAnswer guards against a generation that counts as ended because of a response
@@ -25,14 +25,7 @@
 		"status 000":              {"HTTP/1.1 000 no\r\nContent-Length: 0\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = conn.Write([]byte(test.response))
-				conn.Close()
-			}))
+			server := httptest.NewServer(standin.RawResponse(test.response))
 			defer server.Close()
 			ended, err := NewClient(settings.Settings{}).Cancel(t.Context(), server.Listener.Addr().(*net.TCPAddr).AddrPort(), relay.Attachment{})
 			assert.Equal(t, ended, test.ended)
--- a/http1/transport_test.go
+++ b/http1/transport_test.go
@@ -1,44 +1,20 @@
 package http1_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
 	"mangoloft/http1"
+	"mangoloft/standin"
 )
 
-// startServer starts a server that answers each request with the same bytes, and returns its
-// URL.
-func startServer(t *testing.T, answer string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	var group sync.WaitGroup
-	t.Cleanup(func() { listener.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, answer)
-			}
-			conn.Close()
-		}
-	})
-	return "http://" + listener.Addr().String()
-}
-
 // TestResponses guards against responses that are not valid HTTP/1.1 and pass for an answer, and
 // against refusing valid ones.
 func TestResponses(t *testing.T) {
@@ -77,7 +53,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			request, err := http.NewRequest(http.MethodGet, startServer(t, test.answer), nil)
+			server := httptest.NewServer(standin.RawResponse(test.answer))
+			defer server.Close()
+			request, err := http.NewRequest(http.MethodGet, server.URL, nil)
 			assert.NilError(t, err)
 			var content []byte
 			response, err := http1.Transport{Base: &http.Transport{DisableKeepAlives: true}}.RoundTrip(request)
