--- a/entry/run_test.go
+++ b/entry/run_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"mangoloft/bench"
 	"mangoloft/catalog"
 	"mangoloft/gateway"
 	"mangoloft/history"
@@ -169,14 +170,6 @@
 	return strings.Contains(b.String(), text)
 }
 
-func freeAddr(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // startInstance runs an instance in front of the backend.
 func startInstance(t *testing.T, store *fakeStore, backend http.HandlerFunc) *testInstance {
 	t.Helper()
@@ -197,7 +190,7 @@
 	}}}
 	content := sampleSettings
 	for _, port := range []string{"8740", "8749", "8748", "7200", "9100"} {
-		content = strings.Replace(content, "10.1.0.19:"+port, freeAddr(t).String(), 1)
+		content = strings.Replace(content, "10.1.0.19:"+port, bench.UnusedAddr().String(), 1)
 	}
 	content = strings.Replace(content, `"grace_seconds": 8`, `"grace_seconds": 5`, 1)
 	path := filepath.Join(t.TempDir(), "settings.jsonc")
