--- a/review/cases3/client.go
+++ b/review/cases3/client.go
@@ -20,9 +20,9 @@
 
 // sent is a request of a client, and its end.
 type sent struct {
-	id   string
-	edge *edge
-	at   time.Time
+	id, path, key string
+	edge          *edge
+	at            time.Time
 }
 
 // clients send requests to the instances.
@@ -42,6 +42,11 @@
 
 // call sends one request to a plain service on a new connection and waits for the answer.
 func (c *clients) call(ctx context.Context, e *edge, method, path string, deadline time.Duration, body string) {
+	c.callWith(ctx, apiKey, e, method, path, deadline, body)
+}
+
+// callWith is like call, with a key.
+func (c *clients) callWith(ctx context.Context, key string, e *edge, method, path string, deadline time.Duration, body string) {
 	id := fmt.Sprintf("%016x", c.number.Add(1))
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
@@ -50,9 +55,9 @@
 		return
 	}
 	request.Host = hostName
-	request.Header = http.Header{"Attempt-Id": {id}, "Credential": {apiKey}, "Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}}
+	request.Header = http.Header{"Attempt-Id": {id}, "Credential": {key}, "Deadline-Ms": {strconv.FormatInt(deadline.Milliseconds(), 10)}}
 	c.mu.Lock()
-	c.sent[id] = sent{id, e, time.Now()}
+	c.sent[id] = sent{id, path, key, e, time.Now()}
 	c.mu.Unlock()
 	c.record.add("request %s (%s %s) is sent to %s", id, method, path, e.name)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
