--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*play) (broken bool, err error){
 	"history": playHistory,
+	"uploads": playUploads,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/cases3/server.go
+++ b/review/cases3/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -85,6 +86,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body) // The length shows whether it is complete.
 	s.record.add("request %s reaches %s, which runs it", id, s.id)
 	time.Sleep(s.work)
 	s.mu.Lock()
