--- a/review/cases3/fleet.go
+++ b/review/cases3/fleet.go
@@ -120,7 +120,7 @@
 	e.command = exec.Command(program, "serve")
 	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "MANGOLOFT_CONFIG=" + e.settings}
 	e.command.Stdout, e.command.Stderr = logs, logs
-	e.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	e.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := e.command.Start(); err != nil {
 		return err
 	}
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -61,6 +63,7 @@
 	}
 	p := &play{record: rec, trouble: os.Getenv("TROUBLE") != "0", program: program, dir: dir}
 	rec.add("case %s, trouble %v", args[0], p.trouble)
+	p.stopOnSignal()
 	broken, err := cases[args[0]](p)
 	if p.fleet != nil {
 		p.fleet.stop()
@@ -81,6 +84,20 @@
 	return exitHeld
 }
 
+// stopOnSignal ends all processes if this one is told to end.
+func (p *play) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		if p.fleet != nil {
+			p.fleet.stop()
+		}
+		os.RemoveAll(p.dir)
+		os.Exit(exitNotRun)
+	}()
+}
+
 // record is the file that tells what was sent, answered and run.
 type record struct {
 	mu      sync.Mutex
